Lay out the project and its checked settings

Cause: operators drive the system by settings alone, so these come first. Conclusion: settings can be declared, checked and read.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,44 @@
+# The developer's door. Each target works without an activated environment.
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+EXAMPLE ?= cordillera
+
+.PHONY: help install test lint format demo bench generate clean
+
+help:
+	@echo "make demo [EXAMPLE=cordillera|kivimagi]  run the whole system on loopback"
+	@echo "make test                                run all tests"
+	@echo "make lint | format                       check or fix formatting"
+	@echo "make bench                               run every measurement"
+	@echo "make generate                            regenerate the settings models"
+
+$(VENV)/.installed: requirements.txt requirements-dev.txt
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements.txt -r requirements-dev.txt
+	touch $@
+
+install: $(VENV)/.installed
+
+test: install
+	$(BIN)/python -m tests
+
+lint: install
+	$(BIN)/ruff check .
+	$(BIN)/ruff format --check .
+
+format: install
+	$(BIN)/ruff check --fix .
+	$(BIN)/ruff format .
+
+demo: install
+	$(BIN)/python -m extras.demo --example examples/$(EXAMPLE)
+
+bench: install
+	$(BIN)/python -m bench
+
+generate: install
+	PYTHON=$(BIN)/python extras/generate_settings.sh
+
+clean:
+	rm -rf $(VENV) bench/results
--- /dev/null
+++ b/basilwind/__init__.py
@@ -0,0 +1,3 @@
+"""basilwind: fleet capacity and maintenance manager."""
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/basilwind/settings/__init__.py
@@ -0,0 +1,28 @@
+"""Settings: models generated from JSON Schema, and the files they come from."""
+
+from basilwind.settings.generated.daemon import DaemonSettings, PeerSettings
+from basilwind.settings.generated.fleet import (
+    FleetSettings,
+    HostSettings,
+    PoolSettings,
+    ZoneSettings,
+)
+from basilwind.settings.generated.team import (
+    BudgetSettings,
+    GivesUpEnum,
+    QueueSettings,
+    TeamSettings,
+)
+
+__all__ = [
+    "BudgetSettings",
+    "DaemonSettings",
+    "FleetSettings",
+    "GivesUpEnum",
+    "HostSettings",
+    "PeerSettings",
+    "PoolSettings",
+    "QueueSettings",
+    "TeamSettings",
+    "ZoneSettings",
+]
