--- /dev/null
+++ b/basilwind/control/__init__.py
@@ -0,0 +1,1 @@
+"""Control state: a fold over the records of the platform's control stream."""
--- /dev/null
+++ b/basilwind/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's services: the append-only log and the list of hosts."""
--- /dev/null
+++ b/basilwind/platform/follower.py
@@ -0,0 +1,88 @@
+"""Follows one log stream by long poll."""
+
+import math
+import random
+
+import anyio
+
+from basilwind.errors import PlatformUnavailable, RetentionGap
+
+PAGE_LIMIT = 500
+POLL_WAIT_S = 0.5
+FIRST_BACKOFF_S = 0.05
+LONGEST_BACKOFF_S = 1.0
+
+
+class LogFollower:
+    """Applies every record of a stream, in order, to a reader.
+
+    Args:
+        client: A ``PlatformClient``.
+        stream: Name of the stream.
+        reader: Object with ``next_offset``, ``apply(offset, data)`` and
+            ``skip_to(offset)`` for records that the log has dropped.
+        clock: Monotonic clock, in seconds.
+    """
+
+    def __init__(self, client, stream, reader, clock):
+        self._client = client
+        self._stream = stream
+        self._reader = reader
+        self._clock = clock
+        self._confirmed_at = -math.inf
+        self._is_caught_up = False
+        self._is_available = False
+        self._changed = anyio.Event()
+
+    @property
+    def confirmed_at(self):
+        """Start of the latest read that reached the head, in seconds."""
+        return self._confirmed_at
+
+    @property
+    def is_caught_up(self):
+        """Whether the stream's head has been reached once."""
+        return self._is_caught_up
+
+    @property
+    def is_available(self):
+        """Whether the latest read succeeded."""
+        return self._is_available
+
+    @property
+    def changed(self):
+        """Event that is set after the next read."""
+        return self._changed
+
+    async def run(self):
+        """Follows the stream until cancelled."""
+        backoff_s = FIRST_BACKOFF_S
+        while True:
+            try:
+                await self._poll()
+                backoff_s = FIRST_BACKOFF_S
+            except RetentionGap as gap:
+                self._reader.skip_to(gap.first_offset)
+            except PlatformUnavailable:
+                self._is_available = False
+                self._notify()
+                await anyio.sleep(backoff_s * random.uniform(0.5, 1.0))
+                backoff_s = min(backoff_s * 2, LONGEST_BACKOFF_S)
+
+    async def _poll(self):
+        started = self._clock()
+        wait_s = POLL_WAIT_S if self._is_caught_up else 0
+        page = await self._client.read(
+            self._stream, self._reader.next_offset, PAGE_LIMIT, wait_s
+        )
+        for record in page.records:
+            self._reader.apply(record.offset, record.data.encode())
+        self._is_available = True
+        if self._reader.next_offset >= page.head:
+            self._confirmed_at = started
+            self._is_caught_up = True
+        self._notify()
+
+    def _notify(self):
+        self._changed.set()
+        self._changed = anyio.Event()
