--- /dev/null
+++ b/basilwind/journal/state.py
@@ -0,0 +1,334 @@
+"""The state that a zone's entry hosts fold from its journal."""
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+from functools import singledispatch
+
+import msgspec
+
+from basilwind.errors import RecordInvalid
+from basilwind.journal import entries
+from basilwind.journal.entries import (
+    Accepted,
+    Claim,
+    Finished,
+    NotRun,
+    Release,
+    Renewal,
+    Started,
+)
+from basilwind.models import Outcome
+
+MAX_WORKS = 20_000
+MAX_KEPT_BODY_BYTES = 8 * 1024
+MAX_WRITERS = 256
+
+
+@dataclass(slots=True)
+class ShardOwnership:
+    """Who owns a shard.
+
+    Attributes:
+        epoch: Number of the ownership, from 1.
+        holder: Entry host that owns it.
+        incarnation: The holder's process.
+        is_released: Whether the holder gave it up.
+        succeeds_unreleased: Whether the owner before may still hold a lease.
+        is_baseline: Whether it was learned without the claim before it.
+        previous_holder: Owner of the epoch before.
+        claimed_offset: Offset of the claim.
+    """
+
+    epoch: int = 0
+    holder: str = ""
+    incarnation: str = ""
+    is_released: bool = True
+    succeeds_unreleased: bool = False
+    is_baseline: bool = False
+    previous_holder: str = ""
+    claimed_offset: int = 0
+
+
+@dataclass(slots=True)
+class Work:
+    """What the journal says of one identity.
+
+    Attributes:
+        identity: Identity under which it runs at most once.
+        pool: Pool of its shard.
+        at: When its latest entry was sent, in seconds since the epoch.
+        job: Its acceptance, if it is a job.
+        started: Its latest start, unless proven not to have run.
+        finished: Its final outcome, if known.
+    """
+
+    identity: str
+    pool: str
+    at: float = 0.0
+    job: Accepted | None = None
+    started: Started | None = None
+    finished: Finished | None = None
+
+    @property
+    def is_open(self) -> bool:
+        """Whether it still needs an outcome."""
+        return self.finished is None
+
+
+@dataclass
+class JournalState:
+    """Fold of one zone's journal.
+
+    Attributes:
+        next_offset: Offset of the next record to apply.
+        shards: Ownership by pool.
+        works: Works by identity, least recently written first.
+        jobs: Identity of each job by job id.
+        horizon: Works last written before this time may have been forgotten,
+            in seconds since the epoch; 0 if none was.
+        writers: Highest sequence seen, by writer and incarnation.
+        invalid_records: Records that did not parse.
+    """
+
+    next_offset: int = 0
+    shards: dict[str, ShardOwnership] = field(default_factory=dict)
+    works: OrderedDict[str, Work] = field(default_factory=OrderedDict)
+    jobs: dict[str, str] = field(default_factory=dict)
+    horizon: float = 0.0
+    writers: OrderedDict[tuple[str, str], int] = field(default_factory=OrderedDict)
+    invalid_records: int = 0
+
+    def ownership(self, pool):
+        """Returns the ``ShardOwnership`` of a pool's shard."""
+        return self.shards.setdefault(pool, ShardOwnership())
+
+    def open_works(self, pool):
+        """Returns the works of a shard that still need an outcome."""
+        return [w for w in self.works.values() if w.pool == pool and w.is_open]
+
+    def sequence_of(self, writer, incarnation):
+        """Returns the highest sequence seen of a writer's process."""
+        return self.writers.get((writer, incarnation), 0)
+
+
+def apply_bytes(state, offset, data):
+    """Applies one record of the journal.
+
+    Args:
+        state: ``JournalState``, changed in place.
+        offset: Offset of the record; one already applied is ignored.
+        data: The record's bytes.
+
+    Returns:
+        The entries that took effect, by their place in the batch, and the
+        batch; or None if the record has no effect.
+    """
+    if offset < state.next_offset:
+        return None
+    state.next_offset = offset + 1
+    try:
+        batch = entries.decode_batch(data)
+    except RecordInvalid:
+        state.invalid_records += 1
+        return None
+    if not _is_new(state, batch):
+        return None
+    effective = [apply_entry(entry, state, batch.at) for entry in batch.entries]
+    _forget_oldest(state)
+    return AppliedBatch(batch, effective)
+
+
+@dataclass(frozen=True, slots=True)
+class AppliedBatch:
+    """A batch and which of its entries took effect.
+
+    Attributes:
+        batch: The batch.
+        effective: For each entry, whether it took effect.
+    """
+
+    batch: entries.Batch
+    effective: list[bool]
+
+
+def _is_new(state, batch):
+    writer = (batch.writer, batch.incarnation)
+    if batch.sequence <= state.writers.get(writer, 0):
+        return False
+    state.writers[writer] = batch.sequence
+    state.writers.move_to_end(writer)
+    if len(state.writers) > MAX_WRITERS:
+        state.writers.popitem(last=False)
+    return True
+
+
+def _forget_oldest(state):
+    while len(state.works) > MAX_WORKS:
+        identity = next(iter(state.works))
+        work = state.works[identity]
+        if work.is_open and work.job is not None:
+            # An open job is never forgotten; it moves behind newer works.
+            state.works.move_to_end(identity)
+            return
+        _forget(state, work)
+
+
+def _forget(state, work):
+    del state.works[work.identity]
+    if work.job is not None:
+        state.jobs.pop(work.job.job_id, None)
+    state.horizon = max(state.horizon, work.at)
+
+
+@singledispatch
+def apply_entry(entry, state, at):
+    """Applies one entry; chosen by its type.
+
+    Args:
+        entry: The entry.
+        state: ``JournalState``, changed in place if the entry takes effect.
+        at: When its batch was sent, in seconds since the epoch.
+
+    Returns:
+        Whether it took effect.
+    """
+    raise NotImplementedError(type(entry).__name__)
+
+
+@apply_entry.register
+def _(entry: Claim, state, at):
+    owner = state.ownership(entry.pool)
+    is_first_seen = owner.epoch == 0
+    if not is_first_seen and entry.epoch != owner.epoch + 1:
+        return False
+    state.shards[entry.pool] = ShardOwnership(
+        epoch=entry.epoch,
+        holder=entry.holder,
+        incarnation=entry.incarnation,
+        is_released=False,
+        succeeds_unreleased=not owner.is_released or entry.epoch > 1 and is_first_seen,
+        is_baseline=is_first_seen and entry.epoch > 1,
+        previous_holder=owner.holder,
+        claimed_offset=state.next_offset - 1,
+    )
+    return True
+
+
+@apply_entry.register
+def _(entry: Renewal, state, at):
+    owner = state.ownership(entry.pool)
+    if _matches(owner, entry):
+        owner.is_baseline = False
+        return True
+    is_newer = entry.epoch > owner.epoch
+    is_baseline_stale = owner.is_baseline and (is_newer or _same_epoch(owner, entry))
+    if owner.epoch and not is_baseline_stale:
+        return False
+    state.shards[entry.pool] = ShardOwnership(
+        epoch=entry.epoch,
+        holder=entry.holder,
+        incarnation=entry.incarnation,
+        is_released=False,
+        succeeds_unreleased=True,
+        is_baseline=True,
+    )
+    return True
+
+
+def _matches(owner, entry):
+    return _same_epoch(owner, entry) and owner.incarnation == entry.incarnation
+
+
+def _same_epoch(owner, entry):
+    return owner.epoch == entry.epoch
+
+
+@apply_entry.register
+def _(entry: Release, state, at):
+    owner = state.ownership(entry.pool)
+    if owner.epoch != entry.epoch:
+        return False
+    owner.is_released = True
+    return True
+
+
+def _is_current(state, entry):
+    owner = state.shards.get(entry.pool)
+    # Entries before the first claim in sight come from a journal whose
+    # beginning has been dropped.
+    return owner is None or owner.epoch == 0 or owner.epoch == entry.epoch
+
+
+@apply_entry.register
+def _(entry: Accepted, state, at):
+    if not _is_current(state, entry):
+        return False
+    work = _work(state, entry, at)
+    if work.job is not None and work.job.job_id != entry.job_id:
+        return False
+    if work.job is None and (work.started is not None or work.finished is not None):
+        return False
+    work.job = entry
+    state.jobs[entry.job_id] = entry.identity
+    return True
+
+
+@apply_entry.register
+def _(entry: Started, state, at):
+    if not _is_current(state, entry):
+        return False
+    work = _work(state, entry, at)
+    if work.finished is not None:
+        return False
+    if work.started is not None and work.started.task_id != entry.task_id:
+        return False
+    work.started = entry
+    return True
+
+
+@apply_entry.register
+def _(entry: NotRun, state, at):
+    work = state.works.get(entry.identity)
+    if work is None or work.started is None:
+        return False
+    if work.started.task_id != entry.task_id or work.finished is not None:
+        return False
+    work.started = None
+    if work.job is None:
+        del state.works[entry.identity]
+    return True
+
+
+@apply_entry.register
+def _(entry: Finished, state, at):
+    work = _work(state, entry, at)
+    if work.finished is not None:
+        return False
+    work.finished = entry
+    if work.job is not None:
+        # The request itself is not needed any more; its id still is.
+        work.job = msgspec.structs.replace(work.job, spec=b"")
+    return True
+
+
+def _work(state, entry, at):
+    work = state.works.get(entry.identity)
+    if work is None:
+        work = Work(entry.identity, entry.pool)
+        state.works[entry.identity] = work
+    work.at = at
+    state.works.move_to_end(entry.identity)
+    return work
+
+
+def outcome_of(finished):
+    """Returns the ``Outcome`` that a ``Finished`` entry stands for."""
+    return Outcome(
+        kind=finished.kind,
+        reason=finished.reason,
+        status=finished.status,
+        content_type=finished.content_type,
+        body=finished.body,
+        worker=finished.worker,
+        replayed=True,
+    )
--- /dev/null
+++ b/basilwind/membership/rendezvous.py
@@ -0,0 +1,18 @@
+"""Rendezvous hashing."""
+
+import hashlib
+
+
+def ranked(key, names):
+    """Returns names by descending rendezvous weight for a key."""
+    return sorted(names, key=lambda name: _weight(key, name), reverse=True)
+
+
+def top(key, names):
+    """Returns the name of the greatest weight for a key, or None."""
+    return max(names, key=lambda name: _weight(key, name), default=None)
+
+
+def _weight(key, name):
+    text = f"{key}\0{name}".encode()
+    return hashlib.blake2b(text, digest_size=8).digest()
--- /dev/null
+++ b/basilwind/membership/view.py
@@ -0,0 +1,62 @@
+"""Makes this entry host's heartbeats and takes in those of others."""
+
+from basilwind.membership.members import Heartbeat
+from basilwind.membership.promises import MICROSECONDS
+
+
+class MembershipView:
+    """Connects ``Members`` and ``Promises`` with what heartbeats carry.
+
+    Args:
+        name: This entry host.
+        zone: Its availability zone.
+        incarnation: This process.
+        members: ``Members``.
+        promises: ``Promises``.
+        report: Function from the present time to a ``SelfReport``.
+        takes_from: Function that tells whether a shard was taken from a peer
+            that has not noticed; see ``Ownership.takes_from``.
+    """
+
+    def __init__(self, name, zone, incarnation, members, promises, report, takes_from):
+        self._name = name
+        self._zone = zone
+        self._incarnation = incarnation
+        self._members = members
+        self._promises = promises
+        self._report = report
+        self._takes_from = takes_from
+
+    def heartbeat_for(self, peer, now):
+        """Returns the ``Heartbeat`` to send to a peer at ``now``."""
+        report = self._report(now)
+        is_promising = self._may_promise(peer, now)
+        if is_promising:
+            self._promises.give(peer, now)
+        return Heartbeat(
+            name=self._name,
+            zone=self._zone,
+            incarnation=self._incarnation,
+            is_leaving=report.is_leaving,
+            is_ready=report.is_ready,
+            control_offset=report.control_offset,
+            control_digest=report.control_digest,
+            shards=report.shards,
+            stamp=int(now * MICROSECONDS),
+            echo=self._promises.stamp_of(peer),
+            is_promising=is_promising,
+            journal_offset=report.journal_offset,
+        )
+
+    def note(self, heartbeat, now):
+        """Takes in a peer's heartbeat that arrived at ``now``."""
+        self._members.record(heartbeat, now)
+        self._promises.receive(heartbeat)
+
+    def _may_promise(self, peer, now):
+        member = self._members.by_name.get(peer)
+        if member is None or member.heartbeat.zone != self._zone:
+            return False
+        if self._takes_from(peer, member.heartbeat.journal_offset):
+            return False
+        return self._members.is_live(peer, now)
--- /dev/null
+++ b/basilwind/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Messages and connections between entry hosts."""
