--- /dev/null
+++ b/basilwind/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Placing requests and jobs on workers."""
--- /dev/null
+++ b/basilwind/placement/desk.py
@@ -0,0 +1,84 @@
+"""Runs the requests and job queries that reach the owner of a shard."""
+
+from basilwind.models import Reason, refused
+from basilwind.peers.messages import JobReply
+from basilwind.placement.custody import CustodyBook, CustodyState
+from basilwind.placement.jobs import JobService
+from basilwind.placement.service import ShardService
+from basilwind.placement.shard import Shard
+
+
+class RequestDesk:
+    """The shards of this zone, as served by this daemon.
+
+    Args:
+        zone: ``ZoneParts`` of the zone.
+    """
+
+    def __init__(self, zone):
+        self._zone = zone
+        self._services = {}
+        self._jobs = {}
+        self.book = CustodyBook()
+
+    @property
+    def services(self):
+        """``ShardService`` by pool."""
+        return self._services
+
+    def shard(self, pool):
+        """Returns the ``Shard`` of a pool, or None."""
+        service = self._services.get(pool)
+        return service.shard if service is not None else None
+
+    def add_pool(self, pool):
+        """Begins to serve a pool."""
+        shard = Shard(pool, self._zone.name, self._zone.clock)
+        service = ShardService(shard, self._zone)
+        jobs = JobService(service, self._zone)
+        self._services[pool] = service
+        self._jobs[pool] = jobs
+        self._zone.tasks.start_soon(jobs.run)
+
+    async def run_in_custody(self, handoff, custody):
+        """Runs a request or accepts a job that is in custody here.
+
+        Args:
+            handoff: The ``Handoff``.
+            custody: Its ``Custody``.
+
+        Returns:
+            The ``Outcome``, or None if the request has been recalled.
+        """
+        outcome = refused(Reason.NO_OWNER)
+        try:
+            outcome = await self._run(handoff, custody)
+        finally:
+            is_recalled = custody.state is CustodyState.RECALLED
+            self.book.finish(custody, outcome, self._zone.clock())
+        return None if is_recalled and not custody.is_cancelled else outcome
+
+    async def answer_job_query(self, query):
+        """Returns the ``JobReply`` to a query on this host's shards."""
+        if query.label:
+            cancelled = 0
+            for jobs in self._jobs.values():
+                cancelled += await jobs.cancel_label(query.team, query.label)
+            return JobReply(True, "cancelling", cancelled=cancelled)
+        jobs = self._jobs.get(query.job_id.partition("~")[0])
+        if jobs is None:
+            return JobReply(found=False)
+        if query.cancel:
+            return await jobs.cancel(query.job_id, query.team)
+        return jobs.reply(query.job_id, query.team)
+
+    async def _run(self, handoff, custody):
+        spec = handoff.spec
+        deadline = self._zone.clock() + handoff.remaining_s
+        service = self._services.get(spec.pool)
+        if service is None:
+            return refused(Reason.NO_OWNER)
+        if handoff.is_job:
+            jobs = self._jobs[spec.pool]
+            return await jobs.accept(spec, handoff.job_id, deadline)
+        return await service.serve(spec, deadline, custody)
--- /dev/null
+++ b/basilwind/placement/once.py
@@ -0,0 +1,146 @@
+"""At most once: what the journal proves of an identity before it is run."""
+
+import hashlib
+import uuid
+from dataclasses import dataclass, field
+
+import anyio
+
+from basilwind.errors import (
+    EntryFenced,
+    JournalUnavailable,
+    LeaseLost,
+    PeerError,
+    RequestInvalid,
+)
+from basilwind.journal.entries import Finished, NotRun, Started
+from basilwind.journal.state import MAX_KEPT_BODY_BYTES
+from basilwind.models import Outcome
+
+LOG_TIMEOUT_S = 1.0
+CLOCK_SKEW_S = 60.0
+
+
+@dataclass
+class InFlight:
+    """Work that runs in this process.
+
+    Attributes:
+        digest: Digest of its request.
+        settled: Set when its outcome is known.
+        outcome: The outcome.
+    """
+
+    digest: str
+    settled: anyio.Event = field(default_factory=anyio.Event)
+    outcome: Outcome | None = None
+
+
+def digest_of(spec):
+    """Returns a digest of what a request asks for."""
+    text = f"{spec.team}/{spec.queue}/{spec.content_type}/".encode()
+    return hashlib.sha256(text + spec.body).hexdigest()[:32]
+
+
+def key_time(key):
+    """Returns the time that a UUIDv7 key carries, in seconds since the epoch.
+
+    Raises:
+        RequestInvalid: The key is not a UUIDv7.
+    """
+    try:
+        parsed = uuid.UUID(key)
+    except ValueError as error:
+        raise RequestInvalid("the Idempotency-Key must be a UUIDv7") from error
+    if parsed.version != 7:
+        raise RequestInvalid("the Idempotency-Key must be a UUIDv7, not another UUID")
+    return (parsed.int >> 80) / 1000.0
+
+
+class StartGuard:
+    """Records starts and finishes of one identity under one epoch.
+
+    Args:
+        spec: The request.
+        epoch: Epoch of the shard's ownership.
+        journal: The zone's ``Journal``.
+        ownership: The zone's ``Ownership``.
+        copies: ``CopySender`` that copies entries to the zone's peers.
+        clock: Monotonic clock, in seconds.
+    """
+
+    def __init__(self, spec, epoch, journal, ownership, copies, clock):
+        self._spec = spec
+        self._epoch = epoch
+        self._journal = journal
+        self._ownership = ownership
+        self._copies = copies
+        self._clock = clock
+
+    def check(self):
+        """Checks that the first byte may be sent now.
+
+        Raises:
+            LeaseLost: It may not.
+        """
+        self._ownership.check(self._spec.pool, self._epoch, self._clock())
+
+    async def record_start(self, task_id, worker, worker_incarnation, deadline_at):
+        """Makes the start durable.
+
+        Raises:
+            LeaseLost: The shard has another owner, or may have.
+            JournalUnavailable: Neither the log nor the peers took it.
+        """
+        entry = Started(
+            pool=self._spec.pool,
+            epoch=self._epoch,
+            identity=self._spec.identity,
+            task_id=task_id,
+            worker=worker,
+            worker_incarnation=worker_incarnation,
+            digest=digest_of(self._spec),
+            deadline=deadline_at,
+        )
+        try:
+            await self._journal.append_or_copy(entry, LOG_TIMEOUT_S, self._copies)
+        except EntryFenced as error:
+            raise LeaseLost("the start was void") from error
+        except PeerError as error:
+            self.record_not_run(task_id)
+            raise JournalUnavailable("no peer took a copy", False) from error
+
+    def record_not_run(self, task_id):
+        """Takes a start back that is proven not to have run."""
+        entry = NotRun(
+            pool=self._spec.pool,
+            epoch=self._epoch,
+            identity=self._spec.identity,
+            task_id=task_id,
+        )
+        _append_quietly(self._journal, entry)
+
+    def record_finish(self, outcome):
+        """Records the final outcome; it may wait for the log."""
+        has_body = len(outcome.body) <= MAX_KEPT_BODY_BYTES
+        entry = Finished(
+            pool=self._spec.pool,
+            epoch=self._epoch,
+            identity=self._spec.identity,
+            kind=outcome.kind,
+            reason=outcome.reason,
+            status=outcome.status,
+            content_type=outcome.content_type,
+            body=outcome.body if has_body else b"",
+            has_body=has_body,
+            worker=outcome.worker,
+        )
+        _append_quietly(self._journal, entry)
+
+
+def _append_quietly(journal, entry):
+    try:
+        journal.append_later(entry)
+    except JournalUnavailable:
+        # Without it the next owner asks the worker.
+        pass
--- /dev/null
+++ b/basilwind/placement/shard.py
@@ -0,0 +1,144 @@
+"""One shard: a pool's queue and workers in one availability zone."""
+
+import math
+
+import anyio
+
+from basilwind.models import Reason, refused
+from basilwind.placement.ejection import Ejector
+from basilwind.placement.estimates import RunTimes
+from basilwind.placement.retry import RetryBudget
+from basilwind.placement.slots import SlotTable, could_ever_fit
+from basilwind.placement.waiting import WaitQueue
+
+SHORTEST_RETRY_AFTER_S = 0.2
+LONGEST_RETRY_AFTER_S = 10.0
+EXPECTED_WAIT_MARGIN = 1.5
+
+
+class Shard:
+    """Admits requests, queues them and reserves workers for them.
+
+    Args:
+        pool: Pool of the shard.
+        zone: Its availability zone.
+        clock: Monotonic clock, in seconds.
+    """
+
+    def __init__(self, pool, zone, clock):
+        self.pool = pool
+        self.zone = zone
+        self._clock = clock
+        self.ejector = Ejector()
+        self.slots = SlotTable(self.ejector)
+        self.queue = WaitQueue()
+        self.run_times = RunTimes()
+        self._retry_budgets = {}
+
+    def retry_budget(self, team):
+        """Returns a team's ``RetryBudget``."""
+        return self._retry_budgets.setdefault(team, RetryBudget())
+
+    def update_hosts(self, hosts, is_placeable):
+        """Takes in the hosts of the shard; see ``SlotTable.update``."""
+        self.slots.update(hosts, is_placeable)
+        self.grant()
+
+    def update_team(self, team, settings):
+        """Takes in a team's quota and limits."""
+        share = self.queue.share(team)
+        share.weight = float(settings.quota_slots)
+        share.limit_slots = settings.limit_slots
+        share.max_waiting = settings.max_waiting
+
+    def refusal(self, spec, deadline, now):
+        """Decides on admission.
+
+        Args:
+            spec: The request.
+            deadline: Its deadline, on the monotonic clock in seconds.
+            now: Present time on the monotonic clock, in seconds.
+
+        Returns:
+            The ``Outcome`` that refuses it, or None if it is admitted.
+        """
+        if now >= deadline:
+            return refused(Reason.DEADLINE_EXCEEDED)
+        workers = self.slots.workers.values()
+        if workers and not self._could_ever_fit(spec.demand):
+            return refused(Reason.NEVER_FITS)
+        if self.queue.is_full(spec.team):
+            return refused(Reason.QUEUE_FULL, self.retry_after_s(spec))
+        expected_s = self._expected_wait_s(spec) * EXPECTED_WAIT_MARGIN
+        if not spec.urgent and now + expected_s > deadline:
+            return refused(Reason.EXPECTED_WAIT_TOO_LONG, self.retry_after_s(spec))
+        return None
+
+    def retry_after_s(self, spec):
+        """Returns when the caller of a refused request may try again."""
+        wait_s = self._expected_wait_s(spec)
+        return min(max(wait_s, SHORTEST_RETRY_AFTER_S), LONGEST_RETRY_AFTER_S)
+
+    async def acquire(self, spec, deadline):
+        """Waits for a worker.
+
+        Args:
+            spec: The request.
+            deadline: Longest wait, on the monotonic clock in seconds.
+
+        Returns:
+            The granted ``Ticket``, or None if the deadline came first.
+        """
+        ticket = self.queue.enter(spec, self._clock())
+        self.grant()
+        try:
+            if ticket.reservation is None:
+                with anyio.move_on_after(max(deadline - self._clock(), 0.0)):
+                    await ticket.granted.wait()
+        except BaseException:
+            self._abandon(ticket)
+            raise
+        if ticket.reservation is None:
+            self._abandon(ticket)
+            return None
+        return ticket
+
+    def release(self, ticket):
+        """Gives a granted ticket's worker back."""
+        self.slots.release(ticket.reservation)
+        self.queue.release(ticket)
+        self.grant()
+
+    def grant(self):
+        """Grants waiting tickets while workers have room."""
+        now = self._clock()
+        self.queue.grant(lambda demand: self.slots.reserve(demand, now), now)
+
+    def note_result(self, worker, is_success, now):
+        """Takes in whether a worker's task succeeded."""
+        names = [
+            name for name, known in self.slots.workers.items() if known.is_placeable
+        ]
+        self.ejector.note(worker, is_success, names, now)
+
+    def free_slots(self, now):
+        """Returns how many slots are free."""
+        return self.slots.free_slots(now)
+
+    def _abandon(self, ticket):
+        if ticket.reservation is not None:
+            self.release(ticket)
+        else:
+            self.queue.withdraw(ticket)
+
+    def _could_ever_fit(self, demand):
+        return any(
+            could_ever_fit(worker.settings, demand)
+            for worker in self.slots.workers.values()
+        )
+
+    def _expected_wait_s(self, spec):
+        slots = self.slots.total_slots()
+        if slots == 0 and self.slots.workers:
+            return math.ldexp(SHORTEST_RETRY_AFTER_S, 2)
+        return self.run_times.expected_wait_s(spec, self.queue.waiting, slots)
--- /dev/null
+++ b/basilwind/workers/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the workers on which tasks run."""
--- /dev/null
+++ b/basilwind/workers/directory.py
@@ -0,0 +1,133 @@
+"""The workers of a zone: their clients and health."""
+
+from dataclasses import dataclass
+
+import anyio
+
+from basilwind.errors import WorkerUnreachable
+from basilwind.workers.client import WorkerClient
+
+PROBE_INTERVAL_S = 1.0
+FAILED_PROBES = 2
+
+
+@dataclass
+class KnownWorker:
+    """What is known of one worker.
+
+    Attributes:
+        settings: The host's declaration.
+        client: ``WorkerClient`` of the worker.
+        incarnation: Its process as last reported; empty before the first.
+        failed_probes: Probes in a row that it did not answer.
+        is_leaving: Whether it reported that it leaves service.
+        scope: Cancels its probing.
+    """
+
+    settings: object
+    client: WorkerClient
+    incarnation: str = ""
+    failed_probes: int = 0
+    is_leaving: bool = False
+    scope: anyio.CancelScope | None = None
+
+    @property
+    def is_healthy(self):
+        """Whether it takes new work."""
+        is_answering = self.incarnation and self.failed_probes < FAILED_PROBES
+        return bool(is_answering) and not self.is_leaving
+
+
+class WorkerDirectory:
+    """Keeps a client to each worker of the zone and probes those in use."""
+
+    def __init__(self):
+        self._workers = {}
+        self._listed_out = frozenset()
+
+    def update(self, hosts):
+        """Takes in the hosts of the zone.
+
+        Args:
+            hosts: Host settings.
+        """
+        names = {settings.name for settings in hosts}
+        for name in list(self._workers):
+            if name not in names:
+                self._drop(name)
+        for settings in hosts:
+            known = self._workers.get(settings.name)
+            if known is not None and known.settings.address != settings.address:
+                self._drop(settings.name)
+                known = None
+            if known is None:
+                client = WorkerClient(settings.address, settings.connections)
+                self._workers[settings.name] = KnownWorker(settings, client)
+
+    def update_listed(self, names):
+        """Takes in which hosts the platform lists as leaving or gone."""
+        self._listed_out = frozenset(names)
+
+    def is_listed_out(self, name):
+        """Whether the platform lists a host as leaving or gone."""
+        return name in self._listed_out
+
+    def client(self, name):
+        """Returns the client of a worker, or None if it is not known."""
+        known = self._workers.get(name)
+        return known.client if known is not None else None
+
+    def incarnation(self, name):
+        """Returns a worker's process as last reported, or an empty string."""
+        known = self._workers.get(name)
+        return known.incarnation if known is not None else ""
+
+    def is_healthy(self, name):
+        """Whether a worker takes new work."""
+        known = self._workers.get(name)
+        if known is None or name in self._listed_out:
+            return False
+        return known.is_healthy
+
+    def note_unreachable(self, name):
+        """Takes in that a worker could not be connected to."""
+        known = self._workers.get(name)
+        if known is not None:
+            known.failed_probes += 1
+
+    async def run(self, is_wanted):
+        """Probes workers until cancelled.
+
+        Args:
+            is_wanted: Function from a worker's name to whether this entry
+                host places work on it.
+        """
+        async with anyio.create_task_group() as tasks:
+            while True:
+                for name, known in self._workers.items():
+                    if known.scope is None and is_wanted(name):
+                        known.scope = anyio.CancelScope()
+                        tasks.start_soon(self._probe, name, known, is_wanted)
+                await anyio.sleep(PROBE_INTERVAL_S / 5)
+
+    async def _probe(self, name, known, is_wanted):
+        with known.scope:
+            while is_wanted(name):
+                await self._probe_once(known)
+                await anyio.sleep(PROBE_INTERVAL_S)
+        known.scope = None
+
+    async def _probe_once(self, known):
+        try:
+            report = await known.client.report()
+        except WorkerUnreachable:
+            known.failed_probes += 1
+            return
+        known.failed_probes = 0
+        known.incarnation = report.incarnation
+        known.is_leaving = report.is_leaving
+
+    def _drop(self, name):
+        known = self._workers.pop(name)
+        if known.scope is not None:
+            known.scope.cancel()
