Serve it all: daemon, command line, stand-ins and demo

Cause: the whole path has to run end to end, each part its own process. Change: application with life-cycle hooks, HTTP interface, commands, stand-ins for platform and workers, a launcher and 'make demo'.

--- /dev/null
+++ b/basilwind/api/__init__.py
@@ -0,0 +1,1 @@
+"""The HTTP interface to callers and operators."""
--- /dev/null
+++ b/basilwind/api/app.py
@@ -0,0 +1,223 @@
+"""The ASGI application of a daemon."""
+
+import anyio
+import msgspec
+
+from basilwind.api.asgi import (
+    ClientGone,
+    HttpResponse,
+    json_response,
+    read_request,
+    send_response,
+)
+from basilwind.api.auth import bearer_token, check_token
+from basilwind.api.outcomes import OutcomeBody, outcome_response
+from basilwind.api.requests import deadline_s, make_spec
+from basilwind.errors import AuthenticationError, RequestInvalid
+from basilwind.models import OutcomeKind, Reason, refused
+from basilwind.peers.messages import JobQuery
+
+LONGEST_JOB_WAIT_S = 60.0
+FIRST_JOB_POLL_S = 0.05
+LONGEST_JOB_POLL_S = 0.5
+
+
+class JobBody(msgspec.Struct, omit_defaults=True):
+    """Body of an answer about a job."""
+
+    job_id: str
+    state: str
+    outcome: str = ""
+    reason: str = ""
+    worker: str = ""
+    status: int = 0
+    body: str = ""
+
+
+class CancelBody(msgspec.Struct):
+    """Body of the answer to a bulk cancellation."""
+
+    cancelled: int
+    is_complete: bool
+
+
+class ApiApp:
+    """Serves callers, operators and the platform's balancer.
+
+    Args:
+        daemon: ``DaemonParts`` that the routes work with.
+    """
+
+    def __init__(self, daemon):
+        self._daemon = daemon
+        self.open_requests = 0
+
+    async def __call__(self, scope, receive, send):
+        """Serves one request."""
+        if scope["type"] != "http":
+            return
+        self.open_requests += 1
+        try:
+            response = await self._respond(scope, receive)
+            if response is not None:
+                await send_response(send, response)
+        finally:
+            self.open_requests -= 1
+
+    async def _respond(self, scope, receive):
+        try:
+            request = await read_request(scope, receive)
+            return await self._route(request, receive)
+        except ClientGone:
+            return None
+        except RequestInvalid as error:
+            return _error(400, str(error))
+        except AuthenticationError as error:
+            return _error(401, str(error))
+
+    async def _route(self, request, receive):
+        parts = request.path.strip("/").split("/")
+        match (request.method, *parts):
+            case ("GET", "healthz"):
+                return HttpResponse(200, b"ok\n", "text/plain")
+            case ("GET", "readyz"):
+                return self._ready()
+            case ("GET", "v1", "status"):
+                return json_response(self._daemon.status())
+            case ("POST", "v1", "queues", team, queue, "requests"):
+                return await self._request(request, team, queue, receive)
+            case ("POST", "v1", "queues", team, queue, "jobs"):
+                return await self._submit_job(request, team, queue)
+            case ("GET", "v1", "teams", team, "jobs", job_id):
+                return await self._job(request, team, job_id)
+            case ("POST", "v1", "teams", team, "jobs", job_id, "cancel"):
+                return await self._cancel_job(request, team, job_id)
+            case ("POST", "v1", "teams", team, "cancel"):
+                return await self._cancel_label(request, team)
+        return _error(404, "no such page; see the API page in the documentation")
+
+    def _ready(self):
+        problem = self._daemon.not_ready_reason()
+        if problem:
+            return HttpResponse(503, problem.encode() + b"\n", "text/plain")
+        return HttpResponse(200, b"ready\n", "text/plain")
+
+    async def _request(self, request, team, queue_name, receive):
+        queue = self._authorized_queue(request, team, queue_name)
+        if isinstance(queue, HttpResponse):
+            return queue
+        spec = make_spec(request, team, queue, self._daemon.wall())
+        deadline = self._daemon.clock() + deadline_s(request, queue)
+        outcome = await self._until_gone(
+            receive, self._daemon.router.submit, spec, deadline
+        )
+        if outcome is None:
+            return None
+        self._daemon.note_outcome(spec, outcome)
+        return outcome_response(outcome, spec.request_id)
+
+    async def _until_gone(self, receive, function, *args):
+        # A caller that hangs up withdraws what has not been started.
+        result = None
+
+        async def watch():
+            while (await receive())["type"] != "http.disconnect":
+                pass
+            tasks.cancel_scope.cancel()
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(watch)
+            result = await function(*args)
+            tasks.cancel_scope.cancel()
+        return result
+
+    async def _submit_job(self, request, team, queue_name):
+        queue = self._authorized_queue(request, team, queue_name)
+        if isinstance(queue, HttpResponse):
+            return queue
+        spec = make_spec(request, team, queue, self._daemon.wall())
+        deadline = self._daemon.clock() + deadline_s(request, queue)
+        outcome = await self._daemon.router.submit(spec, deadline, is_job=True)
+        self._daemon.note_outcome(spec, outcome)
+        response = outcome_response(outcome, spec.request_id)
+        if outcome.kind is OutcomeKind.DONE:
+            response.headers["basilwind-outcome"] = "accepted"
+        return response
+
+    async def _job(self, request, team, job_id):
+        self._authorize(request, team)
+        wait_s = _wait_s(request)
+        deadline = self._daemon.clock() + wait_s
+        pause_s = FIRST_JOB_POLL_S
+        while True:
+            reply = await self._daemon.router.query_job(JobQuery(job_id, team))
+            is_final = reply is not None and reply.state == "finished"
+            is_absent = reply is not None and not reply.found
+            if is_final or is_absent or self._daemon.clock() >= deadline:
+                return _job_response(job_id, reply)
+            await anyio.sleep(pause_s)
+            pause_s = min(pause_s * 1.5, LONGEST_JOB_POLL_S)
+
+    async def _cancel_job(self, request, team, job_id):
+        self._authorize(request, team)
+        query = JobQuery(job_id, team, cancel=True)
+        return _job_response(job_id, await self._daemon.router.query_job(query))
+
+    async def _cancel_label(self, request, team):
+        self._authorize(request, team)
+        label = request.query.get("label", "")
+        if not label:
+            raise RequestInvalid("name the label: POST .../cancel?label=LABEL")
+        reply = await self._daemon.router.cancel_label(team, label)
+        return json_response(CancelBody(reply.cancelled, reply.found))
+
+    def _authorized_queue(self, request, team, queue_name):
+        problem = self._daemon.not_ready_reason()
+        if problem:
+            reason = Reason.LEAVING if self._daemon.is_leaving else Reason.NO_STATE
+            return outcome_response(refused(reason, 1.0), "")
+        self._authorize(request, team)
+        queue = self._daemon.control.state.find_queue(team, queue_name)
+        if queue is None:
+            return outcome_response(refused(Reason.UNKNOWN_QUEUE), "")
+        return queue
+
+    def _authorize(self, request, team):
+        token = bearer_token(request.headers)
+        settings = self._daemon.control.state.tree.teams.get(team)
+        hashes = settings.tokens if settings is not None else []
+        check_token(token, hashes, f"team {team!r}")
+
+
+def _wait_s(request):
+    try:
+        wait_s = float(request.query.get("wait", "0"))
+    except ValueError as error:
+        raise RequestInvalid("wait must be a number of seconds") from error
+    if not 0 <= wait_s <= LONGEST_JOB_WAIT_S:
+        raise RequestInvalid(f"wait must be from 0 to {LONGEST_JOB_WAIT_S:g} seconds")
+    return wait_s
+
+
+def _job_response(job_id, reply):
+    if reply is None:
+        response = _error(503, "the job's owner cannot be reached; ask again")
+        response.headers["retry-after"] = "1"
+        return response
+    if not reply.found:
+        return _error(404, "no such job of this team")
+    body = JobBody(job_id, reply.state)
+    if reply.outcome is not None:
+        body.outcome = reply.outcome.kind.value
+        body.reason = reply.outcome.reason.value
+        body.worker = reply.outcome.worker
+        body.status = reply.outcome.status
+        body.body = reply.outcome.body.decode("utf-8", "replace")
+    return json_response(body)
+
+
+def _error(status, message):
+    body = OutcomeBody("refused", "invalid_request", "", message)
+    response = HttpResponse(status, msgspec.json.encode(body))
+    response.headers["basilwind-outcome"] = "refused"
+    return response
--- /dev/null
+++ b/basilwind/api/auth.py
@@ -0,0 +1,40 @@
+"""Bearer tokens of teams and operators."""
+
+import hashlib
+import hmac
+
+from basilwind.errors import AuthenticationError
+
+
+def bearer_token(headers):
+    """Returns the bearer token of a request.
+
+    Args:
+        headers: Headers by lower-case name.
+
+    Raises:
+        AuthenticationError: There is none.
+    """
+    scheme, _, token = headers.get("authorization", "").partition(" ")
+    if scheme.lower() != "bearer" or not token.strip():
+        raise AuthenticationError("send an 'Authorization: Bearer TOKEN' header")
+    return token.strip()
+
+
+def token_hash(token):
+    """Returns the form in which a token stands in the settings."""
+    return hashlib.sha256(token.encode()).hexdigest()
+
+
+def check_token(token, hashes, holder):
+    """Checks a token against the hashes that are valid now.
+
+    Every hash is compared, in constant time.
+
+    Raises:
+        AuthenticationError: It matches none.
+    """
+    presented = token_hash(token)
+    matches = [hmac.compare_digest(presented, known) for known in hashes]
+    if not any(matches):
+        raise AuthenticationError(f"the token is not valid for {holder}")
--- /dev/null
+++ b/basilwind/cli/commands/__init__.py
@@ -0,0 +1,1 @@
+"""What each command does."""
--- /dev/null
+++ b/basilwind/cli/commands/apply.py
@@ -0,0 +1,85 @@
+"""Publishes changed subtrees and waits until they are in force."""
+
+import anyio
+
+from basilwind.client import Client
+from basilwind.control.publisher import Publisher
+from basilwind.errors import DaemonUnreachable
+from basilwind.platform.client import PlatformClient
+from basilwind.settings.checks import check_tree
+from basilwind.settings.tree import load_tree, team_subtree
+from basilwind.status import ExitStatus
+
+POLL_S = 0.05
+
+
+def run(context, directory, platform, author, team, entries, timeout_s):
+    """Publishes what differs; reports each verdict and which hosts lag."""
+    tree = load_tree(directory)
+    check_tree(tree)
+    return anyio.run(_apply, context, tree, platform, author, team, entries, timeout_s)
+
+
+async def _apply(context, tree, platform, author, team, entries, timeout_s):
+    client = PlatformClient(platform)
+    try:
+        publisher = Publisher(client, author, context.wall)
+        await publisher.refresh()
+        changes = [
+            change
+            for change in publisher.changes(tree)
+            if not team or change.subtree == team_subtree(team)
+        ]
+        published = [
+            (change, await publisher.publish_settings(change)) for change in changes
+        ]
+    finally:
+        await client.aclose()
+    status = _report(context, published)
+    accepted = [result.offset for _, result in published if result.entry.accepted]
+    if not entries or not accepted:
+        return status
+    lagging = await _wait(context, entries, max(accepted), timeout_s)
+    return ExitStatus.NOT_IN_FORCE if lagging else status
+
+
+def _report(context, published):
+    if not published:
+        context.write("nothing to publish: all subtrees are in force")
+    status = ExitStatus.SUCCESS
+    for change, result in published:
+        if result.entry.accepted:
+            context.write(f"{change.subtree}: accepted as version {result.offset}")
+        else:
+            context.write_error(f"{change.subtree}: refused: {result.entry.reason}")
+            status = ExitStatus.REFUSED
+    return status
+
+
+async def _wait(context, entries, offset, timeout_s):
+    started = context.monotonic()
+    lagging = set(entries)
+    while lagging and context.monotonic() - started < timeout_s:
+        async with anyio.create_task_group() as tasks:
+            for entry in list(lagging):
+                tasks.start_soon(_check_entry, entry, offset, lagging)
+        await anyio.sleep(POLL_S)
+    elapsed_s = context.monotonic() - started
+    if lagging:
+        names = ", ".join(sorted(lagging))
+        context.write_error(f"not in force after {elapsed_s:.1f} s on: {names}")
+    else:
+        context.write(f"in force on {len(entries)} entry hosts after {elapsed_s:.2f} s")
+    return lagging
+
+
+async def _check_entry(entry, offset, lagging):
+    client = Client(entry)
+    try:
+        status = await client.status()
+        if status.control_offset > offset:
+            lagging.discard(entry)
+    except DaemonUnreachable:
+        pass
+    finally:
+        await client.aclose()
--- /dev/null
+++ b/basilwind/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon that runs on every entry host."""
--- /dev/null
+++ b/basilwind/daemon/daemon.py
@@ -0,0 +1,260 @@
+"""Builds one entry host's daemon out of the library's parts."""
+
+import uuid
+
+import anyio
+
+from basilwind.api.app import ApiApp
+from basilwind.api.asgi import HttpServer
+from basilwind.application import Application
+from basilwind.control.log import ControlLog
+from basilwind.daemon.housekeeping import Housekeeping
+from basilwind.daemon.status import make_status
+from basilwind.errors import PlatformUnavailable
+from basilwind.journal.journal import Journal
+from basilwind.logs import log
+from basilwind.membership.copies import CopySender, CopyStore
+from basilwind.membership.members import Members, SelfReport, ShardHint
+from basilwind.membership.ownership import Ownership
+from basilwind.membership.promises import Promises
+from basilwind.membership.view import MembershipView
+from basilwind.metrics import Metrics
+from basilwind.peers.mesh import Mesh
+from basilwind.peers.server import PeerServer
+from basilwind.peers.service import PeerService
+from basilwind.placement.desk import RequestDesk
+from basilwind.placement.resolver import Resolver
+from basilwind.placement.router import Router
+from basilwind.placement.zone import ZoneParts
+from basilwind.platform.client import ListedState, PlatformClient
+from basilwind.workers.directory import WorkerDirectory
+
+HOST_LIST_INTERVAL_S = 1.0
+STOP_POLL_S = 0.05
+LEAVE_NOTICE_S = 0.6
+
+
+class Daemon:
+    """One entry host's daemon.
+
+    Args:
+        settings: ``DaemonSettings``.
+        context: ``Context`` with the clocks.
+    """
+
+    def __init__(self, settings, context):
+        self.settings = settings
+        self.name = settings.name
+        self.zone = settings.zone
+        self.clock = context.monotonic
+        self.wall = context.wall
+        self.incarnation = uuid.uuid4().hex[:12]
+        self.started_at = self.clock()
+        self.is_leaving = False
+        self.application = Application()
+        self.metrics = Metrics(settings.statsd, self.name)
+        self._build_state()
+        self._build_placement()
+        self._build_borders()
+        self._add_services()
+
+    def _build_state(self):
+        self.platform = PlatformClient(self.settings.platform)
+        self.control = ControlLog(self.platform, self.clock, self._note_change)
+        self.journal = Journal(
+            self.platform,
+            self.zone,
+            self.name,
+            self.incarnation,
+            self.clock,
+            self.wall,
+            self.settings.group_commit_ms / 1000.0,
+        )
+        self.members = Members(self.name)
+        self.promises = Promises(self.settings.lease_s, self.zone_peers)
+        self.copies = CopyStore(lambda: self.journal.state)
+        self.ownership = Ownership(
+            self.journal,
+            self.members,
+            self.promises,
+            self.copies,
+            self.name,
+            self.zone,
+            self.incarnation,
+            self.settings.lease_s,
+            self.clock,
+        )
+        self.membership = MembershipView(
+            self.name,
+            self.zone,
+            self.incarnation,
+            self.members,
+            self.promises,
+            self._report,
+            self.ownership.takes_from,
+        )
+
+    def _build_placement(self):
+        self.mesh = Mesh(self.name, self.membership, self.clock)
+        self.workers = WorkerDirectory()
+        copies = CopySender(
+            self.name, self.incarnation, self.zone_peers, self.mesh.link
+        )
+        self._zone_parts = ZoneParts(
+            name=self.zone,
+            journal=self.journal,
+            ownership=self.ownership,
+            copies=copies,
+            workers=self.workers,
+            resolver=Resolver(self.workers, self.clock),
+            clock=self.clock,
+            wall=self.wall,
+            started_at_wall=self.wall(),
+        )
+        self.desk = RequestDesk(self._zone_parts)
+        self.router = Router(
+            self.name,
+            self.zone,
+            self.incarnation,
+            self.desk,
+            self.mesh,
+            self.members,
+            self.ownership,
+            lambda: self.control.state,
+            self.clock,
+        )
+        self.housekeeping = Housekeeping(self)
+
+    def _build_borders(self):
+        self.app = ApiApp(self)
+        self.http_server = HttpServer(self.app, self.settings.http)
+        self.peer_service = PeerService(
+            self.desk, self.membership, self.copies, self.control, self.clock
+        )
+
+    def _add_services(self):
+        application = self.application
+        application.on_start(self._start)
+        application.add_service(self.control.run)
+        application.add_service(self.journal.run)
+        application.add_service(self.mesh.run, self.settings.peers)
+        application.add_service(self.ownership.run, self.zone_pools)
+        application.add_service(self.workers.run, self.is_worker_wanted)
+        application.add_service(self.housekeeping.run)
+        application.add_service(self._follow_host_list)
+        application.add_service(self.http_server.serve_until_stopped)
+        application.on_stop(self._stop)
+
+    async def run(self, handle_signals=True):
+        """Runs the daemon until it is stopped."""
+        await self.application.run(handle_signals)
+        log("daemon stopped", name=self.name)
+
+    async def _start(self):
+        self._zone_parts.tasks = self.application.tasks
+        self.peer_server = PeerServer(self.peer_service, self.application.tasks)
+        host, _, port = self.settings.peer.rpartition(":")
+        listener = await anyio.create_tcp_listener(
+            local_host=host, local_port=int(port)
+        )
+        self.application.tasks.start_soon(self.peer_server.serve, listener)
+        log("daemon started", name=self.name, zone=self.zone)
+
+    async def _stop(self):
+        log("daemon leaves", name=self.name)
+        self.is_leaving = True
+        self.ownership.is_leaving = True
+        with anyio.move_on_after(self.settings.drain_patience_s):
+            # The balancer and the peers learn it before work is turned away.
+            await anyio.sleep(LEAVE_NOTICE_S)
+            while self.app.open_requests or len(self.desk.book):
+                await anyio.sleep(STOP_POLL_S)
+            await self.ownership.release_all()
+            while self.journal.pending:
+                await anyio.sleep(STOP_POLL_S)
+        self.http_server.should_exit = True
+        await self.platform.aclose()
+
+    def not_ready_reason(self):
+        """Returns why this daemon takes no work, or an empty string."""
+        if self.is_leaving:
+            return "leaving"
+        if not self.control.state.is_loaded:
+            return "no settings yet: the log has none or cannot be reached"
+        if not self.control.is_current:
+            return "the settings have not been read to their end yet"
+        return ""
+
+    def zone_peers(self):
+        """Returns names of the zone's other entry hosts, or None if unknown."""
+        if not self.control.state.is_loaded:
+            return None
+        return self.control.state.entry_hosts_of(self.zone) - {self.name}
+
+    def zone_pools(self):
+        """Returns the pools that span this zone."""
+        if not self.control.state.is_loaded:
+            return []
+        fleet = self.control.state.tree.fleet
+        return [pool.name for pool in fleet.pools if self.zone in pool.zones]
+
+    def is_worker_wanted(self, name):
+        """Whether this entry host places work on a worker."""
+        host = self.control.state.hosts.get(name)
+        if host is None:
+            return False
+        return self.ownership.acts_for(host.pool, self.clock())
+
+    def status(self):
+        """Returns the daemon's status for operators."""
+        return make_status(self, self.clock())
+
+    def note_outcome(self, spec, outcome):
+        """Counts the outcome of a request."""
+        self.metrics.count(f"outcome.{outcome.kind.value}")
+        if self.settings.log_level == "debug":
+            log(
+                "request finished",
+                request_id=spec.request_id,
+                team=spec.team,
+                outcome=outcome.kind.value,
+                reason=outcome.reason.value,
+            )
+
+    def _note_change(self, entry):
+        self.housekeeping.control_changed = True
+        log(
+            "control record applied" if entry.accepted else "control record refused",
+            offset=entry.offset,
+            author=entry.author,
+            action=entry.action,
+            target=entry.target,
+            reason=entry.reason,
+        )
+
+    def _report(self, now):
+        shards = []
+        for pool, service in self.desk.services.items():
+            if self.ownership.acts_for(pool, now):
+                shard = service.shard
+                hint = ShardHint(pool, shard.free_slots(now), shard.queue.waiting)
+                shards.append(hint)
+        return SelfReport(
+            is_leaving=self.is_leaving,
+            is_ready=not self.not_ready_reason(),
+            control_offset=self.control.next_offset,
+            control_digest=self.control.state.digest,
+            journal_offset=self.journal.next_offset,
+            shards=tuple(shards),
+        )
+
+    async def _follow_host_list(self):
+        while True:
+            try:
+                hosts = await self.platform.hosts()
+                self.workers.update_listed(
+                    host.name for host in hosts if host.state is not ListedState.LIVE
+                )
+            except PlatformUnavailable:
+                pass
+            await anyio.sleep(HOST_LIST_INTERVAL_S)
--- /dev/null
+++ b/basilwind/output/__init__.py
@@ -0,0 +1,1 @@
+"""Tables and other output of commands."""
--- /dev/null
+++ b/basilwind/output/tables.py
@@ -0,0 +1,13 @@
+"""Plain-text tables."""
+
+from tabulate import tabulate
+
+
+def render_table(headers, rows):
+    """Returns a table as text.
+
+    Args:
+        headers: Column names.
+        rows: Rows of values.
+    """
+    return tabulate(rows, headers=headers, tablefmt="simple", floatfmt=".3f")
--- /dev/null
+++ b/basilwind/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform and the workers, for demos and tests."""
--- /dev/null
+++ b/basilwind/standin/serve.py
@@ -0,0 +1,27 @@
+"""Runs stand-ins as a program."""
+
+import anyio
+
+from basilwind.api.asgi import HttpServer
+from basilwind.application import Application
+
+
+async def serve_apps(apps):
+    """Serves ASGI applications until a signal comes.
+
+    Args:
+        apps: Applications by HOST:PORT.
+    """
+    application = Application()
+    servers = [HttpServer(app, address) for address, app in apps.items()]
+    for server in servers:
+        application.add_service(server.serve_until_stopped)
+
+    async def stop():
+        for server in servers:
+            server.should_exit = True
+            server.force_exit = True
+        await anyio.sleep(0.1)
+
+    application.on_stop(stop)
+    await application.run()
--- /dev/null
+++ b/extras/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers outside the package: launcher, demo, generators."""
--- /dev/null
+++ b/extras/demo/__init__.py
@@ -0,0 +1,1 @@
+"""The whole system on loopback."""
--- /dev/null
+++ b/extras/launcher.py
@@ -0,0 +1,176 @@
+"""Starts and stops an example's processes on loopback, by process id."""
+
+import re
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+from basilwind.settings import DaemonSettings
+from basilwind.settings.loader import load_file
+from basilwind.settings.tree import load_tree
+
+ADDRESS = re.compile(r"127\.0\.0\.1:(\d+)")
+OFFSETS = range(0, 20_000, 1000)
+STOP_TIMEOUT_S = 30.0
+
+
+class Launcher:
+    """Runs the platform stand-in, the worker stand-ins and the daemons.
+
+    Args:
+        example: Directory of the example.
+        daemon_options: Settings lines added to each daemon's file.
+    """
+
+    def __init__(self, example, daemon_options=""):
+        self._temporary = tempfile.TemporaryDirectory(prefix="basilwind-")
+        self.directory = Path(self._temporary.name)
+        self._processes = {}
+        self._copy(Path(example), _free_offset(Path(example)), daemon_options)
+        self.tree = load_tree(self.settings_directory)
+        self.daemons = {
+            file.stem: load_file(file, DaemonSettings)
+            for file in sorted((self.directory / "daemons").glob("*.jsonc"))
+        }
+        self.platform = next(iter(self.daemons.values())).platform
+        self.workers = {host.name: host.address for host in self.tree.fleet.hosts}
+
+    @property
+    def settings_directory(self):
+        """Directory of the settings tree, with this run's addresses."""
+        return self.directory / "settings"
+
+    @property
+    def entries(self):
+        """HOST:PORT of each daemon, by name."""
+        return {name: daemon.http for name, daemon in self.daemons.items()}
+
+    def start_stand_ins(self):
+        """Starts the platform and one process of workers in each zone."""
+        address = self.platform.removeprefix("http://")
+        self._start("platform", "stand-in", "platform", "--listen", address)
+        for zone in self.tree.fleet.zones:
+            self._start(
+                f"workers-{zone.name}",
+                *("stand-in", "worker", "--zone", zone.name),
+                *("--settings", str(self.settings_directory)),
+            )
+        self._wait_listening([address, *self.workers.values()])
+
+    def start_daemons(self):
+        """Starts every daemon and waits until all listen."""
+        for name in self.daemons:
+            self.start_daemon(name, wait=False)
+        self._wait_listening(self.entries.values())
+
+    def start_daemon(self, name, wait=True):
+        """Starts one daemon."""
+        file = self.directory / "daemons" / f"{name}.jsonc"
+        self._start(name, "serve", "--settings", str(file))
+        if wait:
+            self._wait_listening([self.entries[name]])
+
+    def signal(self, name, number):
+        """Sends a signal to a process that this launcher started."""
+        self._processes[name].send_signal(number)
+
+    def kill(self, name):
+        """Kills a process and waits for its end."""
+        self.signal(name, signal.SIGKILL)
+        self._processes.pop(name).wait()
+
+    def stop(self, name):
+        """Stops a process gracefully.
+
+        Returns:
+            Its exit status.
+        """
+        process = self._processes.pop(name)
+        process.terminate()
+        return process.wait(STOP_TIMEOUT_S)
+
+    def process_id(self, name):
+        """Returns the id of a process."""
+        return self._processes[name].pid
+
+    def run(self, *arguments):
+        """Runs a basilwind command to its end and returns its result."""
+        command = [sys.executable, "-m", "basilwind", *arguments]
+        return subprocess.run(command, capture_output=True, text=True, timeout=120)
+
+    def log(self, name):
+        """Returns what a process has printed."""
+        return (self.directory / f"{name}.log").read_text(encoding="utf-8")
+
+    def close(self):
+        """Ends every process and removes the directory."""
+        for process in self._processes.values():
+            process.kill()
+        for process in self._processes.values():
+            process.wait()
+        self._processes.clear()
+        self._temporary.cleanup()
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *error):
+        self.close()
+
+    def _start(self, name, *arguments):
+        command = [sys.executable, "-m", "basilwind", *arguments]
+        with open(self.directory / f"{name}.log", "ab") as output:
+            self._processes[name] = subprocess.Popen(
+                command, stdout=output, stderr=output, stdin=subprocess.DEVNULL
+            )
+
+    def _copy(self, example, offset, daemon_options):
+        for source in sorted(example.rglob("*.jsonc")):
+            text = ADDRESS.sub(
+                lambda match: f"127.0.0.1:{int(match.group(1)) + offset}",
+                source.read_text(encoding="utf-8"),
+            )
+            if daemon_options and source.parent.name == "daemons":
+                text = text.replace("{", "{\n  " + daemon_options + ",", 1)
+            target = self.directory / source.relative_to(example)
+            target.parent.mkdir(parents=True, exist_ok=True)
+            target.write_text(text, encoding="utf-8")
+
+    def _wait_listening(self, addresses, timeout_s=30.0):
+        end = time.monotonic() + timeout_s
+        for address in addresses:
+            host, _, port = address.rpartition(":")
+            while time.monotonic() < end:
+                try:
+                    socket.create_connection((host, int(port)), 1.0).close()
+                    break
+                except OSError:
+                    time.sleep(0.05)
+            else:
+                raise TimeoutError(f"nothing listens on {address}")
+
+
+def _free_offset(example):
+    ports = {
+        int(port)
+        for file in example.rglob("*.jsonc")
+        for port in ADDRESS.findall(file.read_text(encoding="utf-8"))
+    }
+    for offset in OFFSETS:
+        if all(_is_free(port + offset) for port in ports):
+            return offset
+    raise RuntimeError("no free range of ports on loopback")
+
+
+def _is_free(port):
+    with socket.socket() as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
