--- a/basilwind/placement/jobs.py
+++ b/basilwind/placement/jobs.py
@@ -123,6 +123,7 @@
     async def run(self):
         """Starts every open job of the owned shard, until cancelled."""
         while True:
+            self._service.forget_journaled()
             if self._service.pool in self._zone.ownership.owned:
                 self._start_open()
             await anyio.sleep(RECOVER_INTERVAL_S)
--- a/basilwind/placement/service.py
+++ b/basilwind/placement/service.py
@@ -178,7 +178,25 @@
     def _settle(self, identity, flight, outcome):
         flight.outcome = outcome
         flight.settled.set()
-        self._in_flight.pop(identity, None)
+        if outcome.kind is OutcomeKind.REFUSED or self._is_journaled(identity, flight):
+            del self._in_flight[identity]
+
+    def forget_journaled(self):
+        """Forgets settled work that the fold knows by now.
+
+        While the log is out, the work's end is known in this process alone.
+        """
+        for identity, flight in list(self._in_flight.items()):
+            if flight.settled.is_set() and self._is_journaled(identity, flight):
+                del self._in_flight[identity]
+
+    def _is_journaled(self, identity, flight):
+        work = self._zone.journal.state.works.get(identity)
+        if work is None:
+            return False
+        if flight.outcome.kind is OutcomeKind.UNKNOWN:
+            return work.started is not None or work.finished is not None
+        return work.finished is not None
 
     def _is_job(self, spec):
         work = self._zone.journal.state.works.get(spec.identity)
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements; each is one command that prints a table and writes JSON."""
--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -1,5 +1,6 @@
 """Runs every test but those that KNOWN-RED.txt lists, which it prints."""
 
+import logging
 import os
 import sys
 import unittest
@@ -34,6 +35,8 @@
 
 
 def main():
+    # The server library reports each task that a test cuts short.
+    logging.getLogger("uvicorn").setLevel(logging.CRITICAL)
     settings.load_profile(os.environ.get("HYPOTHESIS_PROFILE", "default"))
     loader = unittest.TestLoader()
     patterns = sys.argv[1:]
