Withhold promises from peers that may not know of a claim

Cause: generated partitions let two entry hosts hold a lease at once. After a chain of claims (e3, then e1, then e2) the present owner still promised the first loser, since it looked at its direct predecessor only. Ruled out: the log lease, which had lapsed in the trace. A renewal tells holders apart by name too. Conclusion: a promise speaks of all claims that the giver knows, not of one.

--- a/basilwind/daemon/daemon.py
+++ b/basilwind/daemon/daemon.py
@@ -91,7 +91,7 @@
             self.members,
             self.promises,
             self._report,
-            self.ownership.takes_from,
+            self.ownership.is_behind,
         )
 
     def _build_placement(self):
--- a/basilwind/journal/state.py
+++ b/basilwind/journal/state.py
@@ -35,7 +35,6 @@
         is_released: Whether the holder gave it up.
         succeeds_unreleased: Whether the owner before may still hold a lease.
         is_baseline: Whether it was learned without the claim before it.
-        previous_holder: Owner of the epoch before.
         claimed_offset: Offset of the claim.
     """
 
@@ -45,7 +44,6 @@
     is_released: bool = True
     succeeds_unreleased: bool = False
     is_baseline: bool = False
-    previous_holder: str = ""
     claimed_offset: int = 0
 
 
@@ -208,7 +206,6 @@
         is_released=False,
         succeeds_unreleased=not owner.is_released or entry.epoch > 1 and is_first_seen,
         is_baseline=is_first_seen and entry.epoch > 1,
-        previous_holder=owner.holder,
         claimed_offset=state.next_offset - 1,
     )
     return True
@@ -236,7 +233,11 @@
 
 
 def _matches(owner, entry):
-    return _same_epoch(owner, entry) and owner.incarnation == entry.incarnation
+    return (
+        _same_epoch(owner, entry)
+        and owner.holder == entry.holder
+        and owner.incarnation == entry.incarnation
+    )
 
 
 def _same_epoch(owner, entry):
--- a/basilwind/membership/ownership.py
+++ b/basilwind/membership/ownership.py
@@ -6,6 +6,7 @@
 
 from basilwind.errors import EntryFenced, JournalUnavailable, LeaseLost
 from basilwind.journal.entries import Claim, Release, Renewal
+from basilwind.membership.promises import PROMISE_MARGIN_S
 from basilwind.membership.rendezvous import top
 
 CHECK_INTERVAL_S = 0.1
@@ -73,7 +74,6 @@
         self._lease_s = lease_s
         self._clock = clock
         self._owned = {}
-        self._started_at = clock()
         self.is_leaving = False
 
     @property
@@ -144,27 +144,31 @@
     async def release_all(self):
         """Gives up every owned shard."""
         self.is_leaving = True
-        for owned in list(self._owned.values()):
+        now = self._clock()
+        # The next owner may be at work as soon as a release is on the log.
+        released, self._owned = self._owned, {}
+        for owned in released.values():
+            if now < owned.usable_at:
+                # The owner before may still be at work, so the next has to wait.
+                continue
             entry = Release(pool=owned.pool, epoch=owned.epoch)
             try:
                 await self._journal.append(entry, CLAIM_TIMEOUT_S)
             except (JournalUnavailable, EntryFenced):
                 pass
-        self._owned.clear()
 
-    def takes_from(self, peer, journal_offset):
-        """Whether a shard was taken from a peer that has not noticed yet.
+    def is_behind(self, peer, journal_offset):
+        """Whether another host's claim may be unknown to a peer.
 
         Args:
             peer: The entry host.
             journal_offset: Offset of the next journal record that it applies.
         """
-        for pool in self._owned:
-            owner = self._journal.state.ownership(pool)
-            if owner.previous_holder == peer and owner.succeeds_unreleased:
-                if journal_offset <= owner.claimed_offset:
-                    return True
-        return False
+        return any(
+            owner.holder != peer and journal_offset <= owner.claimed_offset
+            for owner in self._journal.state.shards.values()
+            if owner.epoch > 0
+        )
 
     async def _tend(self, pool, now):
         owner = self._journal.state.ownership(pool)
@@ -200,11 +204,9 @@
             return
         usable_at = now
         if owner.succeeds_unreleased:
-            usable_at = max(
-                now + self._lease_s,
-                self._started_at + self._lease_s,
-                self._promises.given_until(owner.previous_holder),
-            )
+            # By then the lease of any owner before has lapsed, and so have
+            # all promises that were given before this claim was seen.
+            usable_at = now + self._lease_s + PROMISE_MARGIN_S
         self._owned[pool] = OwnedShard(
             pool, owner.epoch, usable_at, owner.succeeds_unreleased
         )
--- a/basilwind/membership/promises.py
+++ b/basilwind/membership/promises.py
@@ -1,8 +1,9 @@
 """Promises between a zone's entry hosts that keep leases while the log is out.
 
 By each heartbeat an entry host promises a live peer of its zone not to use a
-shard taken from that peer for the length of a lease. A peer that holds such
-promises of all others knows that no other owner can be at work.
+shard claimed from now on for the length of a lease. It promises nothing to a
+peer that may not know of the latest claims. A peer that holds such promises of
+all others knows that no other owner can be at work.
 """
 
 import math
@@ -12,7 +13,7 @@
 
 
 class Promises:
-    """Promises given to and received from the entry hosts of one zone.
+    """Promises received from the other entry hosts of one zone.
 
     Args:
         lease_s: Length of a promise, in seconds.
@@ -23,7 +24,6 @@
     def __init__(self, lease_s, zone_peers):
         self._lease_s = lease_s
         self._zone_peers = zone_peers
-        self._given = {}
         self._received = {}
         self._stamps = {}
 
@@ -31,10 +31,6 @@
         """Returns the latest stamp that came from a peer."""
         return self._stamps.get(peer, 0)
 
-    def give(self, peer, now):
-        """Notes that a promise is about to be sent to a peer."""
-        self._given[peer] = now + self._lease_s + PROMISE_MARGIN_S
-
     def receive(self, heartbeat):
         """Takes in a peer's heartbeat."""
         self._stamps[heartbeat.name] = heartbeat.stamp
@@ -43,10 +39,6 @@
         until = heartbeat.echo / MICROSECONDS + self._lease_s - PROMISE_MARGIN_S
         self._received[heartbeat.name] = until
 
-    def given_until(self, peer):
-        """Returns the end of the promise given to a peer, or minus infinity."""
-        return self._given.get(peer, -math.inf)
-
     def unanimous_until(self):
         """Returns until when all other entry hosts of the zone have promised.
 
--- a/basilwind/membership/view.py
+++ b/basilwind/membership/view.py
@@ -14,25 +14,22 @@
         members: ``Members``.
         promises: ``Promises``.
         report: Function from the present time to a ``SelfReport``.
-        takes_from: Function that tells whether a shard was taken from a peer
-            that has not noticed; see ``Ownership.takes_from``.
+        is_behind: Function that tells whether a claim may be unknown to a
+            peer; see ``Ownership.is_behind``.
     """
 
-    def __init__(self, name, zone, incarnation, members, promises, report, takes_from):
+    def __init__(self, name, zone, incarnation, members, promises, report, is_behind):
         self._name = name
         self._zone = zone
         self._incarnation = incarnation
         self._members = members
         self._promises = promises
         self._report = report
-        self._takes_from = takes_from
+        self._is_behind = is_behind
 
     def heartbeat_for(self, peer, now):
         """Returns the ``Heartbeat`` to send to a peer at ``now``."""
         report = self._report(now)
-        is_promising = self._may_promise(peer, now)
-        if is_promising:
-            self._promises.give(peer, now)
         return Heartbeat(
             name=self._name,
             zone=self._zone,
@@ -44,7 +41,7 @@
             shards=report.shards,
             stamp=int(now * MICROSECONDS),
             echo=self._promises.stamp_of(peer),
-            is_promising=is_promising,
+            is_promising=self._may_promise(peer, now),
             journal_offset=report.journal_offset,
         )
 
@@ -57,6 +54,6 @@
         member = self._members.by_name.get(peer)
         if member is None or member.heartbeat.zone != self._zone:
             return False
-        if self._takes_from(peer, member.heartbeat.journal_offset):
+        if self._is_behind(peer, member.heartbeat.journal_offset):
             return False
         return self._members.is_live(peer, now)
--- a/basilwind/placement/custody.py
+++ b/basilwind/placement/custody.py
@@ -2,7 +2,7 @@
 
 import enum
 from collections import OrderedDict
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 import anyio
 
@@ -30,7 +30,7 @@
     Attributes:
         handoff_id: The hand-off that brought it.
         state: Where it stands.
-        scope: Cancelled when the request is recalled while it waits.
+        scope: Scope in which it runs, cancelled when it is recalled.
         outcome: The outcome, once finished.
         closed_at: When it was finished or recalled, on the monotonic clock.
         task_id: Id of its latest task.
@@ -41,7 +41,7 @@
 
     handoff_id: str
     state: CustodyState = CustodyState.WAITING
-    scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
+    scope: anyio.CancelScope | None = None
     outcome: Outcome | None = None
     closed_at: float = 0.0
     task_id: str = ""
@@ -49,6 +49,13 @@
     is_cancelled: bool = False
     spec: RequestSpec | None = None
 
+    def open_scope(self):
+        """Returns a new scope to run in, cancelled already after a recall."""
+        self.scope = anyio.CancelScope()
+        if self.state is CustodyState.RECALLED:
+            self.scope.cancel()
+        return self.scope
+
     def start(self):
         """Marks the request as started; the first byte may leave now.
 
@@ -71,10 +78,15 @@
         self.is_cancelled = True
         if self.state is CustodyState.STARTED:
             return False
-        self.state = CustodyState.RECALLED
-        self.scope.cancel()
+        self.withdraw()
         return True
 
+    def withdraw(self):
+        """Makes sure that it is never started."""
+        self.state = CustodyState.RECALLED
+        if self.scope is not None:
+            self.scope.cancel()
+
     def return_to_waiting(self):
         """Marks a start as proven not to have run."""
         if self.state is CustodyState.STARTED:
@@ -137,8 +149,7 @@
         if custody.state is CustodyState.FINISHED:
             return RecallReply(handoff_id, RecallState.FINISHED, custody.outcome)
         if custody.state is CustodyState.WAITING:
-            custody.state = CustodyState.RECALLED
-            custody.scope.cancel()
+            custody.withdraw()
             self._close(custody, now)
         return RecallReply(handoff_id, RecallState.NOT_RUN)
 
--- a/basilwind/placement/jobs.py
+++ b/basilwind/placement/jobs.py
@@ -192,7 +192,6 @@
         guard = None if spec.idempotent else self._service.guard(spec, epoch)
         if custody.is_cancelled:
             return Outcome(OutcomeKind.CANCELLED, Reason.CANCELLED_BY_CALLER)
-        custody.scope = anyio.CancelScope()
         return await self._service.run_attempts(spec, deadline, custody, guard)
 
     def _record(self, spec, custody, outcome):
--- a/basilwind/placement/service.py
+++ b/basilwind/placement/service.py
@@ -68,7 +68,7 @@
         if refusal is not None:
             return refusal
         outcome = refused(Reason.CANCELLED_BY_CALLER)
-        with custody.scope:
+        with custody.open_scope():
             outcome = await self._executor.execute(spec, deadline, custody)
         return cancelled_if_asked(custody, outcome)
 
@@ -153,7 +153,7 @@
     async def run_attempts(self, spec, deadline, custody, guard):
         """Runs a request in its custody's scope; see ``Executor.execute``."""
         outcome = refused(Reason.CANCELLED_BY_CALLER)
-        with custody.scope:
+        with custody.open_scope():
             outcome = await self._executor.execute(spec, deadline, custody, guard)
         return cancelled_if_asked(custody, outcome)
 
--- /dev/null
+++ b/tests/journal/test_state.py
@@ -0,0 +1,231 @@
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from basilwind.journal.entries import (
+    Accepted,
+    Batch,
+    Claim,
+    Finished,
+    NotRun,
+    Release,
+    Renewal,
+    Started,
+    encode_batch,
+)
+from basilwind.journal.state import MAX_WORKS, JournalState, apply_bytes
+from basilwind.models import OutcomeKind
+
+POOL = "pool-a"
+HOLDERS = ("e1", "e2", "e3")
+IDENTITIES = ("k1", "k2", "k3")
+
+
+def started(identity, epoch, task_id):
+    return Started(
+        pool=POOL,
+        epoch=epoch,
+        identity=identity,
+        task_id=task_id,
+        worker="w1",
+        worker_incarnation="i1",
+        digest="d",
+        deadline=0.0,
+    )
+
+
+def accepted(identity, epoch, job_id):
+    return Accepted(
+        pool=POOL,
+        epoch=epoch,
+        identity=identity,
+        job_id=job_id,
+        team="t",
+        digest="d",
+        spec=b"spec",
+        deadline=0.0,
+    )
+
+
+def finished(identity, epoch, kind=OutcomeKind.DONE):
+    return Finished(pool=POOL, epoch=epoch, identity=identity, kind=kind)
+
+
+def claim(epoch, holder):
+    return Claim(pool=POOL, epoch=epoch, holder=holder, incarnation="i")
+
+
+class Log:
+    """Batches by several writers, as the platform orders them."""
+
+    def __init__(self):
+        self.records = []
+        self._sequences = {}
+
+    def append(self, writer, *entries, at=1.0):
+        self._sequences[writer] = self._sequences.get(writer, 0) + 1
+        batch = Batch(writer, "i", self._sequences[writer], at, list(entries))
+        self.records.append(encode_batch(batch))
+        return self.records[-1]
+
+
+def fold(records, first=0):
+    state = JournalState(next_offset=first)
+    for offset, data in enumerate(records[first:], first):
+        apply_bytes(state, offset, data)
+    return state
+
+
+class TestOwnership(unittest.TestCase):
+    def test_first_of_two_claims_wins(self):
+        log = Log()
+        log.append("e1", claim(1, "e1"))
+        log.append("e2", claim(1, "e2"))
+        self.assertEqual(fold(log.records).ownership(POOL).holder, "e1")
+
+    def test_entries_of_an_older_epoch_are_void(self):
+        log = Log()
+        log.append("e1", claim(1, "e1"))
+        log.append("e2", claim(2, "e2"))
+        log.append("e1", started("k1", 1, "t1"), accepted("k2", 1, "j2"))
+        self.assertEqual(len(fold(log.records).works), 0)
+
+    def test_finish_of_an_older_epoch_counts(self):
+        log = Log()
+        log.append("e1", claim(1, "e1"), started("k1", 1, "t1"))
+        log.append("e2", claim(2, "e2"))
+        log.append("e1", finished("k1", 1))
+        self.assertIsNotNone(fold(log.records).works["k1"].finished)
+
+    def test_claim_after_release_needs_no_wait(self):
+        log = Log()
+        log.append("e1", claim(1, "e1"), Release(pool=POOL, epoch=1))
+        log.append("e2", claim(2, "e2"))
+        self.assertFalse(fold(log.records).ownership(POOL).succeeds_unreleased)
+
+    def test_claim_of_an_unreleased_shard_waits(self):
+        log = Log()
+        log.append("e1", claim(1, "e1"))
+        log.append("e2", claim(2, "e2"))
+        self.assertTrue(fold(log.records).ownership(POOL).succeeds_unreleased)
+
+    def test_renewal_tells_a_reader_that_missed_the_claim(self):
+        log = Log()
+        log.append("e1", claim(7, "e1"))
+        log.append("e2", claim(7, "e2"))
+        renewal = Renewal(pool=POOL, epoch=7, holder="e1", incarnation="i")
+        log.append("e1", renewal)
+        self.assertEqual(fold(log.records).ownership(POOL).holder, "e1")
+        # The void claim of e2 is the first thing that this reader sees.
+        self.assertEqual(fold(log.records, 1).ownership(POOL).holder, "e1")
+
+
+class TestWorks(unittest.TestCase):
+    def test_second_start_of_an_identity_is_void(self):
+        log = Log()
+        log.append("e1", claim(1, "e1"), started("k1", 1, "t1"))
+        data = log.append("e1", started("k1", 1, "t2"))
+        state = fold(log.records[:1])
+        self.assertEqual(apply_bytes(state, 1, data).effective, [False])
+        self.assertEqual(state.works["k1"].started.task_id, "t1")
+
+    def test_start_after_proof_of_not_run(self):
+        log = Log()
+        log.append("e1", claim(1, "e1"), started("k1", 1, "t1"))
+        log.append("e1", NotRun(pool=POOL, epoch=1, identity="k1", task_id="t1"))
+        log.append("e1", started("k1", 1, "t2"))
+        self.assertEqual(fold(log.records).works["k1"].started.task_id, "t2")
+
+    def test_first_finish_wins(self):
+        log = Log()
+        log.append("e1", claim(1, "e1"), started("k1", 1, "t1"))
+        log.append("e1", finished("k1", 1, OutcomeKind.DONE))
+        log.append("e2", finished("k1", 1, OutcomeKind.UNKNOWN))
+        self.assertIs(fold(log.records).works["k1"].finished.kind, OutcomeKind.DONE)
+
+    def test_unparsable_batches_are_counted_and_harmless(self):
+        state = JournalState()
+        for offset, data in enumerate((b"", b"{}", b"\xff", b'{"writer": 1}')):
+            self.assertIsNone(apply_bytes(state, offset, data))
+        self.assertEqual(state.invalid_records, 4)
+        self.assertEqual(state.next_offset, 4)
+
+    def test_forgetting_moves_the_horizon_and_keeps_open_jobs(self):
+        log = Log()
+        log.append("e1", claim(1, "e1"), accepted("job", 1, "j1"))
+        state = fold(log.records)
+        for index in range(MAX_WORKS + 10):
+            identity = f"key-{index}"
+            entries = (started(identity, 1, identity), finished(identity, 1))
+            data = log.append("e1", *entries, at=10.0 + index)
+            apply_bytes(state, state.next_offset, data)
+        self.assertLessEqual(len(state.works), MAX_WORKS + 1)
+        self.assertIn("job", state.works)
+        self.assertGreaterEqual(state.horizon, 10.0)
+
+
+@st.composite
+def batches(draw):
+    entries = []
+    for _ in range(draw(st.integers(1, 3))):
+        identity = draw(st.sampled_from(IDENTITIES))
+        epoch = draw(st.integers(1, 4))
+        task_id = draw(st.sampled_from(("t1", "t2")))
+        holder = draw(st.sampled_from(HOLDERS))
+        entries.append(
+            draw(
+                st.sampled_from(
+                    (
+                        claim(epoch, holder),
+                        Release(pool=POOL, epoch=epoch),
+                        accepted(identity, epoch, f"job-{identity}"),
+                        started(identity, epoch, task_id),
+                        NotRun(
+                            pool=POOL, epoch=epoch, identity=identity, task_id=task_id
+                        ),
+                        finished(identity, epoch),
+                    )
+                )
+            )
+        )
+    return draw(st.sampled_from(HOLDERS)), entries
+
+
+class TestHistories(unittest.TestCase):
+    @given(st.lists(batches(), max_size=30), st.lists(st.integers(0, 29)))
+    def test_retries_and_duplicates_change_nothing(self, history, repeats):
+        log = Log()
+        for writer, entries in history:
+            log.append(writer, *entries)
+        state = fold(log.records)
+        noisy = list(log.records)
+        for index in sorted((i for i in repeats if i < len(noisy)), reverse=True):
+            # A retry after a lost answer lands behind the first copy, before
+            # the writer's next batch.
+            noisy.insert(index + 1, noisy[index])
+        again = fold(noisy)
+        self.assertEqual(again.works, state.works)
+        for pool, owner in state.shards.items():
+            self.assertEqual(again.shards[pool].epoch, owner.epoch)
+            self.assertEqual(again.shards[pool].holder, owner.holder)
+
+    @given(st.lists(batches(), max_size=40))
+    def test_epochs_rise_and_outcomes_stay(self, history):
+        log, state = Log(), JournalState()
+        for writer, entries in history:
+            epoch = state.ownership(POOL).epoch
+            ended = {w.identity: w.finished for w in state.works.values() if w.finished}
+            running = {w.identity: w.started for w in state.works.values() if w.started}
+            data = log.append(writer, *entries)
+            apply_bytes(state, state.next_offset, data)
+            self.assertGreaterEqual(state.ownership(POOL).epoch, epoch)
+            for identity, outcome in ended.items():
+                self.assertIs(state.works[identity].finished, outcome)
+            for identity, start in running.items():
+                work = state.works.get(identity)
+                freed = any(
+                    isinstance(e, NotRun) and e.identity == identity for e in entries
+                )
+                if not freed:
+                    self.assertEqual(work.started.task_id, start.task_id)
--- /dev/null
+++ b/tests/membership/test_ownership.py
@@ -0,0 +1,188 @@
+"""Leases under generated partitions, pauses and log outages.
+
+Each entry host's real ``Ownership``, ``Promises`` and ``Journal`` run on a
+clock that the test advances; heartbeats and the log are passed by hand.
+"""
+
+import math
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from basilwind.errors import LeaseLost
+from basilwind.journal.entries import Batch, Claim, encode_batch
+from basilwind.journal.state import JournalState, apply_bytes
+from basilwind.membership.members import MEMBER_TIMEOUT_S, Members, SelfReport
+from basilwind.membership.ownership import Ownership
+from basilwind.membership.promises import Promises
+from basilwind.membership.view import MembershipView
+
+POOL = "pool-a"
+NAMES = ("e1", "e2", "e3")
+LEASE_S = 2.0
+STEP_S = 0.4
+
+
+class FakeFollower:
+    def __init__(self):
+        self.confirmed_at = -math.inf
+        self.is_caught_up = True
+
+
+class FakeJournal:
+    """The fold alone; the test decides what is read and when."""
+
+    def __init__(self):
+        self.state = JournalState()
+        self.follower = FakeFollower()
+
+
+class NoCopies:
+    def take(self, pool, holder):
+        return []
+
+
+class EntryHost:
+    def __init__(self, name, clock):
+        self.name = name
+        self.journal = FakeJournal()
+        self.members = Members(name)
+        self.promises = Promises(LEASE_S, lambda: set(NAMES) - {name})
+        self.ownership = Ownership(
+            self.journal,
+            self.members,
+            self.promises,
+            NoCopies(),
+            name,
+            "zone",
+            f"i-{name}",
+            LEASE_S,
+            clock,
+        )
+        self.view = MembershipView(
+            name,
+            "zone",
+            f"i-{name}",
+            self.members,
+            self.promises,
+            self.report,
+            self.ownership.is_behind,
+        )
+        self.sequence = 0
+
+    def report(self, now):
+        return SelfReport(False, True, 0, "", self.journal.state.next_offset, ())
+
+    def read(self, log, now):
+        for offset in range(self.journal.state.next_offset, len(log)):
+            apply_bytes(self.journal.state, offset, log[offset])
+        self.journal.follower.confirmed_at = now
+
+    def claim_if_due(self, log, now):
+        owner = self.journal.state.ownership(POOL)
+        self.ownership._drop_lost()
+        if POOL in self.ownership.owned:
+            return
+        if self.ownership._is_mine(POOL, owner.epoch):
+            self.ownership._adopt(POOL, owner, now)
+            return
+        if not owner.is_released and self.ownership._is_holder_live(owner, now):
+            return
+        if self.ownership._choice(POOL, now) != self.name:
+            return
+        self.sequence += 1
+        claim = Claim(
+            pool=POOL,
+            epoch=owner.epoch + 1,
+            holder=self.name,
+            incarnation=f"i-{self.name}",
+        )
+        batch = Batch(self.name, f"i-{self.name}", self.sequence, now, [claim])
+        log.append(encode_batch(batch))
+
+    def may_start(self, now):
+        owned = self.ownership.owned.get(POOL)
+        if owned is None:
+            return False
+        try:
+            self.ownership.check(POOL, owned.epoch, now)
+        except LeaseLost:
+            return False
+        return True
+
+
+steps = st.lists(
+    st.fixed_dictionaries(
+        {
+            "heard": st.sets(st.sampled_from([(a, b) for a in NAMES for b in NAMES])),
+            "reads": st.sets(st.sampled_from(NAMES)),
+            "paused": st.sets(st.sampled_from(NAMES), max_size=2),
+            "is_log_up": st.booleans(),
+            "length": st.integers(1, 4),
+        }
+    ),
+    max_size=25,
+)
+
+
+class TestLeases(unittest.TestCase):
+    @given(steps)
+    def test_at_most_one_entry_host_may_start_work(self, history):
+        now = 100.0
+        log = []
+        hosts = {name: EntryHost(name, lambda: now) for name in NAMES}
+        for step in history:
+            for _ in range(step["length"]):
+                now += STEP_S
+                self.run_step(hosts, log, step, now)
+                starters = [n for n, host in hosts.items() if host.may_start(now)]
+                self.assertLessEqual(len(starters), 1, starters)
+
+    def run_step(self, hosts, log, step, now):
+        awake = [n for n in NAMES if n not in step["paused"]]
+        for sender in awake:
+            for receiver in awake:
+                if sender != receiver and (sender, receiver) in step["heard"]:
+                    heartbeat = hosts[sender].view.heartbeat_for(receiver, now)
+                    hosts[receiver].view.note(heartbeat, now)
+        if not step["is_log_up"]:
+            return
+        for name in awake:
+            if name in step["reads"]:
+                hosts[name].read(log, now)
+                hosts[name].claim_if_due(log, now)
+
+    def test_take_over_waits_for_the_lease_of_the_lost_owner(self):
+        now = 100.0
+        log = []
+        hosts = {name: EntryHost(name, lambda: now) for name in NAMES}
+        every = {(a, b) for a in NAMES for b in NAMES}
+        calm = {"heard": every, "reads": set(NAMES), "paused": set(), "is_log_up": True}
+        for _ in range(20):
+            now += STEP_S
+            self.run_step(hosts, log, calm, now)
+        (owner,) = [n for n, host in hosts.items() if host.may_start(now)]
+        lost_at = now
+        without = calm | {"paused": {owner}}
+        while not any(hosts[n].may_start(now) for n in NAMES if n != owner):
+            now += STEP_S
+            self.run_step(hosts, log, without, now)
+            self.assertLess(now - lost_at, 6.9)
+        self.assertFalse(hosts[owner].may_start(now))
+        self.assertGreater(now - lost_at, min(LEASE_S, MEMBER_TIMEOUT_S))
+
+    def test_owner_keeps_its_lease_through_a_log_outage(self):
+        now = 100.0
+        log = []
+        hosts = {name: EntryHost(name, lambda: now) for name in NAMES}
+        every = {(a, b) for a in NAMES for b in NAMES}
+        calm = {"heard": every, "reads": set(NAMES), "paused": set(), "is_log_up": True}
+        for _ in range(20):
+            now += STEP_S
+            self.run_step(hosts, log, calm, now)
+        (owner,) = [n for n, host in hosts.items() if host.may_start(now)]
+        for _ in range(50):
+            now += STEP_S
+            self.run_step(hosts, log, calm | {"is_log_up": False}, now)
+            self.assertTrue(hosts[owner].may_start(now))
