--- /dev/null
+++ b/bench/bare.py
@@ -0,0 +1,36 @@
+"""A bare forwarder: the same HTTP libraries, and nothing else."""
+
+import sys
+
+import anyio
+import httpcore
+
+from basilwind.api.asgi import HttpResponse, HttpServer, read_request, send_response
+
+
+class BareForwarder:
+    """Forwards each request to a worker, by turns."""
+
+    def __init__(self, workers):
+        self._workers = workers
+        self._turn = 0
+        self._pool = httpcore.AsyncConnectionPool(max_connections=256)
+
+    async def __call__(self, scope, receive, send):
+        """Serves one request."""
+        if scope["type"] != "http":
+            return
+        request = await read_request(scope, receive)
+        self._turn += 1
+        worker = self._workers[self._turn % len(self._workers)]
+        url = f"http://{worker}/v1/tasks/bare-{self._turn}"
+        response = await self._pool.request("POST", url, content=request.body)
+        await send_response(send, HttpResponse(response.status, response.content))
+
+
+async def serve(address, workers):
+    await HttpServer(BareForwarder(workers), address).serve_until_stopped()
+
+
+if __name__ == "__main__":
+    anyio.run(serve, sys.argv[1], sys.argv[2:])
--- /dev/null
+++ b/bench/idle.py
@@ -0,0 +1,59 @@
+"""Processor time, memory and bytes of idle daemons, with nine of them up."""
+
+import statistics
+import time
+
+import anyio
+
+from basilwind.client import Client
+from bench.report import report
+from extras.demo.__main__ import publish, wait_ready
+from extras.launcher import Launcher
+
+SETTLE_S = 3.0
+SECONDS = 10.0
+
+
+def main():
+    with Launcher("examples/cordillera") as launcher:
+        launcher.start_stand_ins()
+        launcher.start_daemons()
+        publish(launcher, launcher.settings_directory)
+        anyio.run(wait_ready, launcher)
+        time.sleep(SETTLE_S)
+        before = anyio.run(statuses, launcher)
+        time.sleep(SECONDS)
+        after = anyio.run(statuses, launcher)
+    rows = [
+        row("processor time (% of a core)", before, after, lambda s: s.cpu_s, 100.0),
+        row("peer bytes sent/s", before, after, lambda s: s.control_bytes_sent),
+        row("peer bytes received/s", before, after, lambda s: s.control_bytes_received),
+    ]
+    resident = [status.resident_kb / 1024.0 for status in after]
+    rows.append(["largest resident size (MB)", *spread(resident)])
+    report("idle", ["figure", "min", "median", "max"], rows)
+
+
+async def statuses(launcher):
+    found = []
+    for address in launcher.entries.values():
+        client = Client(address)
+        found.append(await client.status())
+        await client.aclose()
+    return found
+
+
+def row(name, before, after, figure, scale=1.0):
+    rates = [
+        scale * (figure(b) - figure(a)) / (b.uptime_s - a.uptime_s)
+        for a, b in zip(before, after, strict=True)
+    ]
+    return [name, *spread(rates)]
+
+
+def spread(values):
+    return min(values), statistics.median(values), max(values)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/overhead.py
@@ -0,0 +1,112 @@
+"""Added latency and throughput against a bare forwarder, in one run."""
+
+import statistics
+import subprocess
+import sys
+import time
+
+import anyio
+
+from basilwind.client import Client
+from bench.loadgen import Plan, send_one, throughput
+from bench.report import quantile, report
+from extras.demo.__main__ import publish, wait_ready
+from extras.launcher import Launcher, wait_listening
+from tests.utils.fleet import free_ports
+
+SEQUENTIAL = 400
+CONCURRENCY = 4
+SECONDS = 4.0
+ROUNDS = 3
+TEAM = "northern-workshops"
+QUEUE = "bay-slots"
+
+
+def main():
+    with Launcher("examples/cordillera") as launcher:
+        launcher.start_stand_ins()
+        launcher.start_daemons()
+        publish(launcher, launcher.settings_directory)
+        (port,) = free_ports(1)
+        address = f"127.0.0.1:{port}"
+        hosts = [h for h in launcher.tree.fleet.hosts if h.pool == TEAM][:2]
+        command = [sys.executable, "-m", "bench.bare", address]
+        bare = subprocess.Popen(command + [host.address for host in hosts])
+        try:
+            wait_listening([address])
+            anyio.run(measure, launcher, address)
+        finally:
+            bare.kill()
+            bare.wait()
+
+
+async def measure(launcher, bare):
+    await wait_ready(launcher)
+    owner, other = await find_entries(launcher)
+    ways = {
+        "bare forwarder": (bare, False),
+        "owner": (owner, False),
+        "one hop": (other, False),
+        "owner, not idempotent": (owner, True),
+    }
+    samples = {name: ([], []) for name in ways}
+    for _ in range(ROUNDS):
+        for name, (address, is_once) in ways.items():
+            latencies, rate = samples[name]
+            latencies += await sequential(address, is_once)
+            rate.append(await concurrent(address, is_once))
+    base = statistics.median(samples["bare forwarder"][0])
+    base_rate = statistics.median(samples["bare forwarder"][1])
+    rows = []
+    for name, (latencies, rates) in samples.items():
+        median = statistics.median(latencies)
+        rate = statistics.median(rates)
+        rows.append(
+            [
+                name,
+                median * 1e3,
+                quantile(latencies, 0.99) * 1e3,
+                (median - base) * 1e3,
+                rate,
+                rate / base_rate,
+            ]
+        )
+    headers = ["way", "p50 ms", "p99 ms", "added p50 ms", "requests/s", "ratio"]
+    report("overhead", headers, rows)
+
+
+async def find_entries(launcher):
+    owner = other = None
+    for name, address in launcher.entries.items():
+        client = Client(address)
+        status = await client.status()
+        await client.aclose()
+        if status.zone != launcher.tree.fleet.zones[0].name:
+            continue
+        shard = next(s for s in status.shards if s.pool == TEAM)
+        if shard.owner == name:
+            owner = address
+        else:
+            other = address
+    return owner, other
+
+
+async def sequential(address, is_once):
+    plan = Plan(address, TEAM, QUEUE, 1, 0, is_once)
+    client = Client(address, f"{TEAM}-token")
+    latencies = []
+    for _ in range(SEQUENTIAL):
+        started = time.perf_counter()
+        await send_one(client, plan)
+        latencies.append(time.perf_counter() - started)
+    await client.aclose()
+    return latencies
+
+
+async def concurrent(address, is_once):
+    plan = Plan(address, TEAM, QUEUE, CONCURRENCY, SECONDS, is_once)
+    return await anyio.to_thread.run_sync(throughput, plan)
+
+
+if __name__ == "__main__":
+    main()
--- a/extras/launcher.py
+++ b/extras/launcher.py
@@ -59,20 +59,20 @@
                 *("stand-in", "worker", "--zone", zone.name),
                 *("--settings", str(self.settings_directory)),
             )
-        self._wait_listening([address, *self.workers.values()])
+        wait_listening([address, *self.workers.values()])
 
     def start_daemons(self):
         """Starts every daemon and waits until all listen."""
         for name in self.daemons:
             self.start_daemon(name, wait=False)
-        self._wait_listening(self.entries.values())
+        wait_listening(self.entries.values())
 
     def start_daemon(self, name, wait=True):
         """Starts one daemon."""
         file = self.directory / "daemons" / f"{name}.jsonc"
         self._start(name, "serve", "--settings", str(file))
         if wait:
-            self._wait_listening([self.entries[name]])
+            wait_listening([self.entries[name]])
 
     def signal(self, name, number):
         """Sends a signal to a process that this launcher started."""
@@ -140,18 +140,28 @@
             target.parent.mkdir(parents=True, exist_ok=True)
             target.write_text(text, encoding="utf-8")
 
-    def _wait_listening(self, addresses, timeout_s=30.0):
-        end = time.monotonic() + timeout_s
-        for address in addresses:
-            host, _, port = address.rpartition(":")
-            while time.monotonic() < end:
-                try:
-                    socket.create_connection((host, int(port)), 1.0).close()
-                    break
-                except OSError:
-                    time.sleep(0.05)
-            else:
+
+def wait_listening(addresses, timeout_s=30.0):
+    """Waits until something listens on each HOST:PORT.
+
+    Raises:
+        TimeoutError: Nothing did in time.
+    """
+    end = time.monotonic() + timeout_s
+    for address in addresses:
+        host, _, port = address.rpartition(":")
+        while not _is_listening(host, int(port)):
+            if time.monotonic() > end:
                 raise TimeoutError(f"nothing listens on {address}")
+            time.sleep(0.05)
+
+
+def _is_listening(host, port):
+    try:
+        socket.create_connection((host, port), 1.0).close()
+    except OSError:
+        return False
+    return True
 
 
 def _free_offset(example):
