--- a/basilwind/api/app.py
+++ b/basilwind/api/app.py
@@ -11,6 +11,7 @@
     send_response,
 )
 from basilwind.api.auth import bearer_token, check_token
+from basilwind.api.disconnects import OpenRequests
 from basilwind.api.outcomes import OutcomeBody, outcome_response
 from basilwind.api.requests import deadline_s, make_spec
 from basilwind.errors import AuthenticationError, RequestInvalid
@@ -50,6 +51,7 @@
 
     def __init__(self, daemon):
         self._daemon = daemon
+        self.open = OpenRequests(daemon.clock)
         self.open_requests = 0
 
     async def __call__(self, scope, receive, send):
@@ -108,7 +110,7 @@
             return queue
         spec = make_spec(request, team, queue, self._daemon.wall())
         deadline = self._daemon.clock() + deadline_s(request, queue)
-        outcome = await self._until_gone(
+        outcome = await self.open.call(
             receive, self._daemon.router.submit, spec, deadline
         )
         if outcome is None:
@@ -116,21 +118,6 @@
         self._daemon.note_outcome(spec, outcome)
         return outcome_response(outcome, spec.request_id)
 
-    async def _until_gone(self, receive, function, *args):
-        # A caller that hangs up withdraws what has not been started.
-        result = None
-
-        async def watch():
-            while (await receive())["type"] != "http.disconnect":
-                pass
-            tasks.cancel_scope.cancel()
-
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(watch)
-            result = await function(*args)
-            tasks.cancel_scope.cancel()
-        return result
-
     async def _submit_job(self, request, team, queue_name):
         queue = self._authorized_queue(request, team, queue_name)
         if isinstance(queue, HttpResponse):
--- a/basilwind/api/asgi.py
+++ b/basilwind/api/asgi.py
@@ -125,6 +125,7 @@
             access_log=False,
             server_header=False,
             date_header=False,
+            proxy_headers=False,
             backlog=BACKLOG,
             timeout_keep_alive=KEEPALIVE_S,
         )
--- a/basilwind/daemon/daemon.py
+++ b/basilwind/daemon/daemon.py
@@ -25,6 +25,7 @@
 from basilwind.placement.desk import RequestDesk
 from basilwind.placement.resolver import Resolver
 from basilwind.placement.router import Router
+from basilwind.placement.watch import TaskWatch
 from basilwind.placement.zone import ZoneParts
 from basilwind.platform.client import ListedState, PlatformClient
 from basilwind.workers.directory import WorkerDirectory
@@ -97,6 +98,7 @@
     def _build_placement(self):
         self.mesh = Mesh(self.name, self.membership, self.clock)
         self.workers = WorkerDirectory()
+        self.watch = TaskWatch(self.clock)
         copies = CopySender(
             self.name, self.incarnation, self.zone_peers, self.mesh.link
         )
@@ -106,6 +108,7 @@
             ownership=self.ownership,
             copies=copies,
             workers=self.workers,
+            watch=self.watch,
             resolver=Resolver(self.workers, self.clock),
             clock=self.clock,
             wall=self.wall,
@@ -140,6 +143,8 @@
         application.add_service(self.mesh.run, self.settings.peers)
         application.add_service(self.ownership.run, self.zone_pools)
         application.add_service(self.workers.run, self.is_worker_wanted)
+        application.add_service(self.watch.run)
+        application.add_service(self.app.open.run)
         application.add_service(self.housekeeping.run)
         application.add_service(self._follow_host_list)
         application.add_service(self.http_server.serve_until_stopped)
--- a/basilwind/placement/execution.py
+++ b/basilwind/placement/execution.py
@@ -12,7 +12,6 @@
 )
 from basilwind.models import Outcome, OutcomeKind, Reason, refused, unknown
 from basilwind.placement.retry import MAX_ATTEMPTS, retry_delay_s
-from basilwind.placement.watch import WatchedTask
 from basilwind.workers.results import (
     TaskAnswer,
     TaskIndeterminate,
@@ -45,13 +44,15 @@
     Args:
         shard: The ``Shard``.
         workers: ``WorkerDirectory`` of the zone.
+        watch: ``TaskWatch`` of the daemon.
         clock: Monotonic clock, in seconds.
         wall: Wall clock, in seconds since the epoch.
     """
 
-    def __init__(self, shard, workers, clock, wall):
+    def __init__(self, shard, workers, watch, clock, wall):
         self._shard = shard
         self._workers = workers
+        self._watch = watch
         self._clock = clock
         self._wall = wall
 
@@ -179,8 +180,9 @@
             return TaskNotRun("the worker has left the pool", may_be_reached=False)
         timeout_s = max(deadline - self._clock(), 0.0)
         incarnation = self._workers.incarnation(worker.name)
-        watched = WatchedTask(client, task_id, incarnation, self._clock)
-        result = await watched.run(spec, before_first_byte, timeout_s)
+        result = await self._watch.run_task(
+            client, task_id, incarnation, spec, before_first_byte, timeout_s
+        )
         if isinstance(result, TaskIndeterminate):
             await client.drop_connections()
         return result
--- a/basilwind/placement/service.py
+++ b/basilwind/placement/service.py
@@ -31,7 +31,9 @@
     def __init__(self, shard, zone):
         self.shard = shard
         self._zone = zone
-        self._executor = Executor(shard, zone.workers, zone.clock, zone.wall)
+        self._executor = Executor(
+            shard, zone.workers, zone.watch, zone.clock, zone.wall
+        )
         self._in_flight = {}
         self._proven_not_run = deque(maxlen=PROVEN_KEPT)
 
--- a/basilwind/placement/zone.py
+++ b/basilwind/placement/zone.py
@@ -9,6 +9,7 @@
 from basilwind.membership.copies import CopySender
 from basilwind.membership.ownership import Ownership
 from basilwind.placement.resolver import Resolver
+from basilwind.placement.watch import TaskWatch
 from basilwind.workers.directory import WorkerDirectory
 
 
@@ -22,6 +23,7 @@
         ownership: Ownership of its shards.
         copies: Copies entries to peers while the log is out.
         workers: Its workers.
+        watch: Watches running tasks.
         resolver: Finds out what became of started work.
         clock: Monotonic clock, in seconds.
         wall: Wall clock, in seconds since the epoch.
@@ -34,6 +36,7 @@
     ownership: Ownership
     copies: CopySender
     workers: WorkerDirectory
+    watch: TaskWatch
     resolver: Resolver
     clock: Callable[[], float]
     wall: Callable[[], float]
