Pace appends adaptively; make idle daemons cheaper

Cause: a start waited 5 ms for others even when the log was idle, and an idle daemon used 4.7% of a core, nearly twice the target. The profile named worker probes on new connections, full heartbeats in both directions of each connection, polls of the log, and scans of all works. Change: a token bucket paces appends (20/s, burst 10); heartbeats are answered by a bare acknowledgement and go out once a second between zones; probes every 1.5 s on kept connections; polls wait longer; open works are indexed by pool.

--- a/basilwind/api/app.py
+++ b/basilwind/api/app.py
@@ -2,6 +2,7 @@
 
 import anyio
 import msgspec
+from eliot import write_traceback
 
 from basilwind.api.asgi import (
     ClientGone,
@@ -15,7 +16,7 @@
 from basilwind.api.outcomes import OutcomeBody, outcome_response
 from basilwind.api.requests import deadline_s, make_spec
 from basilwind.errors import AuthenticationError, RequestInvalid
-from basilwind.models import OutcomeKind, Reason, refused
+from basilwind.models import OutcomeKind, Reason, refused, unknown
 from basilwind.peers.messages import JobQuery
 
 LONGEST_JOB_WAIT_S = 60.0
@@ -76,6 +77,10 @@
             return _error(400, str(error))
         except AuthenticationError as error:
             return _error(401, str(error))
+        except Exception:
+            # A fault of ours must not look like a proof that nothing ran.
+            write_traceback()
+            return outcome_response(unknown(Reason.OUTCOME_LOST), "")
 
     async def _route(self, request, receive):
         parts = request.path.strip("/").split("/")
--- a/basilwind/api/asgi.py
+++ b/basilwind/api/asgi.py
@@ -1,5 +1,6 @@
 """Small helpers over the ASGI interface."""
 
+import logging
 from dataclasses import dataclass, field
 from urllib.parse import parse_qsl
 
@@ -130,6 +131,8 @@
             timeout_keep_alive=KEEPALIVE_S,
         )
         super().__init__(config)
+        # Applications report their own errors.
+        logging.getLogger("uvicorn").setLevel(logging.CRITICAL)
 
     def install_signal_handlers(self):
         """Does nothing; the application handles signals."""
--- a/basilwind/control/log.py
+++ b/basilwind/control/log.py
@@ -8,6 +8,7 @@
 from basilwind.platform.follower import LogFollower
 
 KEPT_RECORDS = 1000
+POLL_WAIT_S = 2.0
 
 
 class ControlLog:
@@ -24,7 +25,7 @@
         self._kept = OrderedDict()
         self._is_from_peer = False
         self.state = ControlState()
-        self.follower = LogFollower(client, CONTROL_STREAM, self, clock)
+        self.follower = LogFollower(client, CONTROL_STREAM, self, clock, POLL_WAIT_S)
 
     @property
     def next_offset(self):
--- a/basilwind/daemon/daemon.py
+++ b/basilwind/daemon/daemon.py
@@ -12,6 +12,7 @@
 from basilwind.daemon.status import make_status
 from basilwind.errors import PlatformUnavailable
 from basilwind.journal.journal import Journal
+from basilwind.journal.pace import AppendPace
 from basilwind.logs import log
 from basilwind.membership.copies import CopySender, CopyStore
 from basilwind.membership.members import Members, SelfReport, ShardHint
@@ -33,6 +34,7 @@
 HOST_LIST_INTERVAL_S = 1.0
 STOP_POLL_S = 0.05
 LEAVE_NOTICE_S = 0.6
+LEASE_POLL_SHARE = 0.4
 
 
 class Daemon:
@@ -69,9 +71,14 @@
             self.incarnation,
             self.clock,
             self.wall,
-            self.settings.group_commit_ms / 1000.0,
+            AppendPace(
+                self.settings.appends_per_s,
+                self.settings.append_burst,
+                self.settings.group_commit_ms / 1000.0,
+            ),
+            poll_wait_s=self.settings.lease_s * LEASE_POLL_SHARE,
         )
-        self.members = Members(self.name)
+        self.members = Members(self.name, self.zone)
         self.promises = Promises(self.settings.lease_s, self.zone_peers)
         self.copies = CopyStore(lambda: self.journal.state)
         self.ownership = Ownership(
--- a/basilwind/journal/journal.py
+++ b/basilwind/journal/journal.py
@@ -10,7 +10,7 @@
 from basilwind.journal.entries import Batch, encode_batch, journal_stream
 from basilwind.platform.follower import LogFollower
 
-MAX_PENDING_ENTRIES = 4096
+MAX_PENDING_ENTRIES = 2048
 MAX_BATCH_ENTRIES = 256
 VISIBLE_TIMEOUT_S = 1.0
 RETRY_PAUSE_S = 0.1
@@ -39,16 +39,21 @@
         incarnation: This process.
         clock: Monotonic clock, in seconds.
         wall: Wall clock, in seconds since the epoch.
-        commit_interval_s: Longest wait of an entry for others, in seconds.
+        pace: ``AppendPace`` of the appends.
+        poll_wait_s: How long a read may wait for a record, in seconds; each
+            read confirms the leases.
     """
 
-    def __init__(self, client, zone, name, incarnation, clock, wall, commit_interval_s):
+    def __init__(
+        self, client, zone, name, incarnation, clock, wall, pace, poll_wait_s=0.5
+    ):
         self._client = client
         self._stream = journal_stream(zone)
         self._name = name
         self._incarnation = incarnation
         self._wall = wall
-        self._commit_interval_s = commit_interval_s
+        self._pace = pace
+        self._clock = clock
         self._sequence = 0
         self._queue = deque()
         self._wakeup = anyio.Event()
@@ -56,7 +61,7 @@
         self._has_gap = False
         self.appends = 0
         self.state = journal_state.JournalState()
-        self.follower = LogFollower(client, self._stream, self, clock)
+        self.follower = LogFollower(client, self._stream, self, clock, poll_wait_s)
 
     @property
     def next_offset(self):
@@ -160,7 +165,7 @@
     async def _write(self):
         while True:
             await self._wakeup.wait()
-            await anyio.sleep(self._commit_interval_s)
+            await anyio.sleep(self._pace.delay_s(self._clock()))
             batch = self._take_batch()
             if batch is not None:
                 await self._write_until_visible(batch)
--- a/basilwind/journal/state.py
+++ b/basilwind/journal/state.py
@@ -81,6 +81,7 @@
         next_offset: Offset of the next record to apply.
         shards: Ownership by pool.
         works: Works by identity, least recently written first.
+        open: Works of each pool that still need an outcome, by identity.
         jobs: Identity of each job by job id.
         horizon: Works last written before this time may have been forgotten,
             in seconds since the epoch; 0 if none was.
@@ -91,6 +92,7 @@
     next_offset: int = 0
     shards: dict[str, ShardOwnership] = field(default_factory=dict)
     works: OrderedDict[str, Work] = field(default_factory=OrderedDict)
+    open: dict[str, dict[str, Work]] = field(default_factory=dict)
     jobs: dict[str, str] = field(default_factory=dict)
     horizon: float = 0.0
     writers: OrderedDict[tuple[str, str], int] = field(default_factory=OrderedDict)
@@ -102,7 +104,7 @@
 
     def open_works(self, pool):
         """Returns the works of a shard that still need an outcome."""
-        return [w for w in self.works.values() if w.pool == pool and w.is_open]
+        return list(self.open.get(pool, {}).values())
 
     def sequence_of(self, writer, incarnation):
         """Returns the highest sequence seen of a writer's process."""
@@ -172,7 +174,7 @@
 
 
 def _forget(state, work):
-    del state.works[work.identity]
+    _remove(state, work)
     if work.job is not None:
         state.jobs.pop(work.job.job_id, None)
     state.horizon = max(state.horizon, work.at)
@@ -296,7 +298,7 @@
         return False
     work.started = None
     if work.job is None:
-        del state.works[entry.identity]
+        _remove(state, work)
     return True
 
 
@@ -306,17 +308,24 @@
     if work.finished is not None:
         return False
     work.finished = entry
+    state.open[work.pool].pop(work.identity, None)
     if work.job is not None:
         # The request itself is not needed any more; its id still is.
         work.job = msgspec.structs.replace(work.job, spec=b"")
     return True
 
 
+def _remove(state, work):
+    del state.works[work.identity]
+    state.open[work.pool].pop(work.identity, None)
+
+
 def _work(state, entry, at):
     work = state.works.get(entry.identity)
     if work is None:
         work = Work(entry.identity, entry.pool)
         state.works[entry.identity] = work
+        state.open.setdefault(entry.pool, {})[entry.identity] = work
     work.at = at
     state.works.move_to_end(entry.identity)
     return work
--- a/basilwind/membership/members.py
+++ b/basilwind/membership/members.py
@@ -2,8 +2,11 @@
 
 from dataclasses import dataclass, field
 
+SILENT_INTERVALS = 4
 HEARTBEAT_INTERVAL_S = 0.4
-MEMBER_TIMEOUT_S = 1.6
+MEMBER_TIMEOUT_S = HEARTBEAT_INTERVAL_S * SILENT_INTERVALS
+FAR_HEARTBEAT_INTERVAL_S = 1.0
+FAR_MEMBER_TIMEOUT_S = FAR_HEARTBEAT_INTERVAL_S * SILENT_INTERVALS
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,10 +77,12 @@
 
     Attributes:
         own_name: This entry host.
+        own_zone: Its availability zone.
         by_name: Members by name, without this one.
     """
 
     own_name: str
+    own_zone: str
     by_name: dict[str, Member] = field(default_factory=dict)
 
     def record(self, heartbeat, now):
@@ -89,16 +94,21 @@
         if name == self.own_name:
             return True
         member = self.by_name.get(name)
-        return member is not None and now - member.heard_at < MEMBER_TIMEOUT_S
+        return member is not None and self._is_recent(member, now)
 
     def live(self, now):
         """Returns the latest heartbeat of each live member but this one."""
         return [
             member.heartbeat
             for member in self.by_name.values()
-            if now - member.heard_at < MEMBER_TIMEOUT_S
+            if self._is_recent(member, now)
         ]
 
+    def _is_recent(self, member, now):
+        is_near = member.heartbeat.zone == self.own_zone
+        timeout_s = MEMBER_TIMEOUT_S if is_near else FAR_MEMBER_TIMEOUT_S
+        return now - member.heard_at < timeout_s
+
     def live_in_zone(self, zone, now):
         """Returns names of a zone's live members that take work."""
         return [
--- a/basilwind/membership/view.py
+++ b/basilwind/membership/view.py
@@ -1,6 +1,10 @@
 """Makes this entry host's heartbeats and takes in those of others."""
 
-from basilwind.membership.members import Heartbeat
+from basilwind.membership.members import (
+    FAR_HEARTBEAT_INTERVAL_S,
+    HEARTBEAT_INTERVAL_S,
+    Heartbeat,
+)
 from basilwind.membership.promises import MICROSECONDS
 
 
@@ -45,6 +49,11 @@
             journal_offset=report.journal_offset,
         )
 
+    def interval_s(self, zone):
+        """Returns the interval of heartbeats to a zone's hosts, in seconds."""
+        is_near = zone == self._zone
+        return HEARTBEAT_INTERVAL_S if is_near else FAR_HEARTBEAT_INTERVAL_S
+
     def note(self, heartbeat, now):
         """Takes in a peer's heartbeat that arrived at ``now``."""
         self._members.record(heartbeat, now)
--- a/basilwind/peers/link.py
+++ b/basilwind/peers/link.py
@@ -6,7 +6,7 @@
 import anyio
 
 from basilwind.errors import PeerError, PeerUnreachable
-from basilwind.membership.members import HEARTBEAT_INTERVAL_S, MEMBER_TIMEOUT_S
+from basilwind.membership.members import HEARTBEAT_INTERVAL_S, SILENT_INTERVALS
 from basilwind.models import Outcome
 from basilwind.peers.framing import FramedStream
 from basilwind.peers.messages import (
@@ -62,19 +62,31 @@
     Args:
         peer: ``PeerSettings`` of the peer.
         heartbeat: Function that returns this host's ``Heartbeat``.
-        on_heartbeat: Called with each ``Heartbeat`` of the peer.
+        interval_s: Interval of the heartbeats, in seconds.
     """
 
-    def __init__(self, peer, heartbeat, on_heartbeat):
+    def __init__(self, peer, heartbeat, interval_s):
         self._peer = peer
         self._heartbeat = heartbeat
-        self._on_heartbeat = on_heartbeat
+        self._interval_s = interval_s
+        self._silence_s = interval_s * SILENT_INTERVALS
         self._stream = None
         self._handoffs = {}
         self._calls = {}
         self._call_ids = itertools.count(1)
-        self.bytes_sent = 0
-        self.bytes_received = 0
+        self._bytes_sent = 0
+        self._bytes_received = 0
+
+    @property
+    def bytes_sent(self):
+        """Bytes sent to the peer so far."""
+        return self._bytes_sent + (self._stream.bytes_sent if self._stream else 0)
+
+    @property
+    def bytes_received(self):
+        """Bytes received from the peer so far."""
+        current = self._stream.bytes_received if self._stream else 0
+        return self._bytes_received + current
 
     @property
     def peer(self):
@@ -183,7 +195,7 @@
             async with anyio.create_task_group() as tasks:
                 # The first heartbeat names this host to the peer.
                 await stream.send(self._heartbeat())
-                await stream.receive(MEMBER_TIMEOUT_S)
+                await stream.receive(self._silence_s)
                 self._stream = stream
                 tasks.start_soon(self._send_heartbeats, stream)
                 tasks.start_soon(self._recall_pending)
@@ -192,19 +204,19 @@
             pass
         finally:
             self._stream = None
-            self.bytes_sent += stream.bytes_sent
-            self.bytes_received += stream.bytes_received
+            self._bytes_sent += stream.bytes_sent
+            self._bytes_received += stream.bytes_received
             with anyio.CancelScope(shield=True):
                 await stream.aclose()
 
     async def _send_heartbeats(self, stream):
         while True:
             await stream.send(self._heartbeat())
-            await anyio.sleep(HEARTBEAT_INTERVAL_S)
+            await anyio.sleep(self._interval_s)
 
     async def _receive(self, stream):
         while True:
-            decoded = await stream.receive(MEMBER_TIMEOUT_S)
+            decoded = await stream.receive(self._silence_s)
             self._take(decoded)
 
     def _take(self, decoded):
@@ -213,8 +225,6 @@
             self._settle(message.handoff_id, message.outcome)
         elif decoded.call_id:
             self._settle_call(decoded)
-        else:
-            self._on_heartbeat(message)
 
     def _settle(self, handoff_id, outcome):
         pending = self._handoffs.get(handoff_id)
--- a/basilwind/peers/mesh.py
+++ b/basilwind/peers/mesh.py
@@ -39,12 +39,10 @@
             for peer in peers:
                 if peer.name == self._own_name:
                     continue
-                link = PeerLink(peer, self._heartbeat_to(peer.name), self._note)
+                interval_s = self._membership.interval_s(peer.zone)
+                link = PeerLink(peer, self._heartbeat_to(peer.name), interval_s)
                 self._links[peer.name] = link
                 tasks.start_soon(link.run)
 
     def _heartbeat_to(self, name):
         return lambda: self._membership.heartbeat_for(name, self._clock())
-
-    def _note(self, heartbeat):
-        self._membership.note(heartbeat, self._clock())
--- a/basilwind/peers/messages.py
+++ b/basilwind/peers/messages.py
@@ -148,6 +148,11 @@
     """Confirms that a copy is kept."""
 
 
+@dataclass(frozen=True, slots=True)
+class HeartbeatAck:
+    """Tells the sender of a heartbeat that the connection still works."""
+
+
 def encode(message, call_id=0):
     """Returns a message's bytes.
 
@@ -286,6 +291,11 @@
     envelope.copyAck = None
 
 
+@_fill.register
+def _(message: HeartbeatAck, envelope):
+    envelope.heartbeatAck = None
+
+
 def _fill_spec(target, spec):
     target.requestId = spec.request_id
     target.team = spec.team
@@ -420,6 +430,7 @@
     "controlReply": _read_control_reply,
     "journalCopy": lambda source: JournalCopy(source.holder, bytes(source.data)),
     "copyAck": lambda source: CopyAck(),
+    "heartbeatAck": lambda source: HeartbeatAck(),
 }
 
 
--- a/basilwind/peers/peer.capnp
+++ b/basilwind/peers/peer.capnp
@@ -130,5 +130,6 @@
     controlReply @9 :ControlReply;
     journalCopy @10 :JournalCopy;
     copyAck @11 :Void;
+    heartbeatAck @12 :Void;
   }
 }
--- a/basilwind/peers/server.py
+++ b/basilwind/peers/server.py
@@ -3,13 +3,14 @@
 import anyio
 
 from basilwind.errors import PeerError, PeerUnreachable, RecordInvalid
-from basilwind.membership.members import MEMBER_TIMEOUT_S, Heartbeat
+from basilwind.membership.members import FAR_MEMBER_TIMEOUT_S, Heartbeat
 from basilwind.peers.framing import FramedStream
 from basilwind.peers.messages import (
     Answer,
     ControlQuery,
     CopyAck,
     Handoff,
+    HeartbeatAck,
     JobQuery,
     JournalCopy,
     Recall,
@@ -28,10 +29,22 @@
         self._service = service
         self._tasks = tasks
         self._streams = {}
-        self.bytes_sent = 0
-        self.bytes_received = 0
+        self._bytes_sent = 0
+        self._bytes_received = 0
         self.rejected = 0
 
+    @property
+    def bytes_sent(self):
+        """Bytes sent on connections that peers opened."""
+        open_now = sum(stream.bytes_sent for stream in self._streams.values())
+        return self._bytes_sent + open_now
+
+    @property
+    def bytes_received(self):
+        """Bytes received on connections that peers opened."""
+        open_now = sum(stream.bytes_received for stream in self._streams.values())
+        return self._bytes_received + open_now
+
     async def serve(self, listener):
         """Serves a listener until cancelled."""
         await listener.serve(self._serve_connection)
@@ -48,13 +61,13 @@
         finally:
             if self._streams.get(name) is stream:
                 del self._streams[name]
-            self.bytes_sent += stream.bytes_sent
-            self.bytes_received += stream.bytes_received
+            self._bytes_sent += stream.bytes_sent
+            self._bytes_received += stream.bytes_received
             with anyio.CancelScope(shield=True):
                 await stream.aclose()
 
     async def _greet(self, stream):
-        decoded = await stream.receive(MEMBER_TIMEOUT_S)
+        decoded = await stream.receive(FAR_MEMBER_TIMEOUT_S)
         heartbeat = decoded.message
         if not isinstance(heartbeat, Heartbeat) or not heartbeat.name:
             raise PeerUnreachable("the connection did not begin with a heartbeat")
@@ -64,7 +77,7 @@
 
     async def _receive(self, stream, name, tasks):
         while True:
-            decoded = await stream.receive(MEMBER_TIMEOUT_S)
+            decoded = await stream.receive(FAR_MEMBER_TIMEOUT_S)
             message = decoded.message
             if isinstance(message, Heartbeat):
                 await self._answer_heartbeat(stream, message)
@@ -75,7 +88,7 @@
 
     async def _answer_heartbeat(self, stream, heartbeat):
         self._service.note_heartbeat(heartbeat)
-        await stream.send(self._service.heartbeat_for(heartbeat.name))
+        await stream.send(HeartbeatAck())
 
     def _take_handoff(self, name, handoff):
         # Custody begins with the message, before a recall can be read.
--- a/basilwind/peers/service.py
+++ b/basilwind/peers/service.py
@@ -23,10 +23,6 @@
         self._control = control
         self._clock = clock
 
-    def heartbeat_for(self, name):
-        """Returns this host's ``Heartbeat`` to a peer."""
-        return self._membership.heartbeat_for(name, self._clock())
-
     def note_heartbeat(self, heartbeat):
         """Takes in a peer's heartbeat."""
         self._membership.note(heartbeat, self._clock())
--- a/basilwind/platform/follower.py
+++ b/basilwind/platform/follower.py
@@ -8,7 +8,6 @@
 from basilwind.errors import PlatformUnavailable, RetentionGap
 
 PAGE_LIMIT = 500
-POLL_WAIT_S = 0.5
 FIRST_BACKOFF_S = 0.05
 LONGEST_BACKOFF_S = 1.0
 
@@ -22,13 +21,15 @@
         reader: Object with ``next_offset``, ``apply(offset, data)`` and
             ``skip_to(offset)`` for records that the log has dropped.
         clock: Monotonic clock, in seconds.
+        wait_s: How long the platform may wait for a record, in seconds.
     """
 
-    def __init__(self, client, stream, reader, clock):
+    def __init__(self, client, stream, reader, clock, wait_s):
         self._client = client
         self._stream = stream
         self._reader = reader
         self._clock = clock
+        self._wait_s = wait_s
         self._confirmed_at = -math.inf
         self._is_caught_up = False
         self._is_available = False
@@ -71,7 +72,7 @@
 
     async def _poll(self):
         started = self._clock()
-        wait_s = POLL_WAIT_S if self._is_caught_up else 0
+        wait_s = self._wait_s if self._is_caught_up else 0
         page = await self._client.read(
             self._stream, self._reader.next_offset, PAGE_LIMIT, wait_s
         )
--- a/basilwind/workers/directory.py
+++ b/basilwind/workers/directory.py
@@ -7,7 +7,7 @@
 from basilwind.errors import WorkerUnreachable
 from basilwind.workers.client import WorkerClient
 
-PROBE_INTERVAL_S = 1.0
+PROBE_INTERVAL_S = 1.5
 FAILED_PROBES = 2
 
 
--- a/tests/membership/test_ownership.py
+++ b/tests/membership/test_ownership.py
@@ -47,7 +47,7 @@
     def __init__(self, name, clock):
         self.name = name
         self.journal = FakeJournal()
-        self.members = Members(name)
+        self.members = Members(name, "zone")
         self.promises = Promises(LEASE_S, lambda: set(NAMES) - {name})
         self.ownership = Ownership(
             self.journal,
