--- a/basilwind/api/asgi.py
+++ b/basilwind/api/asgi.py
@@ -131,14 +131,24 @@
             timeout_keep_alive=KEEPALIVE_S,
         )
         super().__init__(config)
+        self._stopping = anyio.Event()
         # Applications report their own errors.
         logging.getLogger("uvicorn").setLevel(logging.CRITICAL)
 
     def install_signal_handlers(self):
         """Does nothing; the application handles signals."""
 
+    async def main_loop(self):
+        """Waits for ``stop`` in place of polling for it."""
+        await self._stopping.wait()
+
+    def stop(self):
+        """Begins to stop: finishes what is open and takes nothing new."""
+        self.should_exit = True
+        self._stopping.set()
+
     async def serve_until_stopped(self):
-        """Serves until ``should_exit`` is set, then finishes what is open."""
+        """Serves until ``stop`` is called, then finishes what is open."""
         await self._serve()
 
     async def wait_started(self):
--- a/basilwind/daemon/daemon.py
+++ b/basilwind/daemon/daemon.py
@@ -31,7 +31,7 @@
 from basilwind.platform.client import ListedState, PlatformClient
 from basilwind.workers.directory import WorkerDirectory
 
-HOST_LIST_INTERVAL_S = 1.0
+HOST_LIST_INTERVAL_S = 1.5
 STOP_POLL_S = 0.05
 LEAVE_NOTICE_S = 0.6
 LEASE_POLL_SHARE = 0.4
@@ -184,7 +184,7 @@
             await self.ownership.release_all()
             while self.journal.pending:
                 await anyio.sleep(STOP_POLL_S)
-        self.http_server.should_exit = True
+        self.http_server.stop()
         await self.platform.aclose()
 
     def not_ready_reason(self):
@@ -234,7 +234,7 @@
             )
 
     def _note_change(self, entry):
-        self.housekeeping.control_changed = True
+        self.housekeeping.note_control_change()
         log(
             "control record applied" if entry.accepted else "control record refused",
             offset=entry.offset,
--- a/basilwind/daemon/housekeeping.py
+++ b/basilwind/daemon/housekeeping.py
@@ -19,7 +19,8 @@
 from basilwind.logs import log
 from basilwind.peers.messages import ControlQuery
 
-TICK_S = 0.1
+TICK_S = 0.25
+CATCH_UP_INTERVAL_S = 0.5
 RENEWAL_INTERVAL_S = 300.0
 ACKNOWLEDGE_RETRY_S = 2.0
 
@@ -35,7 +36,13 @@
         self._daemon = daemon
         self._acknowledged = {}
         self._renewed_at = daemon.clock()
-        self.control_changed = True
+        self._changed = anyio.Event()
+        self._is_changed = True
+
+    def note_control_change(self):
+        """Notes that the control state has changed."""
+        self._is_changed = True
+        self._changed.set()
 
     async def run(self):
         """Runs until cancelled."""
@@ -44,16 +51,20 @@
             while True:
                 self._tick()
                 await self._acknowledge_drains()
-                await anyio.sleep(TICK_S)
+                self._changed = anyio.Event()
+                if not self._is_changed:
+                    with anyio.move_on_after(TICK_S):
+                        await self._changed.wait()
 
     def _tick(self):
         daemon = self._daemon
         state = daemon.control.state
         if not state.is_loaded:
+            self._is_changed = False
             return
         now = daemon.clock()
-        if self.control_changed:
-            self.control_changed = False
+        if self._is_changed:
+            self._is_changed = False
             self._apply_settings(state)
         for pool, service in daemon.desk.services.items():
             hosts = [host.settings for host in state.hosts_of(pool, daemon.zone)]
@@ -138,7 +149,7 @@
 
     async def _catch_up_from_peers(self):
         while True:
-            await anyio.sleep(TICK_S * 5)
+            await anyio.sleep(CATCH_UP_INTERVAL_S)
             if not self._daemon.control.follower.is_available:
                 await self._fetch_control()
 
--- a/basilwind/membership/ownership.py
+++ b/basilwind/membership/ownership.py
@@ -9,7 +9,7 @@
 from basilwind.membership.promises import PROMISE_MARGIN_S
 from basilwind.membership.rendezvous import top
 
-CHECK_INTERVAL_S = 0.1
+CHECK_INTERVAL_S = 0.2
 CLAIM_TIMEOUT_S = 2.0
 LEASE_MARGIN_S = 0.2
 
--- a/basilwind/peers/framing.py
+++ b/basilwind/peers/framing.py
@@ -3,12 +3,12 @@
 import struct
 
 import anyio
-from anyio.streams.buffered import BufferedByteReceiveStream
 
 from basilwind.errors import PeerUnreachable, ProtocolError
 from basilwind.peers import messages
 
 MAX_FRAME_BYTES = 20 * 1024 * 1024
+CHUNK_BYTES = 64 * 1024
 SEND_TIMEOUT_S = 2.0
 _LENGTH = struct.Struct("!I")
 
@@ -22,7 +22,8 @@
 
     def __init__(self, stream):
         self._stream = stream
-        self._buffered = BufferedByteReceiveStream(stream)
+        self._buffer = bytearray()
+        self._has_received = True
         self._send_lock = anyio.Lock()
         self.bytes_sent = 0
         self.bytes_received = 0
@@ -39,40 +40,58 @@
             with anyio.fail_after(SEND_TIMEOUT_S):
                 async with self._send_lock:
                     await self._stream.send(_LENGTH.pack(len(data)) + data)
-        except (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError) as error:
+        except (
+            TimeoutError,
+            anyio.BrokenResourceError,
+            anyio.ClosedResourceError,
+            OSError,
+        ) as error:
             await self.aclose()
             raise PeerUnreachable("connection to the peer failed") from error
         self.bytes_sent += len(data) + _LENGTH.size
 
-    async def receive(self, timeout_s):
+    async def receive(self):
         """Receives a message.
 
-        Args:
-            timeout_s: Longest silence, in seconds.
-
         Raises:
-            PeerUnreachable: The connection failed, ended or stayed silent.
+            PeerUnreachable: The connection failed, ended or was given up.
             ProtocolError: The peer sent something else.
         """
-        try:
-            with anyio.fail_after(timeout_s):
-                header = await self._buffered.receive_exactly(_LENGTH.size)
-                (length,) = _LENGTH.unpack(header)
-                if length > MAX_FRAME_BYTES:
-                    raise ProtocolError(f"frame of {length} bytes is too large")
-                data = await self._buffered.receive_exactly(length)
-        except TimeoutError as error:
-            raise PeerUnreachable("the peer stayed silent") from error
-        except (
-            anyio.IncompleteRead,
-            anyio.EndOfStream,
-            anyio.BrokenResourceError,
-            anyio.ClosedResourceError,
-            OSError,
-        ) as error:
-            raise PeerUnreachable("connection to the peer ended") from error
-        self.bytes_received += length + _LENGTH.size
-        return messages.decode(data)
+        while True:
+            data = self._take_frame()
+            if data is not None:
+                return messages.decode(data)
+            try:
+                chunk = await self._stream.receive(CHUNK_BYTES)
+            except (
+                anyio.EndOfStream,
+                anyio.BrokenResourceError,
+                anyio.ClosedResourceError,
+                OSError,
+            ) as error:
+                raise PeerUnreachable("connection to the peer ended") from error
+            self.bytes_received += len(chunk)
+            self._has_received = True
+            self._buffer += chunk
+
+    def has_been_silent(self):
+        """Whether nothing was received since this was last asked."""
+        is_silent = not self._has_received
+        self._has_received = False
+        return is_silent
+
+    def _take_frame(self):
+        if len(self._buffer) < _LENGTH.size:
+            return None
+        (length,) = _LENGTH.unpack_from(self._buffer)
+        if length > MAX_FRAME_BYTES:
+            raise ProtocolError(f"frame of {length} bytes is too large")
+        end = _LENGTH.size + length
+        if len(self._buffer) < end:
+            return None
+        data = bytes(self._buffer[_LENGTH.size : end])
+        del self._buffer[:end]
+        return data
 
     async def aclose(self):
         """Closes the connection at once."""
--- a/basilwind/peers/link.py
+++ b/basilwind/peers/link.py
@@ -69,7 +69,6 @@
         self._peer = peer
         self._heartbeat = heartbeat
         self._interval_s = interval_s
-        self._silence_s = interval_s * SILENT_INTERVALS
         self._stream = None
         self._handoffs = {}
         self._calls = {}
@@ -195,12 +194,13 @@
             async with anyio.create_task_group() as tasks:
                 # The first heartbeat names this host to the peer.
                 await stream.send(self._heartbeat())
-                await stream.receive(self._silence_s)
+                with anyio.fail_after(self._interval_s * SILENT_INTERVALS):
+                    await stream.receive()
                 self._stream = stream
                 tasks.start_soon(self._send_heartbeats, stream)
                 tasks.start_soon(self._recall_pending)
                 await self._receive(stream)
-        except* (PeerError, OSError):
+        except* (PeerError, TimeoutError, OSError):
             pass
         finally:
             self._stream = None
@@ -210,13 +210,15 @@
                 await stream.aclose()
 
     async def _send_heartbeats(self, stream):
-        while True:
+        for beat in itertools.count(1):
             await stream.send(self._heartbeat())
             await anyio.sleep(self._interval_s)
+            if beat % SILENT_INTERVALS == 0 and stream.has_been_silent():
+                raise PeerUnreachable("the peer stayed silent")
 
     async def _receive(self, stream):
         while True:
-            decoded = await stream.receive(self._silence_s)
+            decoded = await stream.receive()
             self._take(decoded)
 
     def _take(self, decoded):
--- a/basilwind/peers/server.py
+++ b/basilwind/peers/server.py
@@ -29,6 +29,7 @@
         self._service = service
         self._tasks = tasks
         self._streams = {}
+        self._open = set()
         self._bytes_sent = 0
         self._bytes_received = 0
         self.rejected = 0
@@ -47,10 +48,20 @@
 
     async def serve(self, listener):
         """Serves a listener until cancelled."""
-        await listener.serve(self._serve_connection)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._close_silent)
+            await listener.serve(self._serve_connection)
+
+    async def _close_silent(self):
+        while True:
+            await anyio.sleep(FAR_MEMBER_TIMEOUT_S)
+            for stream in list(self._open):
+                if stream.has_been_silent():
+                    await stream.aclose()
 
     async def _serve_connection(self, tcp_stream):
         stream = FramedStream(tcp_stream)
+        self._open.add(stream)
         name = ""
         try:
             name = await self._greet(stream)
@@ -59,6 +70,7 @@
         except* (PeerError, OSError):
             self.rejected += not name
         finally:
+            self._open.discard(stream)
             if self._streams.get(name) is stream:
                 del self._streams[name]
             self._bytes_sent += stream.bytes_sent
@@ -67,7 +79,7 @@
                 await stream.aclose()
 
     async def _greet(self, stream):
-        decoded = await stream.receive(FAR_MEMBER_TIMEOUT_S)
+        decoded = await stream.receive()
         heartbeat = decoded.message
         if not isinstance(heartbeat, Heartbeat) or not heartbeat.name:
             raise PeerUnreachable("the connection did not begin with a heartbeat")
@@ -77,7 +89,7 @@
 
     async def _receive(self, stream, name, tasks):
         while True:
-            decoded = await stream.receive(FAR_MEMBER_TIMEOUT_S)
+            decoded = await stream.receive()
             message = decoded.message
             if isinstance(message, Heartbeat):
                 await self._answer_heartbeat(stream, message)
--- a/basilwind/standin/serve.py
+++ b/basilwind/standin/serve.py
@@ -19,8 +19,8 @@
 
     async def stop():
         for server in servers:
-            server.should_exit = True
             server.force_exit = True
+            server.stop()
         await anyio.sleep(0.1)
 
     application.on_stop(stop)
--- a/basilwind/workers/directory.py
+++ b/basilwind/workers/directory.py
@@ -108,7 +108,7 @@
                     if known.scope is None and is_wanted(name):
                         known.scope = anyio.CancelScope()
                         tasks.start_soon(self._probe, name, known, is_wanted)
-                await anyio.sleep(PROBE_INTERVAL_S / 5)
+                await anyio.sleep(PROBE_INTERVAL_S / 3)
 
     async def _probe(self, name, known, is_wanted):
         with known.scope:
