--- a/basilwind/peers/framing.py
+++ b/basilwind/peers/framing.py
@@ -10,6 +10,12 @@
 MAX_FRAME_BYTES = 20 * 1024 * 1024
 CHUNK_BYTES = 64 * 1024
 SEND_TIMEOUT_S = 2.0
+_SEND_ERRORS = (
+    TimeoutError,
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+    OSError,
+)
 _LENGTH = struct.Struct("!I")
 
 
@@ -40,12 +46,7 @@
             with anyio.fail_after(SEND_TIMEOUT_S):
                 async with self._send_lock:
                     await self._stream.send(_LENGTH.pack(len(data)) + data)
-        except (
-            TimeoutError,
-            anyio.BrokenResourceError,
-            anyio.ClosedResourceError,
-            OSError,
-        ) as error:
+        except _SEND_ERRORS as error:
             await self.aclose()
             raise PeerUnreachable("connection to the peer failed") from error
         self.bytes_sent += len(data) + _LENGTH.size
--- a/basilwind/peers/server.py
+++ b/basilwind/peers/server.py
@@ -48,7 +48,7 @@
 
     async def serve(self, listener):
         """Serves a listener until cancelled."""
-        async with anyio.create_task_group() as tasks:
+        async with listener, anyio.create_task_group() as tasks:
             tasks.start_soon(self._close_silent)
             await listener.serve(self._serve_connection)
 
--- a/tests/utils/fleet.py
+++ b/tests/utils/fleet.py
@@ -1,6 +1,8 @@
 """A small fleet in one process, with the stand-ins and real sockets."""
 
 import io
+import itertools
+import os
 import socket
 from contextlib import asynccontextmanager
 
@@ -20,18 +22,23 @@
 from tests.utils.settings import make_fleet, make_team
 
 READY_TIMEOUT_S = 15.0
+# Below the range from which the system takes ports of outgoing connections.
+_ports = itertools.cycle(range(10_000 + os.getpid() % 10_000, 32_000))
 
 
 def free_ports(count):
-    """Returns ports that are free on loopback now."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for probe in sockets:
-            probe.bind(("127.0.0.1", 0))
-        return [probe.getsockname()[1] for probe in sockets]
-    finally:
-        for probe in sockets:
-            probe.close()
+    """Returns ports that are free on loopback and never given to clients."""
+    found = []
+    while len(found) < count:
+        port = next(_ports)
+        with socket.socket() as probe:
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        found.append(port)
+    return found
 
 
 class Fleet:
