Say "refused" under a key only with the home's proof

Change: without the home's word the outcome under a key is unknown, at the router, at a daemon without state, and when the owner's lease ended while the request waited.

--- a/basilwind/api/app.py
+++ b/basilwind/api/app.py
@@ -167,6 +167,9 @@
         problem = self._daemon.not_ready_reason()
         if problem:
             reason = Reason.LEAVING if self._daemon.is_leaving else Reason.NO_STATE
+            if request.headers.get("idempotency-key"):
+                # Another entry host may have run the key earlier.
+                return outcome_response(unknown(reason, 1.0), "")
             return outcome_response(refused(reason, 1.0), "")
         self._authorize(request, team)
         queue = self._daemon.control.state.find_queue(team, queue_name)
--- a/basilwind/placement/router.py
+++ b/basilwind/placement/router.py
@@ -16,6 +16,7 @@
 ANSWER_GRACE_S = 0.3
 RETRY_AFTER_S = 1.0
 ROUTING_REASONS = frozenset({Reason.NO_OWNER, Reason.LEAVING, Reason.OWNER_UNREACHABLE})
+UNPROVEN_REASONS = ROUTING_REASONS | {Reason.NO_STATE}
 
 
 @dataclass(frozen=True, slots=True)
@@ -102,10 +103,11 @@
             if target is not None:
                 outcome = await self._hand_over(spec, deadline, is_job, target, journey)
                 if outcome is not None:
-                    return self._honest(outcome, journey)
+                    return honest(outcome, spec, journey.may_have_run)
             now = self._clock()
             if now >= (deadline if journey.may_have_run else patience_end):
-                return self._honest(refused(Reason.NO_OWNER, RETRY_AFTER_S), journey)
+                outcome = refused(Reason.NO_OWNER, RETRY_AFTER_S)
+                return honest(outcome, spec, journey.may_have_run)
             await anyio.sleep(min(retry_delay_s(journey.attempts + 3), 0.3))
 
     def home_zone(self, spec, is_job):
@@ -219,7 +221,7 @@
         journey.attempts += 1
         remaining_s = deadline - self._clock()
         if remaining_s <= 0:
-            return refused(Reason.DEADLINE_EXCEEDED)
+            return None
         job_id = make_job_id(spec.pool, target.zone, spec.request_id) if is_job else ""
         handoff_id = f"{self._incarnation}.{next(self._handoff_ids)}"
         handoff = Handoff(handoff_id, spec, remaining_s, is_job, job_id)
@@ -259,8 +261,21 @@
         reply = await link.recall(handoff.handoff_id)
         return reply is not None and reply.state is RecallState.NOT_RUN
 
-    def _honest(self, outcome, journey):
-        # After the loss of an owner, nobody can say that nothing ran.
-        if journey.may_have_run and outcome.kind is OutcomeKind.REFUSED:
-            return unknown(Reason.OWNER_UNREACHABLE, outcome.retry_after_s)
+
+def honest(outcome, spec, may_have_run=False):
+    """Returns an outcome that claims "not run" only with a proof.
+
+    After the loss of an owner nobody can say that nothing ran. And only the
+    home of a key can say that nothing ran under the key earlier.
+
+    Args:
+        outcome: The outcome as it came about.
+        spec: The request.
+        may_have_run: Whether an owner was lost that might have run it.
+    """
+    if outcome.kind is not OutcomeKind.REFUSED:
         return outcome
+    is_home_unheard = bool(spec.key) and outcome.reason in UNPROVEN_REASONS
+    if may_have_run or is_home_unheard:
+        return unknown(Reason.OWNER_UNREACHABLE, outcome.retry_after_s)
+    return outcome
--- a/basilwind/placement/service.py
+++ b/basilwind/placement/service.py
@@ -4,6 +4,7 @@
 
 import anyio
 
+from basilwind.errors import LeaseLost
 from basilwind.journal.state import outcome_of
 from basilwind.models import Outcome, OutcomeKind, Reason, refused, unknown
 from basilwind.placement.execution import Executor
@@ -165,9 +166,19 @@
             outcome = await self.run_attempts(spec, deadline, custody, guard)
             if outcome.kind in (OutcomeKind.DONE, OutcomeKind.FAILED):
                 guard.record_finish(outcome)
+            elif outcome.kind is OutcomeKind.REFUSED and spec.key:
+                outcome = self._still_refused(outcome, guard)
         finally:
             self.land(spec, flight, outcome)
 
+    def _still_refused(self, outcome, guard):
+        # Another owner may have run the key while the request waited here.
+        try:
+            guard.check()
+        except LeaseLost:
+            return unknown(Reason.LOG_UNAVAILABLE, TAKE_OVER_RETRY_AFTER_S)
+        return outcome
+
     async def _join(self, flight, spec, deadline):
         if flight.digest != digest_of(spec):
             return refused(Reason.KEY_REUSED)
