--- a/basilwind/daemon/housekeeping.py
+++ b/basilwind/daemon/housekeeping.py
@@ -12,6 +12,7 @@
 )
 from basilwind.control.state import HostPhase
 from basilwind.errors import (
+    JournalUnavailable,
     PeerUnreachable,
     PlatformUnavailable,
     WorkerUnreachable,
@@ -21,7 +22,7 @@
 
 TICK_S = 0.25
 CATCH_UP_INTERVAL_S = 0.5
-RENEWAL_INTERVAL_S = 300.0
+RENEWAL_SHARE = 0.25
 ACKNOWLEDGE_RETRY_S = 2.0
 
 
@@ -70,9 +71,15 @@
             hosts = [host.settings for host in state.hosts_of(pool, daemon.zone)]
             service.shard.update_hosts(hosts, self._is_placeable)
         daemon.desk.book.expire(now)
-        if now - self._renewed_at > RENEWAL_INTERVAL_S:
+        if now - self._renewed_at > daemon.settings.log_retention_s * RENEWAL_SHARE:
             self._renewed_at = now
-            daemon.ownership.renew()
+            self._renew()
+
+    def _renew(self):
+        try:
+            self._daemon.ownership.renew()
+        except JournalUnavailable:
+            log("renewals do not fit while the log is out; they follow later")
 
     def _apply_settings(self, state):
         daemon = self._daemon
--- a/basilwind/journal/entries.py
+++ b/basilwind/journal/entries.py
@@ -33,10 +33,13 @@
     Attributes:
         holder: Entry host that claims it.
         incarnation: The holder's process.
+        is_forced: Whether it holds whatever the epoch before was; for a
+            claimant that has not seen the journal's beginning.
     """
 
     holder: str
     incarnation: str
+    is_forced: bool = False
 
 
 class Renewal(_Entry, tag="renewal"):
--- a/basilwind/journal/journal.py
+++ b/basilwind/journal/journal.py
@@ -58,7 +58,6 @@
         self._queue = deque()
         self._wakeup = anyio.Event()
         self._in_flight = []
-        self._has_gap = False
         self.appends = 0
         self.state = journal_state.JournalState()
         self.follower = LogFollower(client, self._stream, self, clock, poll_wait_s)
@@ -78,17 +77,12 @@
         applied = journal_state.apply_bytes(self.state, offset, data)
         if applied is None:
             return
-        if self._has_gap:
-            self._has_gap = False
-            self.state.horizon = max(self.state.horizon, applied.batch.at)
         if self._is_own(applied.batch):
             self._settle(applied)
 
     def skip_to(self, offset):
         """Notes that records before an offset have been dropped."""
-        self.state.next_offset = offset
-        self.state.horizon = max(self.state.horizon, self._wall())
-        self._has_gap = True
+        self.state.skip_to(offset, self._wall())
 
     async def append(self, entry, timeout_s):
         """Makes an entry durable.
--- a/basilwind/journal/state.py
+++ b/basilwind/journal/state.py
@@ -87,6 +87,7 @@
             in seconds since the epoch; 0 if none was.
         writers: Highest sequence seen, by writer and incarnation.
         invalid_records: Records that did not parse.
+        is_partial: Whether the journal's beginning has not been seen.
     """
 
     next_offset: int = 0
@@ -97,6 +98,7 @@
     horizon: float = 0.0
     writers: OrderedDict[tuple[str, str], int] = field(default_factory=OrderedDict)
     invalid_records: int = 0
+    is_partial: bool = False
 
     def ownership(self, pool):
         """Returns the ``ShardOwnership`` of a pool's shard."""
@@ -106,6 +108,19 @@
         """Returns the works of a shard that still need an outcome."""
         return list(self.open.get(pool, {}).values())
 
+    def skip_to(self, offset, now):
+        """Forgets everything before a gap; what matters is carried over.
+
+        Args:
+            offset: Offset of the next record.
+            now: Present time, in seconds since the epoch.
+        """
+        self.next_offset = offset
+        self.is_partial = True
+        self.horizon = max(self.horizon, now)
+        for part in (self.shards, self.works, self.open, self.jobs):
+            part.clear()
+
     def sequence_of(self, writer, incarnation):
         """Returns the highest sequence seen of a writer's process."""
         return self.writers.get((writer, incarnation), 0)
@@ -199,15 +214,18 @@
 def _(entry: Claim, state, at):
     owner = state.ownership(entry.pool)
     is_first_seen = owner.epoch == 0
-    if not is_first_seen and entry.epoch != owner.epoch + 1:
+    is_baseline = is_first_seen and entry.epoch > 1
+    is_next = entry.epoch == owner.epoch + 1
+    is_newer = entry.is_forced and entry.epoch > owner.epoch
+    if not (is_first_seen or is_next or is_newer):
         return False
     state.shards[entry.pool] = ShardOwnership(
         epoch=entry.epoch,
         holder=entry.holder,
         incarnation=entry.incarnation,
         is_released=False,
-        succeeds_unreleased=not owner.is_released or entry.epoch > 1 and is_first_seen,
-        is_baseline=is_first_seen and entry.epoch > 1,
+        succeeds_unreleased=not owner.is_released or entry.is_forced or is_baseline,
+        is_baseline=is_baseline,
         claimed_offset=state.next_offset - 1,
     )
     return True
@@ -269,7 +287,9 @@
     work = _work(state, entry, at)
     if work.job is not None and work.job.job_id != entry.job_id:
         return False
-    if work.job is None and (work.started is not None or work.finished is not None):
+    if work.finished is not None:
+        return False
+    if work.job is None and work.started is not None:
         return False
     work.job = entry
     state.jobs[entry.job_id] = entry.identity
--- a/basilwind/membership/ownership.py
+++ b/basilwind/membership/ownership.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 import anyio
+import msgspec
 
 from basilwind.errors import EntryFenced, JournalUnavailable, LeaseLost
 from basilwind.journal.entries import Claim, Release, Renewal
@@ -187,18 +188,25 @@
         # the claim, which makes its later entries void.
         for entry in self._copies.take(pool, owner.holder):
             self._journal.append_later(entry)
-        claim = Claim(
-            pool=pool,
-            epoch=owner.epoch + 1,
-            holder=self._name,
-            incarnation=self._incarnation,
-        )
+        claim = self._make_claim(pool, owner)
         try:
             await self._journal.append(claim, CLAIM_TIMEOUT_S)
         except (EntryFenced, JournalUnavailable):
             return
         self._adopt(pool, self._journal.state.ownership(pool), self._clock())
 
+    def _make_claim(self, pool, owner):
+        state = self._journal.state
+        # Offsets grow faster than epochs, so this one is above any before.
+        is_forced = state.is_partial and owner.epoch == 0
+        return Claim(
+            pool=pool,
+            epoch=state.next_offset + 1 if is_forced else owner.epoch + 1,
+            holder=self._name,
+            incarnation=self._incarnation,
+            is_forced=is_forced,
+        )
+
     def _adopt(self, pool, owner, now):
         if not self._is_mine(pool, owner.epoch):
             return
@@ -212,8 +220,16 @@
         )
 
     def renew(self):
-        """Queues a renewal of every owned shard, before claims age out."""
+        """Queues renewals and open works of every owned shard.
+
+        They are carried over before the log drops their first records.
+        """
         for owned in self._owned.values():
+            for work in self._journal.state.open_works(owned.pool):
+                for entry in (work.job, work.started):
+                    if entry is not None:
+                        carried = msgspec.structs.replace(entry, epoch=owned.epoch)
+                        self._journal.append_later(carried)
             entry = Renewal(
                 pool=owned.pool,
                 epoch=owned.epoch,
--- a/basilwind/standin/platform.py
+++ b/basilwind/standin/platform.py
@@ -71,7 +71,7 @@
 
     def drop_to(self, kept):
         """Drops the oldest records but the latest ``kept``."""
-        while kept and len(self.records) > kept:
+        while len(self.records) > kept:
             self.records.popleft()
             self.first += 1
 
@@ -156,7 +156,8 @@
             await anyio.sleep(self.faults.delay_s)
         stream = self.stream(name)
         offset = stream.append(request.body.decode("utf-8", "replace"))
-        stream.drop_to(self.faults.retention)
+        if self.faults.retention:
+            stream.drop_to(self.faults.retention)
         self.appends += 1
         if self.faults.lose_answers > 0:
             self.faults.lose_answers -= 1
@@ -201,10 +202,7 @@
 
     def _truncate(self, request):
         stream = self.stream(request.query["stream"])
-        kept = int(request.query.get("keep", "0"))
-        while len(stream.records) > kept:
-            stream.records.popleft()
-            stream.first += 1
+        stream.drop_to(int(request.query.get("keep", "0")))
         return json_response({"first": stream.first})
 
 
--- a/tests/utils/fleet.py
+++ b/tests/utils/fleet.py
@@ -48,14 +48,14 @@
     so that any of these ways can be cut or frozen.
     """
 
-    def __init__(self, zones, pools, entry_hosts, hosts_per_shard, lease_s, team):
+    def __init__(self, zones, pools, entry_hosts, hosts_per_shard, options, team):
         self.tree = make_fleet(hosts_per_shard, zones, pools)
         for zone in self.tree.zones:
             zone.entry_hosts = [
                 f"{zone.name}-e{index + 1}" for index in range(entry_hosts)
             ]
         self.teams = {f"team-{pool}": make_team(pool, **team) for pool in pools}
-        self._lease_s = lease_s
+        self._options = options
         self.zone_of = {
             name: zone.name for zone in self.tree.zones for name in zone.entry_hosts
         }
@@ -247,7 +247,7 @@
             http=f"127.0.0.1:{http}",
             peer=f"127.0.0.1:{peer}",
             platform=f"http://127.0.0.1:{platform}",
-            lease_s=self._lease_s,
+            **self._options,
             peers=[
                 PeerSettings(other, zone, f"127.0.0.1:{self.relays[name, other].port}")
                 for other, zone in self.zone_of.items()
@@ -263,10 +263,12 @@
     entry_hosts=2,
     hosts_per_shard=2,
     lease_s=1.0,
+    log_retention_s=3600.0,
     **team,
 ):
     """Runs a fleet for the length of a block."""
-    fleet = Fleet(zones, pools, entry_hosts, hosts_per_shard, lease_s, team)
+    options = {"lease_s": lease_s, "log_retention_s": log_retention_s}
+    fleet = Fleet(zones, pools, entry_hosts, hosts_per_shard, options, team)
     async with anyio.create_task_group() as tasks:
         await fleet.start(tasks)
         yield fleet
