--- a/basilwind/control/fold.py
+++ b/basilwind/control/fold.py
@@ -6,7 +6,12 @@
 
 from basilwind.control import records
 from basilwind.control.budget import hosts_out, tightest_budget
-from basilwind.control.records import HostAction, HostRecord, SettingsRecord
+from basilwind.control.records import (
+    HostAction,
+    HostRecord,
+    SettingsRecord,
+    SnapshotRecord,
+)
 from basilwind.control.state import (
     RECENT_RECORD_IDS,
     AuditEntry,
@@ -185,6 +190,12 @@
     state.hosts = hosts
 
 
+@apply_record.register
+def _(record: SnapshotRecord, state, offset):
+    if record.offset > offset or not 0 <= record.part < record.parts:
+        raise RecordInvalid("snapshot of a later offset, or a part out of range")
+
+
 @apply_record.register
 def _(record: HostRecord, state, offset):
     host = state.hosts.get(record.host)
--- a/basilwind/control/publisher.py
+++ b/basilwind/control/publisher.py
@@ -4,14 +4,13 @@
 import uuid
 from dataclasses import dataclass
 
-from basilwind.control import fold
+from basilwind.control.log import ControlLog
 from basilwind.control.records import (
     CONTROL_STREAM,
     HostRecord,
     SettingsRecord,
     encode_record,
 )
-from basilwind.control.state import ControlState
 from basilwind.errors import PlatformUnavailable, RetentionGap
 from basilwind.platform.follower import PAGE_LIMIT
 from basilwind.settings.tree import to_document
@@ -62,7 +61,12 @@
         self._client = client
         self._author = author
         self._wall = wall
-        self.state = ControlState()
+        self._log = ControlLog(client, time.monotonic, lambda entry: None)
+
+    @property
+    def state(self):
+        """The ``ControlState`` as last read."""
+        return self._log.state
 
     async def refresh(self):
         """Reads the control stream up to its present end.
@@ -76,14 +80,14 @@
         while True:
             try:
                 page = await self._client.read(
-                    CONTROL_STREAM, self.state.next_offset, PAGE_LIMIT, 0
+                    CONTROL_STREAM, self._log.next_offset, PAGE_LIMIT, 0
                 )
             except RetentionGap as gap:
-                self.state.next_offset = gap.first_offset
+                self._log.skip_to(gap.first_offset)
                 continue
             for record in page.records:
-                fold.apply_bytes(self.state, record.offset, record.data.encode())
-            if self.state.next_offset >= page.head:
+                self._log.apply(record.offset, record.data.encode())
+            if self._log.next_offset >= page.head:
                 return self.state
 
     def changes(self, tree):
--- /dev/null
+++ b/basilwind/control/snapshot.py
@@ -0,0 +1,156 @@
+"""Compacted snapshots of the control state, for the log and for peers."""
+
+import uuid
+
+import msgspec
+
+from basilwind.control.records import SnapshotRecord
+from basilwind.control.state import ControlState, HostPhase, HostState
+from basilwind.errors import RecordInvalid
+from basilwind.settings.generated.fleet import FleetSettings
+from basilwind.settings.generated.team import TeamSettings
+from basilwind.settings.tree import SettingsTree
+
+PART_BYTES = 128 * 1024
+
+
+class _HostPart(msgspec.Struct, array_like=True):
+    name: str
+    pool: str
+    phase: HostPhase
+    version: int
+    acknowledged: list[str]
+    reason: str
+
+
+class _Snapshot(msgspec.Struct, array_like=True):
+    next_offset: int
+    digest: str
+    fleet: FleetSettings | None
+    teams: dict[str, TeamSettings]
+    versions: dict[str, int]
+    hosts: list[_HostPart]
+    queue_pools: dict[str, str]
+    pool_zones: dict[str, list[str]]
+    recent_ids: list[str]
+
+
+def encode_state(state):
+    """Returns a control state as text, without its audit trail."""
+    snapshot = _Snapshot(
+        next_offset=state.next_offset,
+        digest=state.digest,
+        fleet=state.tree.fleet,
+        teams=state.tree.teams,
+        versions=state.versions,
+        hosts=[
+            _HostPart(
+                host.name,
+                host.pool,
+                host.phase,
+                host.version,
+                sorted(host.acknowledged),
+                host.reason,
+            )
+            for host in state.hosts.values()
+        ],
+        queue_pools=state.queue_pools,
+        pool_zones={name: list(zones) for name, zones in state.pool_zones.items()},
+        recent_ids=list(state.recent_ids),
+    )
+    return msgspec.json.encode(snapshot).decode()
+
+
+def decode_state(text):
+    """Returns the control state that a text stands for.
+
+    Raises:
+        RecordInvalid: The text is not a snapshot.
+    """
+    try:
+        snapshot = msgspec.json.decode(text, type=_Snapshot)
+    except msgspec.DecodeError as error:
+        raise RecordInvalid(f"not a snapshot: {error}") from error
+    state = ControlState(
+        next_offset=snapshot.next_offset,
+        digest=snapshot.digest,
+        tree=SettingsTree(snapshot.fleet, snapshot.teams),
+        versions=snapshot.versions,
+        queue_pools=snapshot.queue_pools,
+        pool_zones={n: tuple(zones) for n, zones in snapshot.pool_zones.items()},
+        recent_ids=dict.fromkeys(snapshot.recent_ids),
+    )
+    state.hosts = _hosts(snapshot)
+    return state
+
+
+def _hosts(snapshot):
+    declared = {host.name: host for host in snapshot.fleet.hosts if snapshot.fleet}
+    hosts = {}
+    for part in snapshot.hosts:
+        if part.name not in declared:
+            raise RecordInvalid(f"snapshot of an undeclared host {part.name!r}")
+        hosts[part.name] = HostState(
+            settings=declared[part.name],
+            pool=part.pool,
+            phase=part.phase,
+            version=part.version,
+            acknowledged=frozenset(part.acknowledged),
+            reason=part.reason,
+        )
+    return hosts
+
+
+def make_records(state, author, at):
+    """Returns the ``SnapshotRecord`` parts of a control state.
+
+    Args:
+        state: The ``ControlState``.
+        author: Who publishes it.
+        at: Present time, in seconds since the epoch.
+    """
+    text = encode_state(state)
+    parts = [text[i : i + PART_BYTES] for i in range(0, len(text), PART_BYTES)]
+    return [
+        SnapshotRecord(
+            id=uuid.uuid4().hex,
+            author=author,
+            at=at,
+            offset=state.next_offset,
+            digest=state.digest,
+            part=index,
+            parts=len(parts),
+            data=part,
+        )
+        for index, part in enumerate(parts)
+    ]
+
+
+class SnapshotAssembler:
+    """Collects the parts of snapshots until one is whole."""
+
+    def __init__(self):
+        self._parts = {}
+
+    def add(self, record):
+        """Takes in a part.
+
+        Args:
+            record: ``SnapshotRecord``.
+
+        Returns:
+            The ``ControlState``, once all parts of one author are there.
+
+        Raises:
+            RecordInvalid: The whole does not parse or does not match.
+        """
+        key = (record.author, record.offset, record.digest, record.parts)
+        parts = self._parts.setdefault(key, {})
+        parts[record.part] = record.data
+        if len(parts) < record.parts:
+            return None
+        del self._parts[key]
+        state = decode_state("".join(parts[index] for index in range(record.parts)))
+        if (state.next_offset, state.digest) != (record.offset, record.digest):
+            raise RecordInvalid("snapshot does not match its own offset and digest")
+        return state
--- a/basilwind/daemon/daemon.py
+++ b/basilwind/daemon/daemon.py
@@ -235,6 +235,8 @@
 
     def _note_change(self, entry):
         self.housekeeping.note_control_change()
+        if entry is None:
+            return
         log(
             "control record applied" if entry.accepted else "control record refused",
             offset=entry.offset,
--- a/basilwind/daemon/housekeeping.py
+++ b/basilwind/daemon/housekeeping.py
@@ -10,19 +10,24 @@
     HostRecord,
     encode_record,
 )
+from basilwind.control.snapshot import make_records
 from basilwind.control.state import HostPhase
 from basilwind.errors import (
     JournalUnavailable,
     PeerUnreachable,
     PlatformUnavailable,
+    RecordInvalid,
     WorkerUnreachable,
 )
 from basilwind.logs import log
+from basilwind.membership.rendezvous import top
 from basilwind.peers.messages import ControlQuery
 
 TICK_S = 0.25
 CATCH_UP_INTERVAL_S = 0.5
 RENEWAL_SHARE = 0.25
+SNAPSHOT_CHECK_S = 0.5
+SNAPSHOT_RECORDS = 500
 ACKNOWLEDGE_RETRY_S = 2.0
 
 
@@ -39,6 +44,7 @@
         self._renewed_at = daemon.clock()
         self._changed = anyio.Event()
         self._is_changed = True
+        self._disagreeing = set()
 
     def note_control_change(self):
         """Notes that the control state has changed."""
@@ -49,6 +55,7 @@
         """Runs until cancelled."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._catch_up_from_peers)
+            tasks.start_soon(self._publish_snapshots)
             while True:
                 self._tick()
                 await self._acknowledge_drains()
@@ -70,11 +77,29 @@
         for pool, service in daemon.desk.services.items():
             hosts = [host.settings for host in state.hosts_of(pool, daemon.zone)]
             service.shard.update_hosts(hosts, self._is_placeable)
+            if not daemon.ownership.acts_for(pool, now):
+                service.shard.queue.return_all()
         daemon.desk.book.expire(now)
+        self._compare_digests(now)
         if now - self._renewed_at > daemon.settings.log_retention_s * RENEWAL_SHARE:
             self._renewed_at = now
             self._renew()
 
+    def _compare_digests(self, now):
+        control = self._daemon.control
+        for heartbeat in self._daemon.members.live(now):
+            if heartbeat.control_offset != control.next_offset:
+                continue
+            if heartbeat.control_digest == control.state.digest:
+                self._disagreeing.discard(heartbeat.name)
+            elif heartbeat.name not in self._disagreeing:
+                self._disagreeing.add(heartbeat.name)
+                log(
+                    "control state differs from that of a peer at the same offset",
+                    peer=heartbeat.name,
+                    offset=control.next_offset,
+                )
+
     def _renew(self):
         try:
             self._daemon.ownership.renew()
@@ -160,6 +185,40 @@
             if not self._daemon.control.follower.is_available:
                 await self._fetch_control()
 
+    async def _publish_snapshots(self):
+        daemon = self._daemon
+        published_at = daemon.clock()
+        while True:
+            await anyio.sleep(SNAPSHOT_CHECK_S)
+            now = daemon.clock()
+            control = daemon.control
+            grown = control.next_offset - control.snapshot_offset
+            is_old = (
+                now - published_at > daemon.settings.log_retention_s * RENEWAL_SHARE
+            )
+            # A snapshot ages itself, so one is due even if nothing has changed.
+            is_due = is_old or grown > SNAPSHOT_RECORDS
+            if is_due and self._has_snapshot_duty(now):
+                published_at = now
+                await self._publish_snapshot()
+
+    def _has_snapshot_duty(self, now):
+        daemon = self._daemon
+        if daemon.not_ready_reason() or not daemon.control.follower.is_available:
+            return False
+        names = [beat.name for beat in daemon.members.live(now) if beat.is_ready]
+        return top("control-snapshot", [*names, daemon.name]) == daemon.name
+
+    async def _publish_snapshot(self):
+        daemon = self._daemon
+        state = daemon.control.state
+        for record in make_records(state, daemon.name, daemon.wall()):
+            try:
+                await daemon.platform.append(CONTROL_STREAM, encode_record(record))
+            except PlatformUnavailable:
+                log("snapshot not confirmed; the next one follows")
+                return
+
     async def _fetch_control(self):
         daemon = self._daemon
         ahead = [
@@ -177,4 +236,7 @@
             reply = await link.call(ControlQuery(daemon.control.next_offset))
         except PeerUnreachable:
             return
-        daemon.control.apply_from_peer(reply.records)
+        try:
+            daemon.control.apply_from_peer(reply)
+        except RecordInvalid as error:
+            log("peer passed on an invalid snapshot", peer=best.name, reason=str(error))
--- a/basilwind/membership/ownership.py
+++ b/basilwind/membership/ownership.py
@@ -7,6 +7,7 @@
 
 from basilwind.errors import EntryFenced, JournalUnavailable, LeaseLost
 from basilwind.journal.entries import Claim, Release, Renewal
+from basilwind.membership.members import MEMBER_TIMEOUT_S
 from basilwind.membership.promises import PROMISE_MARGIN_S
 from basilwind.membership.rendezvous import top
 
@@ -74,6 +75,7 @@
         self._incarnation = incarnation
         self._lease_s = lease_s
         self._clock = clock
+        self._started_at = clock()
         self._owned = {}
         self.is_leaving = False
 
@@ -256,6 +258,9 @@
         if owner.holder == self._name:
             return owner.incarnation == self._incarnation
         member = self._members.by_name.get(owner.holder)
+        if member is None and now - self._started_at < MEMBER_TIMEOUT_S:
+            # There was no time yet to hear of it.
+            return True
         if member is None or not self._members.is_live(owner.holder, now):
             return False
         heartbeat = member.heartbeat
--- a/basilwind/peers/messages.py
+++ b/basilwind/peers/messages.py
@@ -125,9 +125,15 @@
 
 @dataclass(frozen=True, slots=True)
 class ControlReply:
-    """Control records, in order."""
+    """Control records, in order.
+
+    Attributes:
+        records: The records.
+        snapshot: A snapshot to apply before them, or an empty string.
+    """
 
     records: tuple[ControlRecord, ...] = field(default=())
+    snapshot: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -273,6 +279,7 @@
 @_fill.register
 def _(message: ControlReply, envelope):
     target = envelope.init("controlReply")
+    target.snapshot = message.snapshot
     records = target.init("records", len(message.records))
     for slot, record in zip(records, message.records, strict=True):
         slot.offset = record.offset
@@ -410,12 +417,10 @@
 
 
 def _read_control_reply(source):
-    return ControlReply(
-        tuple(
-            ControlRecord(record.offset, bytes(record.data))
-            for record in source.records
-        )
+    records = tuple(
+        ControlRecord(record.offset, bytes(record.data)) for record in source.records
     )
+    return ControlReply(records, source.snapshot)
 
 
 _READERS = {
--- a/basilwind/peers/peer.capnp
+++ b/basilwind/peers/peer.capnp
@@ -109,6 +109,7 @@
 
 struct ControlReply {
   records @0 :List(ControlRecord);
+  snapshot @1 :Text;
 }
 
 struct JournalCopy {
--- a/basilwind/peers/service.py
+++ b/basilwind/peers/service.py
@@ -44,9 +44,10 @@
         return await self._desk.answer_job_query(query)
 
     def control_records(self, from_offset):
-        """Returns kept control records from an offset on."""
+        """Returns control records from an offset on, or a snapshot."""
         kept = self._control.kept_records(from_offset, MAX_CONTROL_RECORDS)
-        return ControlReply(tuple(ControlRecord(o, d) for o, d in kept))
+        records = tuple(ControlRecord(offset, data) for offset, data in kept)
+        return ControlReply(records, self._control.snapshot_after(from_offset))
 
     def keep_copy(self, copy):
         """Keeps a journal copy; see ``CopyStore.put``."""
--- a/basilwind/placement/execution.py
+++ b/basilwind/placement/execution.py
@@ -74,6 +74,8 @@
             ticket = await self._shard.acquire(spec, deadline)
             if ticket is None:
                 return self._late(spec, attempts)
+            if ticket.is_returned:
+                return self._returned(attempts)
             try:
                 result = await self._attempt(spec, deadline, custody, guard, ticket)
             finally:
@@ -89,6 +91,11 @@
             return attempts.last
         return refused(Reason.DEADLINE_EXCEEDED, self._shard.retry_after_s(spec))
 
+    def _returned(self, attempts):
+        if attempts.failures:
+            return attempts.last
+        return refused(Reason.NO_OWNER)
+
     async def _attempt(self, spec, deadline, custody, guard, ticket):
         worker = ticket.reservation.worker
         task_id = str(uuid.uuid4())
--- a/basilwind/placement/jobs.py
+++ b/basilwind/placement/jobs.py
@@ -20,6 +20,7 @@
 LOG_RETRY_AFTER_S = 2.0
 RETRY_PAUSE_S = 0.5
 RECOVER_INTERVAL_S = 0.5
+RETRIED_REASONS = frozenset({Reason.LOG_UNAVAILABLE, Reason.NO_OWNER})
 MAX_JOB_BYTES = 64 * 1024
 
 
@@ -184,7 +185,7 @@
                 if known is not None:
                     return known
             outcome = await self._attempt(spec, deadline, custody, epoch)
-            if outcome.reason is not Reason.LOG_UNAVAILABLE:
+            if outcome.reason not in RETRIED_REASONS:
                 return outcome
             await anyio.sleep(RETRY_PAUSE_S)
 
--- a/basilwind/placement/service.py
+++ b/basilwind/placement/service.py
@@ -173,6 +173,8 @@
 
     def _still_refused(self, outcome, guard):
         # Another owner may have run the key while the request waited here.
+        if outcome.reason is Reason.NO_OWNER:
+            return outcome
         try:
             guard.check()
         except LeaseLost:
--- a/basilwind/placement/shard.py
+++ b/basilwind/placement/shard.py
@@ -87,7 +87,8 @@
             deadline: Longest wait, on the monotonic clock in seconds.
 
         Returns:
-            The granted ``Ticket``, or None if the deadline came first.
+            The ``Ticket``, granted or returned, or None if the deadline came
+            first.
         """
         ticket = self.queue.enter(spec, self._clock())
         self.grant()
@@ -98,7 +99,7 @@
         except BaseException:
             self._abandon(ticket)
             raise
-        if ticket.reservation is None:
+        if ticket.reservation is None and not ticket.is_returned:
             self._abandon(ticket)
             return None
         return ticket
--- a/basilwind/placement/waiting.py
+++ b/basilwind/placement/waiting.py
@@ -21,6 +21,7 @@
         granted: Set when a worker has been reserved for it.
         reservation: The worker's reservation, once granted.
         is_withdrawn: Whether it has left the queue ungranted.
+        is_returned: Whether it was handed back, to be placed by another owner.
     """
 
     spec: RequestSpec
@@ -28,6 +29,7 @@
     granted: anyio.Event = field(default_factory=anyio.Event)
     reservation: object = None
     is_withdrawn: bool = False
+    is_returned: bool = False
 
 
 @dataclass
@@ -112,6 +114,16 @@
         ticket.is_withdrawn = True
         self._leave(ticket)
 
+    def return_all(self):
+        """Hands every waiting ticket back."""
+        for share in self._teams.values():
+            for ticket in (*share.urgent, *share.normal):
+                self.withdraw(ticket)
+                ticket.is_returned = True
+                ticket.granted.set()
+            share.urgent.clear()
+            share.normal.clear()
+
     def grant(self, reserve, now):
         """Grants tickets while workers can be reserved for them.
 
--- /dev/null
+++ b/bench/fault_mix.py
@@ -0,0 +1,115 @@
+"""At-most-once counts under a generated mix of faults, seeds printed."""
+
+import random
+import signal
+import time
+
+import anyio
+import httpcore
+import msgspec
+
+from basilwind.load.runner import LoadRunner
+from basilwind.load.verify import fetch_ledgers, verify
+from basilwind.settings.generated.load import LoadMix
+from basilwind.settings.loader import load_file
+from bench.report import report
+from extras.demo.__main__ import publish, wait_ready
+from extras.launcher import Launcher
+
+SEEDS = (1, 2, 3)
+RATE = 40.0
+SECONDS = 30.0
+
+
+def main():
+    rows = []
+    for seed in SEEDS:
+        with Launcher("examples/cordillera") as launcher:
+            launcher.start_stand_ins()
+            launcher.start_daemons()
+            publish(launcher, launcher.settings_directory)
+            result, verdict, faults = anyio.run(measure, launcher, seed)
+        once = [sent for sent in result.sent if sent.kind.once]
+        rows.append(
+            [
+                seed,
+                faults,
+                len(result.sent),
+                len(once),
+                result.count("done"),
+                result.count("refused"),
+                result.count("unknown"),
+                result.count("no_answer"),
+                verdict.cut,
+                len(verdict.violations),
+            ]
+        )
+        for violation in verdict.violations:
+            print(violation)
+    headers = ["seed", "faults", "sent", "of them once", "done", "refused", "unknown"]
+    headers += ["no answer", "cut off", "broken rules"]
+    report("fault_mix", headers, rows)
+
+
+async def measure(launcher, seed):
+    await wait_ready(launcher)
+    rng = random.Random(seed)
+    mix = load_file(launcher.directory / "load.jsonc", LoadMix)
+    tokens = {team: f"{team}-token" for team in launcher.tree.teams}
+    runner = LoadRunner(launcher.entries.values(), tokens, mix, time.monotonic, seed)
+    faults = 0
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(runner.run, RATE, SECONDS)
+        end = time.monotonic() + SECONDS - 6.0
+        while time.monotonic() < end:
+            await anyio.sleep(rng.uniform(0.3, 1.2))
+            await rng.choice(FAULTS)(launcher, rng)
+            faults += 1
+        await set_platform(launcher, {})
+    ledgers = await fetch_ledgers(launcher.workers.values())
+    return runner.result, verify(runner.result, ledgers), faults
+
+
+async def kill_and_restart(launcher, rng):
+    name = rng.choice(list(launcher.daemons))
+    await anyio.to_thread.run_sync(launcher.kill, name)
+    await anyio.sleep(rng.uniform(0.0, 2.0))
+    await anyio.to_thread.run_sync(launcher.start_daemon, name)
+
+
+async def pause(launcher, rng):
+    name = rng.choice(list(launcher.daemons))
+    launcher.signal(name, signal.SIGSTOP)
+    await anyio.sleep(rng.uniform(0.5, 4.0))
+    launcher.signal(name, signal.SIGCONT)
+
+
+async def lose_log_answers(launcher, rng):
+    await set_platform(launcher, {"lose_answers": rng.randrange(1, 10)})
+
+
+async def log_outage(launcher, rng):
+    await set_platform(launcher, {"is_down": True})
+    await anyio.sleep(rng.uniform(0.5, 3.0))
+    await set_platform(launcher, {})
+
+
+async def break_worker(launcher, rng):
+    name = rng.choice(("reset_after_run", "truncate", "silent", "swallow", "wrong_id"))
+    address = rng.choice(list(launcher.workers.values()))
+    await put(f"http://{address}/standin/faults", {name: rng.randrange(1, 4)})
+
+
+async def set_platform(launcher, faults):
+    await put(f"{launcher.platform}/standin/faults", faults)
+
+
+async def put(url, value):
+    async with httpcore.AsyncConnectionPool() as pool:
+        await pool.request("PUT", url, content=msgspec.json.encode(value))
+
+
+FAULTS = (kill_and_restart, pause, lose_log_answers, log_outage, break_worker)
+
+if __name__ == "__main__":
+    main()
