--- a/basilwind/journal/state.py
+++ b/basilwind/journal/state.py
@@ -1,6 +1,6 @@
 """The state that a zone's entry hosts fold from its journal."""
 
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from dataclasses import dataclass, field
 from functools import singledispatch
 
@@ -19,7 +19,8 @@
 )
 from basilwind.models import Outcome
 
-MAX_WORKS = 20_000
+MAX_WORKS = 10_000
+MAX_BODY_BYTES = 2 * 1024 * 1024
 MAX_KEPT_BODY_BYTES = 8 * 1024
 MAX_WRITERS = 256
 
@@ -55,14 +56,17 @@
         identity: Identity under which it runs at most once.
         pool: Pool of its shard.
         at: When its latest entry was sent, in seconds since the epoch.
+        digest: Digest of its request, to tell a reused key.
         job: Its acceptance, if it is a job.
-        started: Its latest start, unless proven not to have run.
+        started: Its latest start while it is open, unless proven not to have
+            run.
         finished: Its final outcome, if known.
     """
 
     identity: str
     pool: str
     at: float = 0.0
+    digest: str = ""
     job: Accepted | None = None
     started: Started | None = None
     finished: Finished | None = None
@@ -88,6 +92,8 @@
         writers: Highest sequence seen, by writer and incarnation.
         invalid_records: Records that did not parse.
         is_partial: Whether the journal's beginning has not been seen.
+        bodies: Identities whose answers are kept, oldest first.
+        body_bytes: Size of the kept answers.
     """
 
     next_offset: int = 0
@@ -99,6 +105,8 @@
     writers: OrderedDict[tuple[str, str], int] = field(default_factory=OrderedDict)
     invalid_records: int = 0
     is_partial: bool = False
+    bodies: deque[str] = field(default_factory=deque)
+    body_bytes: int = 0
 
     def ownership(self, pool):
         """Returns the ``ShardOwnership`` of a pool's shard."""
@@ -118,8 +126,9 @@
         self.next_offset = offset
         self.is_partial = True
         self.horizon = max(self.horizon, now)
-        for part in (self.shards, self.works, self.open, self.jobs):
+        for part in (self.shards, self.works, self.open, self.jobs, self.bodies):
             part.clear()
+        self.body_bytes = 0
 
     def sequence_of(self, writer, incarnation):
         """Returns the highest sequence seen of a writer's process."""
@@ -292,6 +301,7 @@
     if work.job is None and work.started is not None:
         return False
     work.job = entry
+    work.digest = entry.digest
     state.jobs[entry.job_id] = entry.identity
     return True
 
@@ -306,6 +316,7 @@
     if work.started is not None and work.started.task_id != entry.task_id:
         return False
     work.started = entry
+    work.digest = entry.digest
     return True
 
 
@@ -328,6 +339,9 @@
     if work.finished is not None:
         return False
     work.finished = entry
+    work.started = None
+    entry.identity = work.identity
+    _keep_body(state, entry)
     state.open[work.pool].pop(work.identity, None)
     if work.job is not None:
         # The request itself is not needed any more; its id still is.
@@ -335,8 +349,24 @@
     return True
 
 
+def _keep_body(state, entry):
+    if not entry.body:
+        return
+    state.bodies.append(entry.identity)
+    state.body_bytes += len(entry.body)
+    while state.body_bytes > MAX_BODY_BYTES:
+        oldest = state.works.get(state.bodies.popleft())
+        if oldest is not None and oldest.finished is not None:
+            state.body_bytes -= len(oldest.finished.body)
+            oldest.finished.body = b""
+            oldest.finished.has_body = False
+
+
 def _remove(state, work):
     del state.works[work.identity]
+    if work.finished is not None and work.finished.body:
+        state.body_bytes -= len(work.finished.body)
+        work.finished.body = b""
     state.open[work.pool].pop(work.identity, None)
 
 
--- a/basilwind/placement/jobs.py
+++ b/basilwind/placement/jobs.py
@@ -224,7 +224,7 @@
         work = self._zone.journal.state.works.get(spec.identity)
         if work is None or work.job is None:
             return None
-        if work.job.digest != digest_of(spec):
+        if work.digest != digest_of(spec):
             return refused(Reason.KEY_REUSED)
         return _accepted(work.job.job_id)
 
--- a/basilwind/placement/service.py
+++ b/basilwind/placement/service.py
@@ -117,7 +117,7 @@
 
     def take_off_work(self, work):
         """Registers work of an earlier owner as being resolved here."""
-        flight = InFlight(work.started.digest)
+        flight = InFlight(work.digest)
         self._in_flight[work.identity] = flight
         return flight
 
@@ -237,7 +237,7 @@
         work = self._zone.journal.state.works.get(spec.identity)
         if work is None:
             return None
-        if work.started is not None and work.started.digest != digest_of(spec):
+        if work.digest and work.digest != digest_of(spec):
             return refused(Reason.KEY_REUSED)
         if work.finished is not None:
             return _replayed(work.finished)
--- /dev/null
+++ b/bench/capacity.py
@@ -0,0 +1,104 @@
+"""Slopes of an idle daemon's cost, and the whole control plane at target size.
+
+Real processes on loopback, with stand-ins for the platform and the workers.
+"""
+
+import statistics
+import tempfile
+import time
+from dataclasses import replace
+
+import anyio
+
+from bench.fleet_files import TARGET, FleetSize, write_example
+from bench.idle import statuses
+from bench.report import linear_fit, report
+from extras.demo.__main__ import publish, wait_ready
+from extras.launcher import Launcher
+
+SETTLE_S = 3.0
+SECONDS = 8.0
+BASE = FleetSize(zones=1, entry_hosts=3, workers=30, pools=5, teams=5)
+CPU_LIMIT = 2.5
+BYTES_LIMIT = 26_000.0
+MEMORY_LIMIT_MB = 32.0
+
+
+def main():
+    peers = [replace(BASE, zones=zones) for zones in (1, 3, 5, 7)]
+    workers = [replace(BASE, workers=count) for count in (30, 90, 180, 330)]
+    pools = [replace(BASE, pools=count, workers=48) for count in (4, 8, 16, 24)]
+    sweep("capacity_peers", "peers", peers, lambda size: size.daemons - 1)
+    sweep(
+        "capacity_workers",
+        "workers of a daemon",
+        workers,
+        lambda size: size.workers / size.daemons,
+    )
+    sweep(
+        "capacity_shards",
+        "shards of a daemon",
+        pools,
+        lambda size: size.pools * size.zones / size.daemons,
+    )
+    whole()
+
+
+def sweep(name, axis, sizes, x_of):
+    xs, rows = [], []
+    for size in sizes:
+        figures = measure(size)
+        xs.append(x_of(size))
+        rows.append([xs[-1], *figures])
+    notes = []
+    for index, figure in enumerate(("% of a core", "bytes/s", "MB"), 1):
+        ys = [row[index] for row in rows]
+        slope, start, r2 = linear_fit(xs, ys)
+        notes.append(f"{figure} = {start:.3f} + {slope:.4f} x {axis} (R2 {r2:.2f})")
+    report(name, [axis, "% of a core", "bytes/s", "MB"], rows, notes)
+
+
+def whole():
+    figures = measure(TARGET)
+    limits = (CPU_LIMIT, BYTES_LIMIT, MEMORY_LIMIT_MB)
+    names = ("% of a core", "bytes/s", "MB")
+    rows = [
+        [name, figure, limit, figure / limit]
+        for name, figure, limit in zip(names, figures, limits, strict=True)
+    ]
+    headers = ["median of 21 idle daemons", "measured", "limit", "share"]
+    report("capacity_target", headers, rows, [str(TARGET)])
+
+
+def measure(size):
+    """Returns medians over the daemons: % of a core, bytes/s both ways, MB."""
+    with tempfile.TemporaryDirectory() as directory:
+        write_example(directory, size)
+        with Launcher(directory) as launcher:
+            launcher.start_stand_ins()
+            launcher.start_daemons()
+            publish(launcher, launcher.settings_directory)
+            anyio.run(wait_ready, launcher)
+            time.sleep(SETTLE_S)
+            before = anyio.run(statuses, launcher)
+            time.sleep(SECONDS)
+            after = anyio.run(statuses, launcher)
+    seconds = [b.uptime_s - a.uptime_s for a, b in zip(before, after, strict=True)]
+    cpu = [
+        100.0 * (b.cpu_s - a.cpu_s) / s
+        for a, b, s in zip(before, after, seconds, strict=True)
+    ]
+    traffic = [
+        (total_bytes(b) - total_bytes(a)) / s
+        for a, b, s in zip(before, after, seconds, strict=True)
+    ]
+    resident = [status.resident_kb / 1024.0 for status in after]
+    return [statistics.median(values) for values in (cpu, traffic, resident)]
+
+
+def total_bytes(status):
+    return status.control_bytes_sent + status.control_bytes_received
+
+
+if __name__ == "__main__":
+    main()
