Maintenance waves: declared, planned in each zone, decided by the fold

Cause: every host has to be maintained once in three weeks within budgets. Change: wave records (declare, pause, resume, cancel), drains that name their wave and are checked at the fold, a planner in each zone that proposes drains, reboots, returns and failures, keeps headroom, and returns hosts that have not begun to reboot when failures need the budget; a wave stops by itself when too many fail. 'basilwind maintain'; reboots on the platform stand-in.

--- a/basilwind/cli/commands/stand_in.py
+++ b/basilwind/cli/commands/stand_in.py
@@ -1,31 +1,51 @@
 """Runs stand-ins as separate processes."""
 
 import anyio
+import httpcore
+import msgspec
 
 from basilwind.settings.tree import load_tree
 from basilwind.standin.platform import PlatformStandIn
 from basilwind.standin.serve import serve_apps
 from basilwind.standin.worker import WorkerStandIn
 
+REBOOT_POLL_S = 0.5
 
-def run(context, kind, listen="", directory="", zone="", port_offset=0):
+
+def run(context, kind, listen="", directory="", zone="", platform=""):
     """Serves the stand-ins until a signal comes."""
     if kind == "platform":
-        apps = {listen: PlatformStandIn()}
-    else:
-        apps = _workers(directory, zone, port_offset)
-    anyio.run(serve_apps, apps)
-
-
-def _workers(directory, zone, port_offset):
+        anyio.run(serve_apps, {listen: PlatformStandIn()})
+        return
     hosts = load_tree(directory).fleet.hosts
-    return {
-        _shifted(host.address, port_offset): WorkerStandIn(host.name, host.slots)
+    apps = {
+        host.address: WorkerStandIn(host.name, host.slots)
         for host in hosts
         if zone in ("", host.zone)
     }
-
-
-def _shifted(address, port_offset):
-    host, _, port = address.rpartition(":")
-    return f"{host}:{int(port) + port_offset}"
+    anyio.run(_serve_workers, apps, platform)
+
+
+async def _serve_workers(apps, platform):
+    async with anyio.create_task_group() as tasks:
+        if platform:
+            workers = {worker.name: worker for worker in apps.values()}
+            tasks.start_soon(_obey_reboots, workers, platform)
+        await serve_apps(apps)
+        tasks.cancel_scope.cancel()
+
+
+async def _obey_reboots(workers, platform):
+    obeyed = 0
+    async with httpcore.AsyncConnectionPool() as pool:
+        while True:
+            await anyio.sleep(REBOOT_POLL_S)
+            try:
+                response = await pool.request("GET", f"{platform}/v1/reboots")
+                reboots = msgspec.json.decode(response.content, type=list[str])
+            except (httpcore.NetworkError, httpcore.ProtocolError, ValueError):
+                continue
+            for name in reboots[obeyed:]:
+                if name in workers:
+                    workers[name].restart()
+            obeyed = len(reboots)
--- a/basilwind/cli/definition.py
+++ b/basilwind/cli/definition.py
@@ -171,6 +171,38 @@
     )
 
 
+@cli.command()
+@click.argument(
+    "action", type=click.Choice(["declare", "pause", "resume", "cancel", "status"])
+)
+@click.argument("wave")
+@PLATFORM
+@AUTHOR
+@click.option("--host", "hosts", multiple=True, help="A host; repeatable.")
+@click.option("--pool", "pools", multiple=True, help="All hosts of a pool.")
+@click.option("--all", "is_all", is_flag=True, help="All hosts of the fleet.")
+@click.option("--at-once", default=1, show_default=True, help="Most hosts out at once.")
+@click.option(
+    "--stop-share",
+    default=0.2,
+    show_default=True,
+    help="Share of failed hosts at which the wave stops by itself.",
+)
+@click.option("--by", default=0.0, help="Seconds from now to be finished in.")
+@click.pass_obj
+def maintain(context, action, wave, platform, author, **options):
+    """Declare, change or show the maintenance wave WAVE."""
+    return _run(
+        "maintain",
+        context,
+        action=action,
+        wave=wave,
+        platform=platform,
+        author=author,
+        **options,
+    )
+
+
 def _work_options(command):
     for option in (
         click.option("--deadline", default=0.0, help="Time it may take, in seconds."),
@@ -283,10 +315,13 @@
 )
 @click.option("--zone", default="", help="Run only the hosts of this zone.")
 @click.option(
-    "--port-offset", default=0, help="Added to the port of each host's address."
+    "--platform",
+    default="",
+    metavar="URL",
+    help="Platform stand-in whose reboots are obeyed.",
 )
 @click.pass_obj
-def stand_in_worker(context, directory, zone, port_offset):
+def stand_in_worker(context, directory, zone, platform):
     """Run stand-ins of the workers that a settings tree declares."""
     return _run(
         "stand_in",
@@ -294,7 +329,7 @@
         kind="worker",
         directory=directory,
         zone=zone,
-        port_offset=port_offset,
+        platform=platform,
     )
 
 
--- a/basilwind/control/fold.py
+++ b/basilwind/control/fold.py
@@ -11,6 +11,7 @@
     HostRecord,
     SettingsRecord,
     SnapshotRecord,
+    WaveRecord,
 )
 from basilwind.control.state import (
     RECENT_RECORD_IDS,
@@ -18,6 +19,11 @@
     HostPhase,
     HostState,
 )
+from basilwind.control.waves import (
+    apply_wave,
+    check_wave_drain,
+    note_wave_progress,
+)
 from basilwind.errors import RecordInvalid, SettingsError
 from basilwind.settings.checks import check_tree
 from basilwind.settings.generated.fleet import FleetSettings
@@ -190,6 +196,11 @@
     state.hosts = hosts
 
 
+@apply_record.register
+def _(record: WaveRecord, state, offset):
+    return apply_wave(state, record, offset)
+
+
 @apply_record.register
 def _(record: SnapshotRecord, state, offset):
     if record.offset > offset or not 0 <= record.part < record.parts:
@@ -211,11 +222,14 @@
     if record.action is not HostAction.ACKNOWLEDGE:
         changed = replace(changed, version=offset)
     state.hosts[host.name] = changed
+    note_wave_progress(state, host, record.action, offset)
     return record.reason
 
 
 def _drain(state, host, record):
     _require_phase(host, HostPhase.ACTIVE)
+    if record.wave:
+        check_wave_drain(state, record)
     limit = tightest_budget(state, host.pool)
     out = hosts_out(state, host.pool)
     if limit is not None and out + 1 > limit.max_out:
@@ -228,6 +242,7 @@
         phase=HostPhase.DRAINING,
         acknowledged=frozenset(),
         reason=record.reason,
+        wave=record.wave,
     )
 
 
@@ -282,7 +297,9 @@
 
 
 def _in_service(host):
-    return replace(host, phase=HostPhase.ACTIVE, acknowledged=frozenset(), reason="")
+    return replace(
+        host, phase=HostPhase.ACTIVE, acknowledged=frozenset(), reason="", wave=""
+    )
 
 
 def _require_phase(host, *phases):
@@ -319,16 +336,20 @@
 def _action_of(record):
     if isinstance(record, HostRecord):
         return record.action.value
+    if isinstance(record, WaveRecord):
+        return f"wave {record.action.value}"
     return "settings" if isinstance(record, SettingsRecord) else "snapshot"
 
 
 def _target_of(record):
     if isinstance(record, HostRecord):
         return record.host
+    if isinstance(record, WaveRecord):
+        return record.wave
     return record.subtree if isinstance(record, SettingsRecord) else ""
 
 
 def _from_version(record):
-    if isinstance(record, HostRecord):
+    if isinstance(record, HostRecord | WaveRecord):
         return record.version
     return record.base_version if isinstance(record, SettingsRecord) else 0
--- a/basilwind/control/publisher.py
+++ b/basilwind/control/publisher.py
@@ -9,6 +9,7 @@
     CONTROL_STREAM,
     HostRecord,
     SettingsRecord,
+    WaveRecord,
     encode_record,
 )
 from basilwind.errors import PlatformUnavailable, RetentionGap
@@ -139,6 +140,24 @@
         )
         return await self._publish(record)
 
+    async def publish_wave(self, wave, action, **options):
+        """Publishes a declaration or change of a wave.
+
+        Returns:
+            The ``Published`` record.
+        """
+        known = self.state.waves.get(wave)
+        record = WaveRecord(
+            id=uuid.uuid4().hex,
+            author=self._author,
+            at=self._wall(),
+            wave=wave,
+            action=action,
+            version=known.version if known is not None else 0,
+            **options,
+        )
+        return await self._publish(record)
+
     async def _publish(self, record):
         # A lost answer is retried with the same id, which the fold drops if
         # the first attempt took effect.
--- a/basilwind/control/records.py
+++ b/basilwind/control/records.py
@@ -27,6 +27,15 @@
     FAIL = "fail"
 
 
+class WaveAction(enum.StrEnum):
+    """What a wave record asks for."""
+
+    DECLARE = "declare"
+    PAUSE = "pause"
+    RESUME = "resume"
+    CANCEL = "cancel"
+
+
 class _Record(msgspec.Struct, tag_field="type", forbid_unknown_fields=True):
     """Fields of every record.
 
@@ -65,6 +74,7 @@
         entry_host: For ``acknowledge``, the entry host with nothing in flight.
         to_pool: For ``move``, the new pool.
         reason: Why, for the audit trail.
+        wave: For ``drain``, the maintenance wave that it is part of.
     """
 
     host: str
@@ -73,6 +83,29 @@
     entry_host: str = ""
     to_pool: str = ""
     reason: str = ""
+    wave: str = ""
+
+
+class WaveRecord(_Record, tag="wave"):
+    """Declares or changes a maintenance wave.
+
+    Attributes:
+        wave: Name of the wave.
+        action: What to do.
+        version: For changes, version of the wave that the author saw.
+        hosts: For ``declare``, the hosts to maintain.
+        at_once: Most hosts of the wave that are out at once.
+        stop_share: Share of failed hosts at which the wave stops by itself.
+        finish_by: When it is to be finished, in seconds since the epoch.
+    """
+
+    wave: str
+    action: WaveAction
+    version: int = 0
+    hosts: list[str] = []
+    at_once: int = 1
+    stop_share: float = 0.2
+    finish_by: float = 0.0
 
 
 class SnapshotRecord(_Record, tag="snapshot"):
@@ -93,7 +126,7 @@
     data: str
 
 
-ControlRecord = SettingsRecord | HostRecord | SnapshotRecord
+ControlRecord = SettingsRecord | HostRecord | WaveRecord | SnapshotRecord
 
 _decoder = msgspec.json.Decoder(ControlRecord)
 
--- a/basilwind/control/snapshot.py
+++ b/basilwind/control/snapshot.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from basilwind.control.records import SnapshotRecord
-from basilwind.control.state import ControlState, HostPhase, HostState
+from basilwind.control.state import ControlState, HostPhase, HostState, WaveState
 from basilwind.errors import RecordInvalid
 from basilwind.settings.generated.fleet import FleetSettings
 from basilwind.settings.generated.team import TeamSettings
@@ -21,6 +21,7 @@
     version: int
     acknowledged: list[str]
     reason: str
+    wave: str
 
 
 class _Snapshot(msgspec.Struct, array_like=True):
@@ -33,6 +34,7 @@
     queue_pools: dict[str, str]
     pool_zones: dict[str, list[str]]
     recent_ids: list[str]
+    waves: list[WaveState]
 
 
 def encode_state(state):
@@ -51,12 +53,14 @@
                 host.version,
                 sorted(host.acknowledged),
                 host.reason,
+                host.wave,
             )
             for host in state.hosts.values()
         ],
         queue_pools=state.queue_pools,
         pool_zones={name: list(zones) for name, zones in state.pool_zones.items()},
         recent_ids=list(state.recent_ids),
+        waves=list(state.waves.values()),
     )
     return msgspec.json.encode(snapshot).decode()
 
@@ -81,6 +85,7 @@
         recent_ids=dict.fromkeys(snapshot.recent_ids),
     )
     state.hosts = _hosts(snapshot)
+    state.waves = {wave.name: wave for wave in snapshot.waves}
     return state
 
 
@@ -97,6 +102,7 @@
             version=part.version,
             acknowledged=frozenset(part.acknowledged),
             reason=part.reason,
+            wave=part.wave,
         )
     return hosts
 
--- a/basilwind/control/state.py
+++ b/basilwind/control/state.py
@@ -32,6 +32,7 @@
         version: Offset of the record that last changed it.
         acknowledged: Entry hosts with nothing in flight on it while it drains.
         reason: Why it left service.
+        wave: Maintenance wave that took it out, if one did.
     """
 
     settings: HostSettings
@@ -40,6 +41,7 @@
     version: int = 0
     acknowledged: frozenset[str] = frozenset()
     reason: str = ""
+    wave: str = ""
 
     @property
     def name(self) -> str:
@@ -52,6 +54,59 @@
         return self.phase is not HostPhase.ACTIVE
 
 
+class WaveStatus(enum.StrEnum):
+    """Where a maintenance wave stands."""
+
+    RUNNING = "running"
+    PAUSED = "paused"
+    STOPPED = "stopped"
+    CANCELLED = "cancelled"
+    DONE = "done"
+
+
+@dataclass(frozen=True, slots=True)
+class WaveState:
+    """A maintenance wave at some offset.
+
+    Attributes:
+        name: Name of the wave.
+        hosts: Hosts to maintain.
+        at_once: Most of them that are out at once.
+        stop_share: Share of failed hosts at which it stops by itself.
+        finish_by: When it is to be finished, in seconds since the epoch.
+        declared_at: When it was declared, in seconds since the epoch.
+        status: Where it stands.
+        version: Offset of the record that last changed it.
+        done: Hosts that have returned.
+        failed: Hosts that have not.
+    """
+
+    name: str
+    hosts: tuple[str, ...]
+    at_once: int
+    stop_share: float
+    finish_by: float
+    declared_at: float
+    status: WaveStatus = WaveStatus.RUNNING
+    version: int = 0
+    done: frozenset[str] = frozenset()
+    failed: frozenset[str] = frozenset()
+
+    @property
+    def is_over(self) -> bool:
+        """Whether nothing more comes of it."""
+        return self.status in (WaveStatus.DONE, WaveStatus.CANCELLED)
+
+    @property
+    def left(self) -> tuple[str, ...]:
+        """Hosts that have neither returned nor failed."""
+        return tuple(
+            host
+            for host in self.hosts
+            if host not in self.done and host not in self.failed
+        )
+
+
 @dataclass(frozen=True, slots=True)
 class AuditEntry:
     """One line of the audit trail.
@@ -91,6 +146,7 @@
         hosts: Hosts by name.
         queue_pools: Pool of every queue ever declared, by ``team/queue``.
         pool_zones: Zones of every pool ever declared.
+        waves: Maintenance waves by name.
         recent_ids: Ids of the latest records, oldest first.
         audit: Latest audit entries, oldest first.
     """
@@ -102,6 +158,7 @@
     hosts: dict[str, HostState] = field(default_factory=dict)
     queue_pools: dict[str, str] = field(default_factory=dict)
     pool_zones: dict[str, tuple[str, ...]] = field(default_factory=dict)
+    waves: dict[str, WaveState] = field(default_factory=dict)
     recent_ids: dict[str, None] = field(default_factory=dict)
     audit: deque = field(default_factory=lambda: deque(maxlen=AUDIT_ENTRIES))
 
--- /dev/null
+++ b/basilwind/control/waves.py
@@ -0,0 +1,129 @@
+"""Maintenance waves, as the control fold sees them."""
+
+from dataclasses import replace
+
+from basilwind.control.records import HostAction, WaveAction
+from basilwind.control.state import WaveState, WaveStatus
+from basilwind.errors import RecordInvalid
+
+MAX_FINISHED_WAVES = 20
+LEAST_FAILED_TO_STOP = 2
+
+
+def apply_wave(state, record, offset):
+    """Applies a ``WaveRecord``.
+
+    Raises:
+        RecordInvalid: It is refused.
+    """
+    if record.action is WaveAction.DECLARE:
+        state.waves[record.wave] = _declared(state, record, offset)
+        _forget_finished(state)
+        return
+    wave = _known(state, record)
+    status = _next_status(wave, record.action)
+    state.waves[record.wave] = replace(wave, status=status, version=offset)
+
+
+def check_wave_drain(state, record):
+    """Checks that a drain is due in its wave.
+
+    Raises:
+        RecordInvalid: It is not.
+    """
+    wave = state.waves.get(record.wave)
+    if wave is None or wave.status is not WaveStatus.RUNNING:
+        raise RecordInvalid(f"wave {record.wave!r} is not running")
+    if record.host not in wave.left:
+        raise RecordInvalid(f"host {record.host!r} is not left in the wave")
+    if hosts_out_in_wave(state, wave) >= wave.at_once:
+        raise RecordInvalid(f"wave {record.wave!r} has {wave.at_once} hosts out")
+
+
+def hosts_out_in_wave(state, wave):
+    """Returns how many hosts of a wave are out for its sake."""
+    hosts = (state.hosts.get(name) for name in wave.left)
+    return sum(
+        host is not None and host.is_out and host.wave == wave.name for host in hosts
+    )
+
+
+def note_wave_progress(state, host, action, offset):
+    """Takes in an accepted change of a host that a wave took out.
+
+    Args:
+        state: ``ControlState``, changed in place.
+        host: ``HostState`` before the change.
+        action: The ``HostAction``.
+        offset: Offset of the record.
+    """
+    wave = state.waves.get(host.wave)
+    if wave is None or host.name not in wave.left:
+        return
+    if action is HostAction.RETURN:
+        wave = replace(wave, done=wave.done | {host.name}, version=offset)
+    elif action is HostAction.FAIL:
+        wave = replace(wave, failed=wave.failed | {host.name}, version=offset)
+    else:
+        return
+    state.waves[wave.name] = replace(wave, status=_status_after(wave))
+
+
+def _status_after(wave):
+    tried = len(wave.done) + len(wave.failed)
+    is_broken = len(wave.failed) >= LEAST_FAILED_TO_STOP
+    if is_broken and len(wave.failed) > wave.stop_share * tried:
+        return WaveStatus.STOPPED
+    return wave.status if wave.left else WaveStatus.DONE
+
+
+def _declared(state, record, offset):
+    known = state.waves.get(record.wave)
+    if known is not None and not known.is_over:
+        raise RecordInvalid(f"wave {record.wave!r} is {known.status}; cancel it first")
+    if not record.hosts or record.at_once < 1 or not 0 <= record.stop_share <= 1:
+        raise RecordInvalid("a wave needs hosts, and at least one of them at once")
+    busy = {h for w in state.waves.values() if not w.is_over for h in w.left}
+    for host in record.hosts:
+        if host not in state.hosts:
+            raise RecordInvalid(f"no host {host!r}")
+        if host in busy:
+            raise RecordInvalid(f"host {host!r} is in another wave")
+    return WaveState(
+        name=record.wave,
+        hosts=tuple(dict.fromkeys(record.hosts)),
+        at_once=record.at_once,
+        stop_share=record.stop_share,
+        finish_by=record.finish_by,
+        declared_at=record.at,
+        version=offset,
+    )
+
+
+def _known(state, record):
+    wave = state.waves.get(record.wave)
+    if wave is None:
+        raise RecordInvalid(f"no wave {record.wave!r}")
+    if wave.version != record.version:
+        raise RecordInvalid(
+            f"made for version {record.version} of the wave, which is at"
+            f" {wave.version}; look again and retry"
+        )
+    if wave.is_over:
+        raise RecordInvalid(f"wave {record.wave!r} is {wave.status}")
+    return wave
+
+
+def _next_status(wave, action):
+    if action is WaveAction.PAUSE:
+        return WaveStatus.PAUSED
+    if action is WaveAction.RESUME:
+        return WaveStatus.RUNNING
+    return WaveStatus.CANCELLED
+
+
+def _forget_finished(state):
+    finished = [wave for wave in state.waves.values() if wave.is_over]
+    finished.sort(key=lambda wave: wave.version)
+    for wave in finished[:-MAX_FINISHED_WAVES]:
+        del state.waves[wave.name]
--- a/basilwind/daemon/daemon.py
+++ b/basilwind/daemon/daemon.py
@@ -9,6 +9,7 @@
 from basilwind.application import Application
 from basilwind.control.log import ControlLog
 from basilwind.daemon.housekeeping import Housekeeping
+from basilwind.daemon.planner import Planner
 from basilwind.daemon.status import make_status
 from basilwind.errors import PlatformUnavailable
 from basilwind.journal.journal import Journal
@@ -28,7 +29,7 @@
 from basilwind.placement.router import Router
 from basilwind.placement.watch import TaskWatch
 from basilwind.placement.zone import ZoneParts
-from basilwind.platform.client import ListedState, PlatformClient
+from basilwind.platform.client import PlatformClient
 from basilwind.workers.directory import WorkerDirectory
 
 HOST_LIST_INTERVAL_S = 1.5
@@ -134,6 +135,7 @@
             self.clock,
         )
         self.housekeeping = Housekeeping(self)
+        self.planner = Planner(self)
 
     def _build_borders(self):
         self.app = ApiApp(self)
@@ -153,6 +155,7 @@
         application.add_service(self.watch.run)
         application.add_service(self.app.open.run)
         application.add_service(self.housekeeping.run)
+        application.add_service(self.planner.run)
         application.add_service(self._follow_host_list)
         application.add_service(self.http_server.serve_until_stopped)
         application.on_stop(self._stop)
@@ -266,9 +269,7 @@
         while True:
             try:
                 hosts = await self.platform.hosts()
-                self.workers.update_listed(
-                    host.name for host in hosts if host.state is not ListedState.LIVE
-                )
+                self.workers.update_listed({host.name: host.state for host in hosts})
             except PlatformUnavailable:
                 pass
             await anyio.sleep(HOST_LIST_INTERVAL_S)
--- a/basilwind/platform/client.py
+++ b/basilwind/platform/client.py
@@ -131,6 +131,15 @@
         body = await self._fetch("GET", "/v1/hosts", b"", READ_MARGIN_S)
         return _decode(body, _HostList).hosts
 
+    async def reboot(self, host):
+        """Asks the platform to reboot a drained host.
+
+        Raises:
+            PlatformUnavailable: No good answer.
+        """
+        path = f"/v1/hosts/{quote(host, safe='')}/reboot"
+        await self._fetch("POST", path, b"", READ_MARGIN_S)
+
     async def _fetch(self, method, path, content, timeout_s):
         try:
             with anyio.fail_after(timeout_s):
--- a/basilwind/standin/platform.py
+++ b/basilwind/standin/platform.py
@@ -115,6 +115,8 @@
         self._next_append_at = 0.0
         self.faults = PlatformFaults()
         self.appends = 0
+        self.reboots = []
+        self.on_reboot = lambda host: None
 
     async def __call__(self, scope, receive, send):
         """Serves one request."""
@@ -156,6 +158,10 @@
                 return await self._read(unquote(stream), request)
             case ("GET", "v1", "hosts"):
                 return self._hosts()
+            case ("POST", "v1", "hosts", host, "reboot"):
+                return self._reboot(unquote(host))
+            case ("GET", "v1", "reboots"):
+                return json_response(self.reboots)
         return HttpResponse(404, b"no such page\n", "text/plain")
 
     async def _append(self, name, request):
@@ -209,6 +215,11 @@
         ]
         return json_response({"hosts": hosts})
 
+    def _reboot(self, host):
+        self.reboots.append(host)
+        self.on_reboot(host)
+        return json_response({"host": host})
+
     def _truncate(self, request):
         stream = self.stream(request.query["stream"])
         stream.drop_to(int(request.query.get("keep", "0")))
--- a/basilwind/workers/directory.py
+++ b/basilwind/workers/directory.py
@@ -5,6 +5,7 @@
 import anyio
 
 from basilwind.errors import WorkerUnreachable
+from basilwind.platform.client import ListedState
 from basilwind.workers.client import WorkerClient
 
 PROBE_INTERVAL_S = 1.5
@@ -43,7 +44,7 @@
 
     def __init__(self):
         self._workers = {}
-        self._listed_out = frozenset()
+        self._listed = {}
 
     def update(self, hosts):
         """Takes in the hosts of the zone.
@@ -64,13 +65,21 @@
                 client = WorkerClient(settings.address, settings.connections)
                 self._workers[settings.name] = KnownWorker(settings, client)
 
-    def update_listed(self, names):
-        """Takes in which hosts the platform lists as leaving or gone."""
-        self._listed_out = frozenset(names)
+    def update_listed(self, listed):
+        """Takes in the platform's list.
+
+        Args:
+            listed: ``ListedState`` by the name of the host.
+        """
+        self._listed = listed
 
     def is_listed_out(self, name):
         """Whether the platform lists a host as leaving or gone."""
-        return name in self._listed_out
+        return self._listed.get(name, ListedState.LIVE) is not ListedState.LIVE
+
+    def is_listed_gone(self, name):
+        """Whether the platform lists a host as gone."""
+        return self._listed.get(name) is ListedState.GONE
 
     def client(self, name):
         """Returns the client of a worker, or None if it is not known."""
@@ -85,7 +94,7 @@
     def is_healthy(self, name):
         """Whether a worker takes new work."""
         known = self._workers.get(name)
-        if known is None or name in self._listed_out:
+        if known is None or self.is_listed_out(name):
             return False
         return known.is_healthy
 
--- a/extras/launcher.py
+++ b/extras/launcher.py
@@ -58,6 +58,7 @@
                 f"workers-{zone.name}",
                 *("stand-in", "worker", "--zone", zone.name),
                 *("--settings", str(self.settings_directory)),
+                *("--platform", self.platform),
             )
         wait_listening([address, *self.workers.values()])
 
--- a/tests/utils/fleet.py
+++ b/tests/utils/fleet.py
@@ -60,6 +60,7 @@
             name: zone.name for zone in self.tree.zones for name in zone.entry_hosts
         }
         self.platform = PlatformStandIn()
+        self.platform.on_reboot = self._reboot
         self.workers = {}
         self.daemons = {}
         self.relays = {}
@@ -217,6 +218,9 @@
                         return False
         return True
 
+    def _reboot(self, host):
+        self.workers[host].restart()
+
     async def _start_platform(self):
         (self._platform_port,) = free_ports(1)
         await self._serve(self.platform, self._platform_port)
@@ -264,10 +268,15 @@
     hosts_per_shard=2,
     lease_s=1.0,
     log_retention_s=3600.0,
+    reboot_patience_s=900.0,
     **team,
 ):
     """Runs a fleet for the length of a block."""
-    options = {"lease_s": lease_s, "log_retention_s": log_retention_s}
+    options = {
+        "lease_s": lease_s,
+        "log_retention_s": log_retention_s,
+        "reboot_patience_s": reboot_patience_s,
+    }
     fleet = Fleet(zones, pools, entry_hosts, hosts_per_shard, options, team)
     async with anyio.create_task_group() as tasks:
         await fleet.start(tasks)
