Release shards first when a daemon stops gracefully

The stop also did not wait for jobs. Change: a leaving holder serves until it has released; it releases right after the notice, hands its queue back, and then waits for requests and jobs that run.

--- a/basilwind/daemon/daemon.py
+++ b/basilwind/daemon/daemon.py
@@ -182,9 +182,10 @@
         with anyio.move_on_after(self.settings.drain_patience_s):
             # The balancer and the peers learn it before work is turned away.
             await anyio.sleep(LEAVE_NOTICE_S)
-            while self.app.open_requests or len(self.desk.book):
-                await anyio.sleep(STOP_POLL_S)
             await self.ownership.release_all()
+            self.desk.return_waiting()
+            while self.app.open_requests or self.desk.open_work:
+                await anyio.sleep(STOP_POLL_S)
             while self.journal.pending:
                 await anyio.sleep(STOP_POLL_S)
         self.http_server.stop()
--- a/basilwind/membership/members.py
+++ b/basilwind/membership/members.py
@@ -122,7 +122,7 @@
     def owner_of(self, pool, zone, now):
         """Returns the live member that acts as owner of a shard, or None."""
         for heartbeat in self.live(now):
-            if heartbeat.zone == zone and not heartbeat.is_leaving:
+            if heartbeat.zone == zone:
                 if any(hint.pool == pool for hint in heartbeat.shards):
                     return heartbeat.name
         return None
@@ -130,7 +130,7 @@
     def hint_of(self, pool, zone, now):
         """Returns the ``ShardHint`` of a shard from its owner, or None."""
         for heartbeat in self.live(now):
-            if heartbeat.zone == zone and not heartbeat.is_leaving:
+            if heartbeat.zone == zone:
                 for hint in heartbeat.shards:
                     if hint.pool == pool:
                         return hint
--- a/basilwind/membership/ownership.py
+++ b/basilwind/membership/ownership.py
@@ -263,8 +263,8 @@
             return True
         if member is None or not self._members.is_live(owner.holder, now):
             return False
-        heartbeat = member.heartbeat
-        return heartbeat.incarnation == owner.incarnation and not heartbeat.is_leaving
+        # One that leaves serves until it has released.
+        return member.heartbeat.incarnation == owner.incarnation
 
     def _choice(self, pool, now):
         names = self._members.live_in_zone(self._zone, now)
--- a/basilwind/placement/desk.py
+++ b/basilwind/placement/desk.py
@@ -31,6 +31,18 @@
         service = self._services.get(pool)
         return service.shard if service is not None else None
 
+    @property
+    def open_work(self):
+        """How many requests and running jobs are in this daemon's hands."""
+        running = sum(jobs.running for jobs in self._jobs.values())
+        in_flight = sum(service.unsettled for service in self._services.values())
+        return len(self.book) + running + in_flight
+
+    def return_waiting(self):
+        """Hands back every request that waits for a worker."""
+        for service in self._services.values():
+            service.shard.queue.return_all()
+
     def add_pool(self, pool):
         """Begins to serve a pool."""
         shard = Shard(pool, self._zone.name, self._zone.clock)
--- a/basilwind/placement/jobs.py
+++ b/basilwind/placement/jobs.py
@@ -48,6 +48,11 @@
         self._zone = zone
         self._running = {}
 
+    @property
+    def running(self):
+        """How many jobs run on workers now."""
+        return sum(c.state is CustodyState.STARTED for c in self._running.values())
+
     async def accept(self, spec, job_id, deadline):
         """Accepts a job, durably, before its caller is told.
 
--- a/basilwind/placement/service.py
+++ b/basilwind/placement/service.py
@@ -48,6 +48,11 @@
         """Work at most once that runs in this process, by identity."""
         return self._in_flight
 
+    @property
+    def unsettled(self):
+        """How much work at most once has no outcome yet."""
+        return sum(not f.settled.is_set() for f in self._in_flight.values())
+
     async def serve(self, spec, deadline, custody):
         """Runs a request to its outcome.
 
--- a/basilwind/standin/worker.py
+++ b/basilwind/standin/worker.py
@@ -301,6 +301,7 @@
             return self._record_response(TaskState.NEVER_STARTED)
         if "only_if_not_started" not in request.query:
             task.stopped.set()
+        task.lease_until = max(task.lease_until, time.monotonic() + 15.0)
         return self._record_response(task.state, task)
 
     def _record_response(self, state, task=None):
--- a/tests/placement/test_jobs.py
+++ b/tests/placement/test_jobs.py
@@ -134,3 +134,22 @@
             client = fleet.client("zone-a-e1", "pool-b")
             answer = await client.job("team-pool-b", job_id)
             self.assertEqual(answer.status, 404)
+
+
+class TestGracefulStop(unittest.TestCase):
+    @run_async
+    async def test_stop_waits_for_running_jobs_and_hands_over_the_rest(self):
+        async with running_fleet(hosts_per_shard=1) as fleet:
+            owner = fleet.owner()
+            (other,) = fleet.others(owner)
+            tags = [f"job-{index}" for index in range(16)]
+            ids = [
+                (await submit(fleet, other, tag, 1.0)).json()["job_id"] for tag in tags
+            ]
+            await fleet.wait_for(lambda: len(fleet.runs()) >= 8)
+            fleet.daemons[owner].application.stop()
+            for tag, job_id in zip(tags, ids, strict=True):
+                end = await end_of(fleet, other, job_id)
+                self.assertEqual(end.get("outcome"), "done", end)
+                (run,) = fleet.runs(tag)
+                self.assertFalse(run.is_cut)
