--- a/Makefile
+++ b/Makefile
@@ -4,18 +4,20 @@
 BIN := $(VENV)/bin
 EXAMPLE ?= cordillera
 
-.PHONY: help install test lint format demo bench generate clean
+.PHONY: help install test lint format demo play bench generate clean
 
 help:
 	@echo "make demo [EXAMPLE=cordillera|kivimagi]  run the whole system on loopback"
+	@echo "make play [EXAMPLE=...]                  run it until interrupted"
 	@echo "make test                                run all tests"
 	@echo "make lint | format                       check or fix formatting"
 	@echo "make bench                               run every measurement"
 	@echo "make generate                            regenerate the settings models"
 
-$(VENV)/.installed: requirements.txt requirements-dev.txt
+$(VENV)/.installed: requirements.txt requirements-dev.txt pyproject.toml
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements.txt -r requirements-dev.txt
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation -e .
 	touch $@
 
 install: $(VENV)/.installed
@@ -34,6 +36,9 @@
 demo: install
 	$(BIN)/python -m extras.demo --example examples/$(EXAMPLE)
 
+play: install
+	$(BIN)/python -m extras.play --example examples/$(EXAMPLE)
+
 bench: install
 	$(BIN)/python -m bench
 
--- a/basilwind/control/fold.py
+++ b/basilwind/control/fold.py
@@ -193,7 +193,7 @@
             hosts[settings.name] = HostState(settings, settings.pool, version=offset)
         else:
             hosts[settings.name] = replace(known, settings=settings)
-    state.hosts = hosts
+    state.put_hosts(hosts)
 
 
 @apply_record.register
@@ -221,7 +221,7 @@
     # Entry hosts acknowledge the same version, in any order.
     if record.action is not HostAction.ACKNOWLEDGE:
         changed = replace(changed, version=offset)
-    state.hosts[host.name] = changed
+    state.put_host(changed)
     note_wave_progress(state, host, record.action, offset)
     return record.reason
 
--- a/basilwind/control/snapshot.py
+++ b/basilwind/control/snapshot.py
@@ -84,7 +84,7 @@
         pool_zones={n: tuple(zones) for n, zones in snapshot.pool_zones.items()},
         recent_ids=dict.fromkeys(snapshot.recent_ids),
     )
-    state.hosts = _hosts(snapshot)
+    state.put_hosts(_hosts(snapshot))
     state.waves = {wave.name: wave for wave in snapshot.waves}
     return state
 
--- a/basilwind/control/state.py
+++ b/basilwind/control/state.py
@@ -161,19 +161,35 @@
     waves: dict[str, WaveState] = field(default_factory=dict)
     recent_ids: dict[str, None] = field(default_factory=dict)
     audit: deque = field(default_factory=lambda: deque(maxlen=AUDIT_ENTRIES))
+    _pool_index: dict[str, list[HostState]] | None = None
 
     @property
     def is_loaded(self) -> bool:
         """Whether there is a fleet to work for."""
         return self.tree.fleet is not None
 
+    def put_host(self, host):
+        """Replaces the state of one host."""
+        self.hosts[host.name] = host
+        self._pool_index = None
+
+    def put_hosts(self, hosts):
+        """Replaces all hosts.
+
+        Args:
+            hosts: ``HostState`` by name.
+        """
+        self.hosts = hosts
+        self._pool_index = None
+
     def hosts_of(self, pool, zone=None):
         """Returns the hosts of a pool, optionally of one zone."""
-        return [
-            host
-            for host in self.hosts.values()
-            if host.pool == pool and zone in (None, host.settings.zone)
-        ]
+        if self._pool_index is None:
+            self._pool_index = {}
+            for host in self.hosts.values():
+                self._pool_index.setdefault(host.pool, []).append(host)
+        members = self._pool_index.get(pool, ())
+        return [host for host in members if zone in (None, host.settings.zone)]
 
     def entry_hosts_of(self, zone):
         """Returns the names of a zone's entry hosts."""
--- a/basilwind/daemon/daemon.py
+++ b/basilwind/daemon/daemon.py
@@ -179,6 +179,7 @@
         log("daemon leaves", name=self.name)
         self.is_leaving = True
         self.ownership.is_leaving = True
+        self.membership.forget_report()
         with anyio.move_on_after(self.settings.drain_patience_s):
             # The balancer and the peers learn it before work is turned away.
             await anyio.sleep(LEAVE_NOTICE_S)
--- a/basilwind/daemon/housekeeping.py
+++ b/basilwind/daemon/housekeeping.py
@@ -45,6 +45,8 @@
         self._changed = anyio.Event()
         self._is_changed = True
         self._disagreeing = set()
+        self._hosts = {}
+        self._draining = []
 
     def note_control_change(self):
         """Notes that the control state has changed."""
@@ -75,8 +77,7 @@
             self._is_changed = False
             self._apply_settings(state)
         for pool, service in daemon.desk.services.items():
-            hosts = [host.settings for host in state.hosts_of(pool, daemon.zone)]
-            service.shard.update_hosts(hosts, self._is_placeable)
+            service.shard.update_hosts(self._hosts[pool], self._is_placeable)
             if not daemon.ownership.acts_for(pool, now):
                 service.shard.queue.return_all()
         daemon.desk.book.expire(now)
@@ -114,10 +115,15 @@
             if host.settings.zone == daemon.zone
         ]
         daemon.workers.update(zone_hosts)
+        self._draining = [
+            host for host in state.hosts.values() if host.phase is HostPhase.DRAINING
+        ]
         for pool in daemon.zone_pools():
             if pool not in daemon.desk.services:
                 daemon.desk.add_pool(pool)
-        for service in daemon.desk.services.values():
+        for pool, service in daemon.desk.services.items():
+            hosts = state.hosts_of(pool, daemon.zone)
+            self._hosts[pool] = [host.settings for host in hosts]
             for team, settings in state.tree.teams.items():
                 service.shard.update_team(team, settings)
 
@@ -130,8 +136,8 @@
     async def _acknowledge_drains(self):
         daemon = self._daemon
         now = daemon.clock()
-        for host in list(daemon.control.state.hosts.values()):
-            if host.phase is HostPhase.DRAINING and self._is_due(host, now):
+        for host in self._draining:
+            if self._is_due(host, now):
                 if await self._is_worker_idle(host):
                     await self._acknowledge(host, now)
 
--- a/basilwind/daemon/planner.py
+++ b/basilwind/daemon/planner.py
@@ -24,6 +24,7 @@
 from basilwind.workers.client import TASK_LEASE_S
 
 INTERVAL_S = 0.5
+IDLE_PLAN_S = 5.0
 HEADROOM_FROM = 3
 
 
@@ -111,15 +112,28 @@
         self._incarnations = {}
         self._rebooting_since = {}
         self._gone_since = {}
+        self._seen = None
+        self._planned_at = 0.0
 
     async def run(self):
         """Plans until cancelled."""
         while True:
             await anyio.sleep(INTERVAL_S)
             now = self._daemon.clock()
-            if self._has_duty(now):
+            if self._has_duty(now) and self._is_due(now):
                 await self._plan(now)
 
+    def _is_due(self, now):
+        # Without a change there is something to do only for hosts that are out.
+        state = self._daemon.control.state
+        listed = self._daemon.workers.listed_version
+        seen = (state.next_offset, listed)
+        is_out = any(host.is_out for host in state.hosts.values())
+        is_due = seen != self._seen or is_out or now - self._planned_at > IDLE_PLAN_S
+        if is_due:
+            self._seen, self._planned_at = seen, now
+        return is_due
+
     def _has_duty(self, now):
         daemon = self._daemon
         if daemon.not_ready_reason() or not daemon.control.follower.is_available:
--- a/basilwind/membership/view.py
+++ b/basilwind/membership/view.py
@@ -7,6 +7,8 @@
 )
 from basilwind.membership.promises import MICROSECONDS
 
+REPORT_AGE_S = 0.2
+
 
 class MembershipView:
     """Connects ``Members`` and ``Promises`` with what heartbeats carry.
@@ -30,10 +32,12 @@
         self._promises = promises
         self._report = report
         self._is_behind = is_behind
+        self._reported = None
+        self._reported_at = 0.0
 
     def heartbeat_for(self, peer, now):
         """Returns the ``Heartbeat`` to send to a peer at ``now``."""
-        report = self._report(now)
+        report = self._recent_report(now)
         return Heartbeat(
             name=self._name,
             zone=self._zone,
@@ -49,6 +53,15 @@
             journal_offset=report.journal_offset,
         )
 
+    def _recent_report(self, now):
+        if self._reported is None or now - self._reported_at > REPORT_AGE_S:
+            self._reported, self._reported_at = self._report(now), now
+        return self._reported
+
+    def forget_report(self):
+        """Makes the next heartbeat tell anew of this host."""
+        self._reported = None
+
     def interval_s(self, zone):
         """Returns the interval of heartbeats to a zone's hosts, in seconds."""
         is_near = zone == self._zone
--- a/basilwind/workers/directory.py
+++ b/basilwind/workers/directory.py
@@ -45,6 +45,7 @@
     def __init__(self):
         self._workers = {}
         self._listed = {}
+        self.listed_version = 0
 
     def update(self, hosts):
         """Takes in the hosts of the zone.
@@ -71,6 +72,8 @@
         Args:
             listed: ``ListedState`` by the name of the host.
         """
+        if listed != self._listed:
+            self.listed_version += 1
         self._listed = listed
 
     def is_listed_out(self, name):
--- a/extras/launcher.py
+++ b/extras/launcher.py
@@ -1,5 +1,6 @@
 """Starts and stops an example's processes on loopback, by process id."""
 
+import os
 import re
 import signal
 import socket
@@ -98,10 +99,16 @@
         """Returns the id of a process."""
         return self._processes[name].pid
 
-    def run(self, *arguments):
+    def run(self, *arguments, environment=None):
         """Runs a basilwind command to its end and returns its result."""
         command = [sys.executable, "-m", "basilwind", *arguments]
-        return subprocess.run(command, capture_output=True, text=True, timeout=120)
+        return subprocess.run(
+            command,
+            capture_output=True,
+            text=True,
+            timeout=120,
+            env=os.environ | (environment or {}),
+        )
 
     def log(self, name):
         """Returns what a process has printed."""
