--- a/basilwind/cli/commands/serve.py
+++ b/basilwind/cli/commands/serve.py
@@ -15,7 +15,7 @@
     settings = load_file(settings_file, DaemonSettings)
     log_to(context.stdout)
     gc.freeze()
-    anyio.run(_serve, settings, context)
+    anyio.run(_serve, settings, context, backend_options={"use_uvloop": True})
 
 
 async def _serve(settings, context):
--- a/basilwind/daemon/daemon.py
+++ b/basilwind/daemon/daemon.py
@@ -32,7 +32,7 @@
 from basilwind.platform.client import PlatformClient
 from basilwind.workers.directory import WorkerDirectory
 
-HOST_LIST_INTERVAL_S = 1.5
+HOST_LIST_INTERVAL_S = 2.5
 STOP_POLL_S = 0.05
 LEAVE_NOTICE_S = 0.6
 LEASE_POLL_SHARE = 0.4
--- a/basilwind/daemon/housekeeping.py
+++ b/basilwind/daemon/housekeeping.py
@@ -23,7 +23,7 @@
 from basilwind.membership.rendezvous import top
 from basilwind.peers.messages import ControlQuery
 
-TICK_S = 0.25
+TICK_S = 0.5
 CATCH_UP_INTERVAL_S = 0.5
 RENEWAL_SHARE = 0.25
 SNAPSHOT_CHECK_S = 0.5
--- a/basilwind/journal/journal.py
+++ b/basilwind/journal/journal.py
@@ -12,6 +12,9 @@
 
 MAX_PENDING_ENTRIES = 2048
 MAX_BATCH_ENTRIES = 256
+MAX_BATCH_BYTES = 128 * 1024
+ENTRY_BYTES = 512
+LATER_WAIT_S = 0.05
 VISIBLE_TIMEOUT_S = 1.0
 RETRY_PAUSE_S = 0.1
 
@@ -57,6 +60,7 @@
         self._sequence = 0
         self._queue = deque()
         self._wakeup = anyio.Event()
+        self._awaited = anyio.Event()
         self._in_flight = []
         self.appends = 0
         self.state = journal_state.JournalState()
@@ -131,10 +135,12 @@
     def append_later(self, entry):
         """Queues an entry that nobody waits for; kept while the log is out.
 
+        It waits a little for one that somebody waits for, to share its append.
+
         Raises:
             JournalUnavailable: Too many entries wait for the log.
         """
-        self._enqueue(entry)
+        self._enqueue(entry, is_awaited=False)
 
     async def run(self):
         """Follows the stream and writes batches until cancelled."""
@@ -142,12 +148,14 @@
             tasks.start_soon(self.follower.run)
             tasks.start_soon(self._write)
 
-    def _enqueue(self, entry):
+    def _enqueue(self, entry, is_awaited=True):
         if len(self._queue) >= MAX_PENDING_ENTRIES:
             raise JournalUnavailable("too many entries wait for the log", True)
         pending = _Pending(entry, anyio.Event())
         self._queue.append(pending)
         self._wakeup.set()
+        if is_awaited:
+            self._awaited.set()
         return pending
 
     def _give_up(self, pending):
@@ -159,19 +167,26 @@
     async def _write(self):
         while True:
             await self._wakeup.wait()
+            with anyio.move_on_after(LATER_WAIT_S):
+                await self._awaited.wait()
             await anyio.sleep(self._pace.delay_s(self._clock()))
             batch = self._take_batch()
             if batch is not None:
                 await self._write_until_visible(batch)
 
     def _take_batch(self):
-        self._wakeup = anyio.Event()
+        self._wakeup, self._awaited = anyio.Event(), anyio.Event()
+        size = 0
         while self._queue and len(self._in_flight) < MAX_BATCH_ENTRIES:
+            size += _size_of(self._queue[0].entry)
+            if self._in_flight and size > MAX_BATCH_BYTES:
+                break
             pending = self._queue.popleft()
             pending.is_sent = True
             self._in_flight.append(pending)
         if self._queue:
             self._wakeup.set()
+            self._awaited.set()
         if not self._in_flight:
             return None
         self._sequence += 1
@@ -208,3 +223,11 @@
         for pending, is_effective in zip(in_flight, applied.effective, strict=True):
             pending.is_effective = is_effective
             pending.settled.set()
+
+
+def _size_of(entry):
+    return (
+        ENTRY_BYTES
+        + len(getattr(entry, "spec", b""))
+        + len(getattr(entry, "body", b""))
+    )
--- a/basilwind/peers/framing.py
+++ b/basilwind/peers/framing.py
@@ -5,7 +5,7 @@
 import anyio
 
 from basilwind.errors import PeerUnreachable, ProtocolError
-from basilwind.peers import messages
+from basilwind.peers import codec
 
 MAX_FRAME_BYTES = 20 * 1024 * 1024
 CHUNK_BYTES = 64 * 1024
@@ -41,7 +41,7 @@
             PeerUnreachable: The connection failed or stalled; a part of the
                 message may have been sent, so the connection is closed.
         """
-        data = messages.encode(message, call_id)
+        data = codec.encode(message, call_id)
         try:
             with anyio.fail_after(SEND_TIMEOUT_S):
                 async with self._send_lock:
@@ -61,7 +61,7 @@
         while True:
             data = self._take_frame()
             if data is not None:
-                return messages.decode(data)
+                return codec.decode(data)
             try:
                 chunk = await self._stream.receive(CHUNK_BYTES)
             except (
--- a/basilwind/placement/jobs.py
+++ b/basilwind/placement/jobs.py
@@ -12,7 +12,8 @@
 from basilwind.journal.entries import Accepted
 from basilwind.journal.state import outcome_of
 from basilwind.models import Outcome, OutcomeKind, Reason, refused, unknown
-from basilwind.peers.messages import JobReply, decode_spec, encode_spec
+from basilwind.peers.codec import decode_spec, encode_spec
+from basilwind.peers.messages import JobReply
 from basilwind.placement.custody import Custody, CustodyState
 from basilwind.placement.once import digest_of
 
--- a/basilwind/workers/directory.py
+++ b/basilwind/workers/directory.py
@@ -8,8 +8,9 @@
 from basilwind.platform.client import ListedState
 from basilwind.workers.client import WorkerClient
 
-PROBE_INTERVAL_S = 1.5
+PROBE_INTERVAL_S = 2.5
 FAILED_PROBES = 2
+START_INTERVAL_S = 0.5
 
 
 @dataclass
@@ -120,7 +121,7 @@
                     if known.scope is None and is_wanted(name):
                         known.scope = anyio.CancelScope()
                         tasks.start_soon(self._probe, name, known, is_wanted)
-                await anyio.sleep(PROBE_INTERVAL_S / 3)
+                await anyio.sleep(START_INTERVAL_S)
 
     async def _probe(self, name, known, is_wanted):
         with known.scope:
--- a/bench/bare.py
+++ b/bench/bare.py
@@ -33,4 +33,4 @@
 
 
 if __name__ == "__main__":
-    anyio.run(serve, sys.argv[1], sys.argv[2:])
+    anyio.run(serve, sys.argv[1], sys.argv[2:], backend_options={"use_uvloop": True})
--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -13,8 +13,7 @@
 from bench.fleet_files import TARGET, FleetSize, write_example
 from bench.idle import statuses
 from bench.report import linear_fit, report
-from extras.demo.__main__ import publish, wait_ready
-from extras.launcher import Launcher
+from extras.running import running
 
 SETTLE_S = 3.0
 SECONDS = 8.0
@@ -74,11 +73,7 @@
     """Returns medians over the daemons: % of a core, bytes/s both ways, MB."""
     with tempfile.TemporaryDirectory() as directory:
         write_example(directory, size)
-        with Launcher(directory) as launcher:
-            launcher.start_stand_ins()
-            launcher.start_daemons()
-            publish(launcher, launcher.settings_directory)
-            anyio.run(wait_ready, launcher)
+        with running(directory) as launcher:
             time.sleep(SETTLE_S)
             before = anyio.run(statuses, launcher)
             time.sleep(SECONDS)
--- a/bench/fault_mix.py
+++ b/bench/fault_mix.py
@@ -13,8 +13,7 @@
 from basilwind.settings.generated.load import LoadMix
 from basilwind.settings.loader import load_file
 from bench.report import report
-from extras.demo.__main__ import publish, wait_ready
-from extras.launcher import Launcher
+from extras.running import running
 
 SEEDS = (1, 2, 3)
 RATE = 40.0
@@ -24,10 +23,7 @@
 def main():
     rows = []
     for seed in SEEDS:
-        with Launcher("examples/cordillera") as launcher:
-            launcher.start_stand_ins()
-            launcher.start_daemons()
-            publish(launcher, launcher.settings_directory)
+        with running("examples/cordillera") as launcher:
             result, verdict, faults = anyio.run(measure, launcher, seed)
         once = [sent for sent in result.sent if sent.kind.once]
         rows.append(
@@ -52,7 +48,6 @@
 
 
 async def measure(launcher, seed):
-    await wait_ready(launcher)
     rng = random.Random(seed)
     mix = load_file(launcher.directory / "load.jsonc", LoadMix)
     tokens = {team: f"{team}-token" for team in launcher.tree.teams}
--- a/bench/idle.py
+++ b/bench/idle.py
@@ -7,19 +7,14 @@
 
 from basilwind.client import Client
 from bench.report import report
-from extras.demo.__main__ import publish, wait_ready
-from extras.launcher import Launcher
+from extras.running import running
 
 SETTLE_S = 3.0
 SECONDS = 10.0
 
 
 def main():
-    with Launcher("examples/cordillera") as launcher:
-        launcher.start_stand_ins()
-        launcher.start_daemons()
-        publish(launcher, launcher.settings_directory)
-        anyio.run(wait_ready, launcher)
+    with running("examples/cordillera") as launcher:
         time.sleep(SETTLE_S)
         before = anyio.run(statuses, launcher)
         time.sleep(SECONDS)
--- a/bench/overhead.py
+++ b/bench/overhead.py
@@ -10,8 +10,8 @@
 from basilwind.client import Client
 from bench.loadgen import Plan, send_one, throughput
 from bench.report import quantile, report
-from extras.demo.__main__ import publish, wait_ready
-from extras.launcher import Launcher, wait_listening
+from extras.launcher import wait_listening
+from extras.running import running
 from tests.utils.fleet import free_ports
 
 SEQUENTIAL = 400
@@ -23,10 +23,7 @@
 
 
 def main():
-    with Launcher("examples/cordillera") as launcher:
-        launcher.start_stand_ins()
-        launcher.start_daemons()
-        publish(launcher, launcher.settings_directory)
+    with running("examples/cordillera") as launcher:
         (port,) = free_ports(1)
         address = f"127.0.0.1:{port}"
         hosts = [h for h in launcher.tree.fleet.hosts if h.pool == TEAM][:2]
@@ -41,7 +38,6 @@
 
 
 async def measure(launcher, bare):
-    await wait_ready(launcher)
     owner, other = await find_entries(launcher)
     ways = {
         "bare forwarder": (bare, False),
--- a/bench/recovery.py
+++ b/bench/recovery.py
@@ -12,8 +12,7 @@
 
 from basilwind.client import Client, SubmitOptions
 from bench.report import report
-from extras.demo.__main__ import publish, wait_ready
-from extras.launcher import Launcher
+from extras.running import running
 
 TEAM = "northern-workshops"
 QUEUE = "bay-slots"
@@ -28,10 +27,7 @@
         for is_once in (False, True):
             gaps = []
             for _ in range(ROUNDS):
-                with Launcher("examples/cordillera") as launcher:
-                    launcher.start_stand_ins()
-                    launcher.start_daemons()
-                    publish(launcher, launcher.settings_directory)
+                with running("examples/cordillera") as launcher:
                     gaps.append(anyio.run(measure, launcher, loss, is_once))
             kind = "not idempotent" if is_once else "idempotent"
             gap = statistics.median(gaps)
@@ -41,7 +37,6 @@
 
 
 async def measure(launcher, loss, is_once):
-    await wait_ready(launcher)
     owner, other = await owner_and_other(launcher)
     client = Client(launcher.entries[other], f"{TEAM}-token")
     options = SubmitOptions(idempotent=not is_once, deadline_s=DEADLINE_S)
--- a/bench/turns.py
+++ b/bench/turns.py
@@ -12,8 +12,7 @@
 from basilwind.load.verify import fetch_ledgers, verify
 from basilwind.settings.generated.load import LoadKind, LoadMix
 from bench.report import quantile, report
-from extras.demo.__main__ import publish, wait_ready
-from extras.launcher import Launcher
+from extras.running import running
 
 MEAN_RATE = 15.0
 PEAK = 5.0
@@ -28,10 +27,7 @@
 
 
 def main():
-    with Launcher("examples/cordillera") as launcher:
-        launcher.start_stand_ins()
-        launcher.start_daemons()
-        publish(launcher, launcher.settings_directory)
+    with running("examples/cordillera") as launcher:
         results, verdict = anyio.run(measure, launcher)
     rows = [row(team, result) for team, result in results.items()]
     headers = ["team", "sent", "done", "refused", "unknown", "no answer"]
@@ -45,7 +41,6 @@
 
 
 async def measure(launcher):
-    await wait_ready(launcher)
     runners = {}
     for team, settings in launcher.tree.teams.items():
         queue = settings.queues[0].name
--- a/extras/demo/__main__.py
+++ b/extras/demo/__main__.py
@@ -8,18 +8,16 @@
 import anyio
 
 from basilwind.client import Client
-from basilwind.errors import DaemonUnreachable
 from basilwind.load.runner import LoadRunner
 from basilwind.load.verify import fetch_ledgers, verify
 from basilwind.output.load import load_rows, verdict_rows
 from basilwind.output.tables import render_table
 from basilwind.settings.generated.load import LoadMix
 from basilwind.settings.loader import load_file
-from extras.launcher import Launcher
+from extras.running import find_owner, publish, running
 
 RATE = 60.0
 SECONDS = 12.0
-READY_TIMEOUT_S = 30.0
 DRAIN_TIMEOUT_S = 20.0
 IN_FORCE_TARGET_S = 3.0
 
@@ -45,24 +43,11 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--example", default="examples/cordillera")
     arguments = parser.parse_args()
-    with Launcher(arguments.example) as launcher:
-        launcher.start_stand_ins()
-        launcher.start_daemons()
-        publish(launcher, launcher.settings_directory)
+    with running(arguments.example) as launcher:
         return anyio.run(run, launcher)
 
 
-def publish(launcher, directory, *options):
-    result = launcher.run(
-        "apply", str(directory), "--platform", launcher.platform, *options
-    )
-    if result.returncode != 0:
-        raise RuntimeError(f"apply failed: {result.stdout}{result.stderr}")
-    return result.stdout
-
-
 async def run(launcher):
-    await wait_ready(launcher)
     mix = load_file(launcher.directory / "load.jsonc", LoadMix)
     tokens = {team: f"{team}-token" for team in launcher.tree.teams}
     runner = LoadRunner(launcher.entries.values(), tokens, mix, time.monotonic)
@@ -75,27 +60,6 @@
     return report(runner.result, verdict, events)
 
 
-async def wait_ready(launcher):
-    pools = len(launcher.tree.fleet.pools)
-    with anyio.fail_after(READY_TIMEOUT_S):
-        for address in launcher.entries.values():
-            while not await is_serving(address, pools):
-                await anyio.sleep(0.1)
-
-
-async def is_serving(address, pools):
-    client = Client(address)
-    try:
-        if not await client.is_ready():
-            return False
-        status = await client.status()
-        return sum(bool(shard.owner) for shard in status.shards) == pools
-    except DaemonUnreachable:
-        return False
-    finally:
-        await client.aclose()
-
-
 async def disturb(launcher, events):
     names = list(launcher.daemons)
     await anyio.sleep(2.0)
@@ -145,18 +109,6 @@
     events.in_force_s = float(output.rsplit("after", 1)[1].split()[0])
 
 
-async def find_owner(launcher):
-    for name, address in reversed(launcher.entries.items()):
-        client = Client(address)
-        try:
-            status = await client.status()
-        finally:
-            await client.aclose()
-        if any(shard.owner == name for shard in status.shards):
-            return name
-    return None
-
-
 def report(result, verdict, events):
     rows = load_rows(result) + verdict_rows(verdict)
     rows += [
--- a/extras/play.py
+++ b/extras/play.py
@@ -3,20 +3,13 @@
 import argparse
 import signal
 
-import anyio
-
-from extras.demo.__main__ import publish, wait_ready
-from extras.launcher import Launcher
+from extras.running import running
 
 
 def main():
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--example", default="examples/cordillera")
-    with Launcher(parser.parse_args().example) as launcher:
-        launcher.start_stand_ins()
-        launcher.start_daemons()
-        publish(launcher, launcher.settings_directory)
-        anyio.run(wait_ready, launcher)
+    with running(parser.parse_args().example) as launcher:
         for name, value in environment(launcher).items():
             print(f"export {name}={value}")
         print("running; interrupt to stop", flush=True)
--- /dev/null
+++ b/extras/running.py
@@ -0,0 +1,64 @@
+"""An example with its settings published and every shard owned."""
+
+from contextlib import contextmanager
+
+import anyio
+
+from basilwind.client import Client
+from basilwind.errors import DaemonUnreachable
+from extras.launcher import Launcher
+
+READY_TIMEOUT_S = 30.0
+
+
+@contextmanager
+def running(example):
+    """Runs an example for the length of a block and yields its ``Launcher``."""
+    with Launcher(example) as launcher:
+        launcher.start_stand_ins()
+        launcher.start_daemons()
+        publish(launcher, launcher.settings_directory)
+        anyio.run(wait_ready, launcher)
+        yield launcher
+
+
+def publish(launcher, directory, *options):
+    result = launcher.run(
+        "apply", str(directory), "--platform", launcher.platform, *options
+    )
+    if result.returncode != 0:
+        raise RuntimeError(f"apply failed: {result.stdout}{result.stderr}")
+    return result.stdout
+
+
+async def wait_ready(launcher):
+    pools = len(launcher.tree.fleet.pools)
+    with anyio.fail_after(READY_TIMEOUT_S):
+        for address in launcher.entries.values():
+            while not await is_serving(address, pools):
+                await anyio.sleep(0.1)
+
+
+async def is_serving(address, pools):
+    client = Client(address)
+    try:
+        if not await client.is_ready():
+            return False
+        status = await client.status()
+        return sum(bool(shard.owner) for shard in status.shards) == pools
+    except DaemonUnreachable:
+        return False
+    finally:
+        await client.aclose()
+
+
+async def find_owner(launcher):
+    for name, address in reversed(launcher.entries.items()):
+        client = Client(address)
+        try:
+            status = await client.status()
+        finally:
+            await client.aclose()
+        if any(shard.owner == name for shard in status.shards):
+            return name
+    return None
--- a/tests/processes/test_processes.py
+++ b/tests/processes/test_processes.py
@@ -13,8 +13,7 @@
 from basilwind.load.verify import fetch_ledgers, verify
 from basilwind.settings.generated.load import LoadMix
 from basilwind.settings.loader import load_file
-from extras.demo.__main__ import find_owner, publish, wait_ready
-from extras.launcher import Launcher
+from extras.running import find_owner, running
 
 EXAMPLE = Path(__file__).resolve().parents[2] / "examples" / "kivimagi"
 RATE = 30.0
@@ -23,17 +22,13 @@
 
 class TestProcesses(unittest.TestCase):
     def run_under(self, disturb):
-        with Launcher(EXAMPLE) as launcher:
-            launcher.start_stand_ins()
-            launcher.start_daemons()
-            publish(launcher, launcher.settings_directory)
+        with running(EXAMPLE) as launcher:
             result, verdict = anyio.run(self.load, launcher, disturb)
         self.assertEqual(verdict.violations, [])
         self.assertGreater(result.count("done"), RATE * SECONDS / 2)
         return result, verdict
 
     async def load(self, launcher, disturb):
-        await wait_ready(launcher)
         mix = load_file(launcher.directory / "load.jsonc", LoadMix)
         tokens = {team: f"{team}-token" for team in launcher.tree.teams}
         runner = LoadRunner(launcher.entries.values(), tokens, mix, time.monotonic)
--- a/tests/test_readme.py
+++ b/tests/test_readme.py
@@ -5,11 +5,8 @@
 import unittest
 from pathlib import Path
 
-import anyio
-
-from extras.demo.__main__ import publish, wait_ready
-from extras.launcher import Launcher
 from extras.play import environment
+from extras.running import running
 
 ROOT = Path(__file__).resolve().parents[1]
 
@@ -24,11 +21,7 @@
     def test_operators_day(self):
         lines = console_lines()
         self.assertGreaterEqual(len(lines), 9)
-        with Launcher(ROOT / "examples" / "cordillera") as launcher:
-            launcher.start_stand_ins()
-            launcher.start_daemons()
-            publish(launcher, launcher.settings_directory)
-            anyio.run(wait_ready, launcher)
+        with running(ROOT / "examples" / "cordillera") as launcher:
             variables = environment(launcher)
             for line in lines:
                 result = launcher.run(*shlex.split(line), environment=variables)
