Do not claim back what peers claimed while one is cut off from them

The cut-off host heard nobody, took the new holder for dead and claimed back, again and again, and each claim began a new wait. Ruled out: the lease and the router. Hand-offs are tested under generated cuts and freezes; messages under generated damage. In a zone of two hosts both hold off, so one of them serves.

--- a/basilwind/journal/journal.py
+++ b/basilwind/journal/journal.py
@@ -1,5 +1,6 @@
 """Group commit to a zone's journal, and its fold."""
 
+import math
 from collections import deque
 from dataclasses import dataclass
 
@@ -62,6 +63,7 @@
         self._wakeup = anyio.Event()
         self._awaited = anyio.Event()
         self._in_flight = []
+        self._seen_at = {}
         self.appends = 0
         self.state = journal_state.JournalState()
         self.follower = LogFollower(client, self._stream, self, clock, poll_wait_s)
@@ -71,6 +73,10 @@
         """Offset of the next record to apply."""
         return self.state.next_offset
 
+    def last_seen(self, writer, incarnation):
+        """Returns when a writer's latest batch was read, or minus infinity."""
+        return self._seen_at.get((writer, incarnation), -math.inf)
+
     @property
     def pending(self):
         """How many entries wait for the log."""
@@ -81,6 +87,8 @@
         applied = journal_state.apply_bytes(self.state, offset, data)
         if applied is None:
             return
+        batch = applied.batch
+        self._seen_at[batch.writer, batch.incarnation] = self._clock()
         if self._is_own(applied.batch):
             self._settle(applied)
 
--- a/basilwind/membership/ownership.py
+++ b/basilwind/membership/ownership.py
@@ -14,6 +14,7 @@
 CHECK_INTERVAL_S = 0.2
 CLAIM_TIMEOUT_S = 2.0
 LEASE_MARGIN_S = 0.2
+CONTEST_HOLD_S = 6.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,6 +78,7 @@
         self._clock = clock
         self._started_at = clock()
         self._owned = {}
+        self._contests = {}
         self.is_leaving = False
 
     @property
@@ -138,7 +140,7 @@
         """
         while True:
             now = self._clock()
-            self._drop_lost()
+            self._drop_lost(now)
             if self._journal.follower.is_caught_up and not self.is_leaving:
                 for pool in pools():
                     await self._tend(pool, now)
@@ -182,9 +184,20 @@
             return
         if not owner.is_released and self._is_holder_live(owner, now):
             return
-        if self._choice(pool, now) == self._name:
+        if self._choice(pool, now) == self._name and self._may_contest(
+            pool, owner, now
+        ):
             await self._claim(pool, owner)
 
+    def _may_contest(self, pool, owner, now):
+        # One that is cut off from its peers, but not from the log, must not
+        # claim back at once what they claimed from it.
+        contests = self._contests.get(pool, 0)
+        if contests == 0 or self._members.live_in_zone(self._zone, now):
+            return True
+        quiet_s = now - self._journal.last_seen(owner.holder, owner.incarnation)
+        return quiet_s > CONTEST_HOLD_S * 2 ** min(contests - 1, 4)
+
     async def _claim(self, pool, owner):
         # Entries that the holder copied here while the log was out go before
         # the claim, which makes its later entries void.
@@ -240,10 +253,18 @@
             )
             self._journal.append_later(entry)
 
-    def _drop_lost(self):
+    def _drop_lost(self, now):
         for pool, owned in list(self._owned.items()):
             if not self._is_mine(pool, owned.epoch):
                 del self._owned[pool]
+                self._note_contest(pool, now)
+
+    def _note_contest(self, pool, now):
+        owner = self._journal.state.ownership(pool)
+        if self._is_holder_live(owner, now):
+            self._contests.pop(pool, None)
+        else:
+            self._contests[pool] = self._contests.get(pool, 0) + 1
 
     def _is_mine(self, pool, epoch):
         owner = self._journal.state.ownership(pool)
--- a/bench/partition.py
+++ b/bench/partition.py
@@ -43,7 +43,7 @@
             if reply.status == 200:
                 longest, last = max(longest, now - last), now
             await anyio.sleep(0.02)
-        return longest
+        return max(longest, time.monotonic() - last)
 
 
 if __name__ == "__main__":
--- a/bench/recovery.py
+++ b/bench/recovery.py
@@ -51,7 +51,7 @@
             longest, last = max(longest, now - last), now
         await anyio.sleep(0.02)
     await client.aclose()
-    return longest
+    return max(longest, time.monotonic() - last)
 
 
 def lose(launcher, owner, loss):
--- a/tests/membership/test_ownership.py
+++ b/tests/membership/test_ownership.py
@@ -37,6 +37,9 @@
         self.state = JournalState()
         self.follower = FakeFollower()
 
+    def last_seen(self, writer, incarnation):
+        return -math.inf
+
 
 class NoCopies:
     def take(self, pool, holder):
@@ -81,7 +84,7 @@
 
     def claim_if_due(self, log, now):
         owner = self.journal.state.ownership(POOL)
-        self.ownership._drop_lost()
+        self.ownership._drop_lost(now)
         if POOL in self.ownership.owned:
             return
         if self.ownership._is_mine(POOL, owner.epoch):
--- a/tests/placement/test_at_most_once.py
+++ b/tests/placement/test_at_most_once.py
@@ -243,3 +243,17 @@
             again = await fleet.submit(other, body(key), once(key))
             self.assertEqual(again.outcome, OutcomeKind.DONE)
             self.assertEqual(len(fleet.runs(key)), 1)
+
+    @run_async
+    async def test_owner_cut_off_from_its_peers_alone_does_not_claim_back(self):
+        async with running_fleet(entry_hosts=3) as fleet:
+            owner = fleet.owner()
+            other = fleet.others(owner)[0]
+            await fleet.isolate(owner, platform=False)
+            await fleet.wait_for(lambda: fleet.owner() not in (None, owner))
+            for _ in range(20):
+                key = new_key()
+                reply = await fleet.submit(other, body(key), once(key, 6.9))
+                self.assertEqual(reply.outcome, OutcomeKind.DONE)
+                self.assertEqual(len(fleet.runs(key)), 1)
+                await anyio.sleep(0.1)
--- a/tests/utils/relay.py
+++ b/tests/utils/relay.py
@@ -38,8 +38,9 @@
     def heal(self):
         """Lets new connections through; frozen ones stay silent."""
         self._is_cut = False
-        self._thaw = anyio.Event()
-        self._thaw.set()
+        if not self._thaw.is_set():
+            self._thaw = anyio.Event()
+            self._thaw.set()
 
     async def _serve(self, near):
         if self._is_cut:
