--- a/basilwind/daemon/daemon.py
+++ b/basilwind/daemon/daemon.py
@@ -242,6 +242,9 @@
         self.housekeeping.note_control_change()
         if entry is None:
             return
+        if entry.accepted and self.control.is_current:
+            rollout_s = max(self.wall() - entry.at, 0.0)
+            self.metrics.timing("control.rollout", rollout_s)
         log(
             "control record applied" if entry.accepted else "control record refused",
             offset=entry.offset,
--- a/basilwind/daemon/housekeeping.py
+++ b/basilwind/daemon/housekeeping.py
@@ -78,7 +78,9 @@
             self._apply_settings(state)
         for pool, service in daemon.desk.services.items():
             service.shard.update_hosts(self._hosts[pool], self._is_placeable)
-            if not daemon.ownership.acts_for(pool, now):
+            if daemon.ownership.acts_for(pool, now):
+                self._report(pool, service.shard, now)
+            else:
                 service.shard.queue.return_all()
         daemon.desk.book.expire(now)
         self._compare_digests(now)
@@ -86,6 +88,11 @@
             self._renewed_at = now
             self._renew()
 
+    def _report(self, pool, shard, now):
+        metrics = self._daemon.metrics
+        metrics.gauge(f"shard.{pool}.waiting", shard.queue.waiting)
+        metrics.gauge(f"shard.{pool}.free_slots", shard.free_slots(now))
+
     def _compare_digests(self, now):
         control = self._daemon.control
         for heartbeat in self._daemon.members.live(now):
