Probe a worker at once when an answer is lost; mark every replayed answer

Change: an answer that an earlier request brought about is always marked as replayed; a lost answer makes its worker be probed at once, and again after 0.3 s.

--- a/basilwind/placement/execution.py
+++ b/basilwind/placement/execution.py
@@ -150,6 +150,7 @@
             self._shard.run_times.note(spec, run_time_s)
         elif isinstance(result, TaskIndeterminate):
             self._shard.note_result(worker.name, False, now)
+            self._workers.note_suspect(worker.name)
         elif not result.may_be_reached:
             self._workers.note_unreachable(worker.name)
             worker.busy_until = now + retry_delay_s(6)
--- a/basilwind/placement/service.py
+++ b/basilwind/placement/service.py
@@ -1,6 +1,7 @@
 """Serves the requests of one shard on the entry host that owns it."""
 
 from collections import deque
+from dataclasses import replace
 
 import anyio
 
@@ -193,7 +194,7 @@
             await flight.settled.wait()
         if flight.outcome is None:
             return unknown(Reason.KEY_IN_USE, TAKE_OVER_RETRY_AFTER_S)
-        return flight.outcome
+        return replace(flight.outcome, replayed=True)
 
     def _settle(self, identity, flight, outcome):
         flight.outcome = outcome
@@ -255,7 +256,7 @@
             is_resolved = True
         if not is_resolved:
             return unknown(Reason.KEY_IN_USE, TAKE_OVER_RETRY_AFTER_S)
-        return outcome
+        return replace(outcome, replayed=True) if outcome is not None else None
 
     async def resolve(self, work):
         """Finds out what became of started work; see ``Resolver.resolve``."""
--- a/basilwind/workers/directory.py
+++ b/basilwind/workers/directory.py
@@ -1,6 +1,6 @@
 """The workers of a zone: their clients and health."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import anyio
 
@@ -10,6 +10,7 @@
 
 PROBE_INTERVAL_S = 2.5
 FAILED_PROBES = 2
+RECHECK_INTERVAL_S = 0.3
 START_INTERVAL_S = 0.5
 
 
@@ -24,6 +25,7 @@
         failed_probes: Probes in a row that it did not answer.
         is_leaving: Whether it reported that it leaves service.
         scope: Cancels its probing.
+        suspected: Set when it is to be probed at once.
     """
 
     settings: object
@@ -32,6 +34,13 @@
     failed_probes: int = 0
     is_leaving: bool = False
     scope: anyio.CancelScope | None = None
+    suspected: anyio.Event = field(default_factory=anyio.Event)
+
+    @property
+    def probe_interval_s(self):
+        """How long to wait before the next probe, in seconds."""
+        is_in_doubt = 0 < self.failed_probes < FAILED_PROBES
+        return RECHECK_INTERVAL_S if is_in_doubt else PROBE_INTERVAL_S
 
     @property
     def is_healthy(self):
@@ -107,6 +116,13 @@
         known = self._workers.get(name)
         if known is not None:
             known.failed_probes += 1
+            known.suspected.set()
+
+    def note_suspect(self, name):
+        """Takes in that an answer of a worker was lost; it is probed at once."""
+        known = self._workers.get(name)
+        if known is not None:
+            known.suspected.set()
 
     async def run(self, is_wanted):
         """Probes workers until cancelled.
@@ -127,12 +143,15 @@
         with known.scope:
             while is_wanted(name):
                 await self._probe_once(known)
-                await anyio.sleep(PROBE_INTERVAL_S)
+                with anyio.move_on_after(known.probe_interval_s):
+                    await known.suspected.wait()
         known.scope = None
 
     async def _probe_once(self, known):
+        is_fresh = known.failed_probes > 0 or known.suspected.is_set()
+        known.suspected = anyio.Event()
         try:
-            report = await known.client.report(is_fresh=known.failed_probes > 0)
+            report = await known.client.report(is_fresh)
         except WorkerUnreachable:
             known.failed_probes += 1
             return
