--- a/basilwind/daemon/housekeeping.py
+++ b/basilwind/daemon/housekeeping.py
@@ -28,6 +28,7 @@
 RENEWAL_SHARE = 0.25
 SNAPSHOT_CHECK_S = 0.5
 SNAPSHOT_RECORDS = 500
+ACKNOWLEDGE_INTERVAL_S = 0.3
 ACKNOWLEDGE_RETRY_S = 2.0
 
 
@@ -58,9 +59,9 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._catch_up_from_peers)
             tasks.start_soon(self._publish_snapshots)
+            tasks.start_soon(self._acknowledge_drains)
             while True:
                 self._tick()
-                await self._acknowledge_drains()
                 self._changed = anyio.Event()
                 if not self._is_changed:
                     with anyio.move_on_after(TICK_S):
@@ -82,6 +83,9 @@
                 self._report(pool, service.shard, now)
             else:
                 service.shard.queue.return_all()
+        self._draining = [
+            host for host in state.hosts.values() if host.phase is HostPhase.DRAINING
+        ]
         daemon.desk.book.expire(now)
         self._compare_digests(now)
         if now - self._renewed_at > daemon.settings.log_retention_s * RENEWAL_SHARE:
@@ -122,9 +126,6 @@
             if host.settings.zone == daemon.zone
         ]
         daemon.workers.update(zone_hosts)
-        self._draining = [
-            host for host in state.hosts.values() if host.phase is HostPhase.DRAINING
-        ]
         for pool in daemon.zone_pools():
             if pool not in daemon.desk.services:
                 daemon.desk.add_pool(pool)
@@ -141,12 +142,18 @@
         return self._daemon.workers.is_healthy(name)
 
     async def _acknowledge_drains(self):
-        daemon = self._daemon
-        now = daemon.clock()
-        for host in self._draining:
-            if self._is_due(host, now):
-                if await self._is_worker_idle(host):
-                    await self._acknowledge(host, now)
+        # Apart from the tick, which must not wait for slow workers. A host is
+        # among the draining ones only once a tick has stopped placing on it.
+        while True:
+            async with anyio.create_task_group() as tasks:
+                for host in self._draining:
+                    tasks.start_soon(self._acknowledge_if_due, host)
+            await anyio.sleep(ACKNOWLEDGE_INTERVAL_S)
+
+    async def _acknowledge_if_due(self, host):
+        now = self._daemon.clock()
+        if self._is_due(host, now) and await self._is_worker_idle(host):
+            await self._acknowledge(host, now)
 
     def _is_due(self, host, now):
         daemon = self._daemon
--- a/tests/placement/test_overload.py
+++ b/tests/placement/test_overload.py
@@ -209,3 +209,17 @@
                 self.assertEqual(reply.outcome, OutcomeKind.DONE)
                 self.assertLess(time.monotonic() - started, URGENT_TARGET_S)
                 tasks.cancel_scope.cancel()
+
+    @run_async
+    async def test_drains_of_dead_workers_do_not_delay_the_next_drain(self):
+        async with running_fleet(hosts_per_shard=8, max_out=8) as fleet:
+            hosts = [host.name for host in fleet.tree.hosts]
+            for name in hosts[:6]:
+                fleet.workers[name].faults = WorkerFaults(is_unreachable=True)
+                await fleet.publish_host(name, HostAction.DRAIN)
+            await anyio.sleep(1.0)
+            await fleet.publish_host(hosts[6], HostAction.DRAIN)
+            await anyio.sleep(1.0)
+            before = len(fleet.workers[hosts[6]].ledger.runs)
+            await send_many(fleet, "zone-a-e1", 10, 0.02)
+            self.assertEqual(len(fleet.workers[hosts[6]].ledger.runs), before)
