--- a/tests/membership/test_ownership.py
+++ b/tests/membership/test_ownership.py
@@ -129,63 +129,72 @@
 )
 
 
-class TestLeases(unittest.TestCase):
-    @given(steps)
-    def test_at_most_one_entry_host_may_start_work(self, history):
-        now = 100.0
-        log = []
-        hosts = {name: EntryHost(name, lambda: now) for name in NAMES}
-        for step in history:
-            for _ in range(step["length"]):
-                now += STEP_S
-                self.run_step(hosts, log, step, now)
-                starters = [n for n, host in hosts.items() if host.may_start(now)]
-                self.assertLessEqual(len(starters), 1, starters)
+class Zone:
+    """Entry hosts, their log, and a clock that only ``step`` advances."""
 
-    def run_step(self, hosts, log, step, now):
-        awake = [n for n in NAMES if n not in step["paused"]]
+    def __init__(self):
+        self.now = 100.0
+        self.log = []
+        self.hosts = {name: EntryHost(name, lambda: self.now) for name in NAMES}
+
+    def starters(self):
+        return [name for name, host in self.hosts.items() if host.may_start(self.now)]
+
+    def step(self, step):
+        """Advances the clock, then passes heartbeats and the log's records."""
+        self.now += STEP_S
+        awake = [name for name in NAMES if name not in step["paused"]]
         for sender in awake:
             for receiver in awake:
                 if sender != receiver and (sender, receiver) in step["heard"]:
-                    heartbeat = hosts[sender].view.heartbeat_for(receiver, now)
-                    hosts[receiver].view.note(heartbeat, now)
+                    view = self.hosts[sender].view
+                    heartbeat = view.heartbeat_for(receiver, self.now)
+                    self.hosts[receiver].view.note(heartbeat, self.now)
         if not step["is_log_up"]:
             return
         for name in awake:
             if name in step["reads"]:
-                hosts[name].read(log, now)
-                hosts[name].claim_if_due(log, now)
+                self.hosts[name].read(self.log, self.now)
+                self.hosts[name].claim_if_due(self.log, self.now)
 
-    def test_take_over_waits_for_the_lease_of_the_lost_owner(self):
-        now = 100.0
-        log = []
-        hosts = {name: EntryHost(name, lambda: now) for name in NAMES}
-        every = {(a, b) for a in NAMES for b in NAMES}
-        calm = {"heard": every, "reads": set(NAMES), "paused": set(), "is_log_up": True}
+    def settle(self):
+        """Lets one host come to own the shard and returns its name."""
         for _ in range(20):
-            now += STEP_S
-            self.run_step(hosts, log, calm, now)
-        (owner,) = [n for n, host in hosts.items() if host.may_start(now)]
-        lost_at = now
-        without = calm | {"paused": {owner}}
-        while not any(hosts[n].may_start(now) for n in NAMES if n != owner):
-            now += STEP_S
-            self.run_step(hosts, log, without, now)
-            self.assertLess(now - lost_at, 6.9)
-        self.assertFalse(hosts[owner].may_start(now))
-        self.assertGreater(now - lost_at, min(LEASE_S, MEMBER_TIMEOUT_S))
+            self.step(CALM)
+        (owner,) = self.starters()
+        return owner
+
+
+CALM = {
+    "heard": {(sender, receiver) for sender in NAMES for receiver in NAMES},
+    "reads": set(NAMES),
+    "paused": set(),
+    "is_log_up": True,
+}
+
+
+class TestLeases(unittest.TestCase):
+    @given(steps)
+    def test_at_most_one_entry_host_may_start_work(self, history):
+        zone = Zone()
+        for step in history:
+            for _ in range(step["length"]):
+                zone.step(step)
+                self.assertLessEqual(len(zone.starters()), 1, zone.starters())
+
+    def test_take_over_waits_for_the_lease_of_the_lost_owner(self):
+        zone = Zone()
+        owner = zone.settle()
+        lost_at = zone.now
+        while not set(zone.starters()) - {owner}:
+            zone.step(CALM | {"paused": {owner}})
+            self.assertLess(zone.now - lost_at, 6.9)
+        self.assertNotIn(owner, zone.starters())
+        self.assertGreater(zone.now - lost_at, min(LEASE_S, MEMBER_TIMEOUT_S))
 
     def test_owner_keeps_its_lease_through_a_log_outage(self):
-        now = 100.0
-        log = []
-        hosts = {name: EntryHost(name, lambda: now) for name in NAMES}
-        every = {(a, b) for a in NAMES for b in NAMES}
-        calm = {"heard": every, "reads": set(NAMES), "paused": set(), "is_log_up": True}
-        for _ in range(20):
-            now += STEP_S
-            self.run_step(hosts, log, calm, now)
-        (owner,) = [n for n, host in hosts.items() if host.may_start(now)]
+        zone = Zone()
+        owner = zone.settle()
         for _ in range(50):
-            now += STEP_S
-            self.run_step(hosts, log, calm | {"is_log_up": False}, now)
-            self.assertTrue(hosts[owner].may_start(now))
+            zone.step(CALM | {"is_log_up": False})
+            self.assertIn(owner, zone.starters())
