Reserve what a queue's tasks really use

Cause: declared sizes are far off; four times too large they leave slots idle. Change: task answers may carry what the task used; once ten tasks of a queue have, the 0.9 quantile of the last 50 replaces declared processors and memory. Throttling and checkpointing of overuse are not built.

--- a/basilwind/client.py
+++ b/basilwind/client.py
@@ -24,6 +24,7 @@
         urgent: Whether the urgent class applies.
         deadline_s: Time it may take, in seconds; 0 for the queue's own.
         slots: Worker slots.
+        cpus: Processors.
         labels: Labels for bulk cancellation.
         content_type: Content type of the body.
     """
@@ -33,6 +34,7 @@
     urgent: bool = False
     deadline_s: float = 0.0
     slots: int = 1
+    cpus: float = 0.0
     labels: tuple[str, ...] = ()
     content_type: str = "application/json"
 
@@ -179,6 +181,8 @@
         (b"basilwind-idempotent", b"true" if options.idempotent else b"false"),
         (b"basilwind-slots", str(options.slots).encode()),
     ]
+    if options.cpus:
+        headers.append((b"basilwind-cpus", f"{options.cpus:g}".encode()))
     if options.key:
         headers.append((b"idempotency-key", options.key.encode()))
     if options.urgent:
--- a/basilwind/placement/estimates.py
+++ b/basilwind/placement/estimates.py
@@ -1,8 +1,12 @@
-"""Run times as measured, in place of those declared."""
+"""Run times and sizes as measured, in place of those declared."""
 
-from dataclasses import dataclass
+from collections import deque
+from dataclasses import dataclass, replace
 
 SMOOTHING = 0.1
+SIZE_SAMPLES = 50
+LEAST_SAMPLES = 10
+SIZE_QUANTILE = 0.9
 
 
 @dataclass
@@ -56,3 +60,39 @@
         if name not in self._estimates:
             self._estimates[name] = RunTimeEstimate(spec.expected_s)
         return self._estimates[name]
+
+
+class Sizes:
+    """Sizes of a shard's queues, as their tasks really used them.
+
+    Declared sizes are far off either way. After some tasks a quantile of what
+    they used is reserved instead; slots stay as declared, since they are what
+    a worker counts.
+    """
+
+    def __init__(self):
+        self._samples = {}
+
+    def note(self, spec, usage):
+        """Takes in what a task used; None if its worker does not report it."""
+        if usage is None:
+            return
+        name = f"{spec.team}/{spec.queue}"
+        samples = self._samples.setdefault(name, deque(maxlen=SIZE_SAMPLES))
+        samples.append(usage)
+
+    def corrected(self, spec):
+        """Returns the ``Demand`` to reserve for a request."""
+        samples = self._samples.get(f"{spec.team}/{spec.queue}", ())
+        if len(samples) < LEAST_SAMPLES:
+            return spec.demand
+        return replace(
+            spec.demand,
+            cpus=_quantile([usage.cpus for usage in samples]),
+            memory_gb=_quantile([usage.memory_gb for usage in samples]),
+        )
+
+
+def _quantile(values):
+    ordered = sorted(values)
+    return ordered[min(int(SIZE_QUANTILE * len(ordered)), len(ordered) - 1)]
--- a/basilwind/placement/execution.py
+++ b/basilwind/placement/execution.py
@@ -148,6 +148,7 @@
         if isinstance(result, TaskAnswer):
             self._shard.note_result(worker.name, result.is_success, now)
             self._shard.run_times.note(spec, run_time_s)
+            self._shard.sizes.note(spec, result.usage)
         elif isinstance(result, TaskIndeterminate):
             self._shard.note_result(worker.name, False, now)
             self._workers.note_suspect(worker.name)
--- a/basilwind/placement/shard.py
+++ b/basilwind/placement/shard.py
@@ -6,7 +6,7 @@
 
 from basilwind.models import Reason, refused
 from basilwind.placement.ejection import Ejector
-from basilwind.placement.estimates import RunTimes
+from basilwind.placement.estimates import RunTimes, Sizes
 from basilwind.placement.retry import RetryBudget
 from basilwind.placement.slots import SlotTable, could_ever_fit
 from basilwind.placement.waiting import WaitQueue
@@ -33,6 +33,7 @@
         self.slots = SlotTable(self.ejector)
         self.queue = WaitQueue()
         self.run_times = RunTimes()
+        self.sizes = Sizes()
         self._retry_budgets = {}
 
     def retry_budget(self, team):
@@ -90,7 +91,8 @@
             The ``Ticket``, granted or returned, or None if the deadline came
             first.
         """
-        ticket = self.queue.enter(spec, self._clock())
+        demand = self.sizes.corrected(spec)
+        ticket = self.queue.enter(spec, self._clock(), demand)
         self.grant()
         try:
             if ticket.reservation is None:
--- a/basilwind/placement/waiting.py
+++ b/basilwind/placement/waiting.py
@@ -5,10 +5,11 @@
 
 import anyio
 
-from basilwind.models import RequestSpec
+from basilwind.models import Demand, RequestSpec
 
 URGENT_GRANTS_IN_A_ROW = 4
 BLOCKED_PATIENCE_S = 2.0
+SMALLEST_DEMAND = Demand()
 
 
 @dataclass(eq=False)
@@ -17,6 +18,7 @@
 
     Attributes:
         spec: The request.
+        demand: What is reserved for it; declared, or corrected by use.
         entered_at: When it entered, on the monotonic clock in seconds.
         granted: Set when a worker has been reserved for it.
         reservation: The worker's reservation, once granted.
@@ -25,6 +27,7 @@
     """
 
     spec: RequestSpec
+    demand: Demand
     entered_at: float
     granted: anyio.Event = field(default_factory=anyio.Event)
     reservation: object = None
@@ -91,9 +94,14 @@
         share = self.share(team)
         return share.waiting >= share.max_waiting
 
-    def enter(self, spec, now):
+    def enter(self, spec, now, demand=None):
         """Adds a request at the end of its team's class.
 
+        Args:
+            spec: The request.
+            now: Present time on the monotonic clock, in seconds.
+            demand: What to reserve for it; what it declares if None.
+
         Returns:
             Its ``Ticket``.
         """
@@ -101,7 +109,7 @@
         if share.waiting == 0:
             # A team gathers no credit while it asks for nothing.
             share.served = max(share.served, self._virtual_time)
-        ticket = Ticket(spec, now)
+        ticket = Ticket(spec, demand or spec.demand, now)
         (share.urgent if spec.urgent else share.normal).append(ticket)
         share.waiting += 1
         self.waiting += 1
@@ -137,18 +145,18 @@
             ticket = self._next(blocked)
             if ticket is None:
                 return
-            reservation = reserve(ticket.spec.demand)
+            reservation = reserve(ticket.demand)
             if reservation is not None:
                 self._take(ticket, reservation)
                 continue
-            is_smallest = ticket.spec.demand.slots <= 1
+            is_smallest = ticket.demand == SMALLEST_DEMAND
             if is_smallest or now - ticket.entered_at > BLOCKED_PATIENCE_S:
                 return
             blocked.add(ticket.spec.team)
 
     def release(self, ticket):
         """Returns the slots of a granted ticket to its team's share."""
-        self.share(ticket.spec.team).in_use -= ticket.spec.demand.slots
+        self.share(ticket.spec.team).in_use -= ticket.demand.slots
 
     def _next(self, blocked):
         is_normal_due = self._urgent_in_a_row >= URGENT_GRANTS_IN_A_ROW
@@ -164,7 +172,7 @@
             if team in blocked or share.waiting == 0:
                 continue
             ticket = share.head(is_urgent)
-            if ticket is None or not share.may_use(ticket.spec.demand.slots):
+            if ticket is None or not share.may_use(ticket.demand.slots):
                 continue
             if best is None or share.served < best_served:
                 best, best_served = ticket, share.served
@@ -177,8 +185,8 @@
         self._leave(ticket)
         self._urgent_in_a_row = self._urgent_in_a_row + 1 if spec.urgent else 0
         self._virtual_time = max(self._virtual_time, share.served)
-        share.served += spec.demand.slots / share.weight
-        share.in_use += spec.demand.slots
+        share.served += ticket.demand.slots / share.weight
+        share.in_use += ticket.demand.slots
         ticket.reservation = reservation
         ticket.granted.set()
 
--- a/basilwind/standin/worker.py
+++ b/basilwind/standin/worker.py
@@ -36,12 +36,16 @@
         tag: Text to find the run in the ledger by.
         answer_bytes: Size of padding in the answer.
         fails: Whether it fails.
+        uses_cpus: Processors that it uses.
+        uses_memory_gb: Memory that it uses, in GB.
     """
 
     work_s: float = 0.0
     tag: str = ""
     answer_bytes: int = 0
     fails: bool = False
+    uses_cpus: float = 0.0
+    uses_memory_gb: float = 0.0
 
 
 class WorkerFaults(msgspec.Struct):
@@ -208,7 +212,7 @@
             await self._work(task, _order_of(request))
         finally:
             self._end(task)
-        return await self._answer(task_id, task, send)
+        return await self._answer(task_id, task, _order_of(request), send)
 
     def _refusal(self, task_id, request):
         if self.faults.refuse_all:
@@ -261,7 +265,7 @@
         else:
             task.state = TaskState.FINISHED
 
-    async def _answer(self, task_id, task, send):
+    async def _answer(self, task_id, task, order, send):
         if self._take_fault("reset_after_run"):
             cut_connection(send)
             return None
@@ -270,6 +274,8 @@
             return None
         named = "another" if self._take_fault("wrong_id") else task_id
         response = HttpResponse(task.status, task.body, headers={"task-id": named})
+        response.headers["task-used-cpus"] = str(order.uses_cpus)
+        response.headers["task-used-memory-gb"] = str(order.uses_memory_gb)
         if self._take_fault("truncate"):
             await self._send_half(send, response)
             return None
--- a/basilwind/workers/client.py
+++ b/basilwind/workers/client.py
@@ -1,5 +1,6 @@
 """Client of one worker's task interface, over HTTP."""
 
+import math
 import socket
 
 import anyio
@@ -14,6 +15,7 @@
     TaskNotRun,
     TaskRecord,
     TaskState,
+    TaskUsage,
     WorkerReport,
 )
 
@@ -245,9 +247,20 @@
         content_type=headers.get(b"content-type", b"").decode("latin-1"),
         body=bytes(body),
         is_success=response.status < 500,
+        usage=_usage(headers),
     )
 
 
+def _usage(headers):
+    try:
+        cpus = float(headers[b"task-used-cpus"])
+        memory_gb = float(headers[b"task-used-memory-gb"])
+    except (KeyError, ValueError):
+        return None
+    is_valid = 0 <= cpus < math.inf and 0 <= memory_gb < math.inf
+    return TaskUsage(cpus, memory_gb) if is_valid else None
+
+
 def _decode(content, model):
     try:
         return msgspec.json.decode(content, type=model)
--- a/basilwind/workers/results.py
+++ b/basilwind/workers/results.py
@@ -4,6 +4,19 @@
 from dataclasses import dataclass
 
 
+@dataclass(frozen=True, slots=True)
+class TaskUsage:
+    """What a task really used, as its worker reports it.
+
+    Attributes:
+        cpus: Processors.
+        memory_gb: Memory, in GB.
+    """
+
+    cpus: float
+    memory_gb: float
+
+
 @dataclass(frozen=True, slots=True)
 class TaskAnswer:
     """The worker's whole answer.
@@ -13,12 +26,14 @@
         content_type: Content type of the body.
         body: The body.
         is_success: Whether the task succeeded.
+        usage: What it used, if the worker reports it.
     """
 
     status: int
     content_type: str
     body: bytes
     is_success: bool
+    usage: TaskUsage | None = None
 
 
 @dataclass(frozen=True, slots=True)
