--- a/basilwind/placement/service.py
+++ b/basilwind/placement/service.py
@@ -18,6 +18,7 @@
 )
 
 LEASE_POLL_S = 0.05
+LEASE_PATIENCE_S = 1.0
 PROVEN_KEPT = 10_000
 TAKE_OVER_RETRY_AFTER_S = 1.0
 
@@ -149,11 +150,17 @@
             The epoch, or None if the lease is lost or the deadline came first.
         """
         ownership = self._zone.ownership
+        lapsed_at = None
         while True:
             now = self._zone.clock()
             owned = ownership.owned.get(self.pool)
             if owned is not None and now >= owned.usable_at:
-                return owned.epoch if ownership.has_lease(now) else None
+                # A heartbeat that is late by a moment is waited for.
+                if ownership.has_lease(now):
+                    return owned.epoch
+                lapsed_at = now if lapsed_at is None else lapsed_at
+                if now - lapsed_at >= LEASE_PATIENCE_S:
+                    return None
             is_coming = owned is not None or ownership.acts_for(self.pool, now)
             if not is_coming or now >= deadline or not ownership.may_claim:
                 return None
