Call the guard and the attempts from one place; drop dead code

Cause: rereading the whole change: idempotent requests repeated run_attempts, resolve built a StartGuard that guard() builds, and a constant, a function and an argument were not used. Change: each is called from its one place; the dead parts are gone. Behaviour stays as it is.

--- a/basilwind/membership/rendezvous.py
+++ b/basilwind/membership/rendezvous.py
@@ -3,11 +3,6 @@
 import hashlib
 
 
-def ranked(key, names):
-    """Returns names by descending rendezvous weight for a key."""
-    return sorted(names, key=lambda name: _weight(key, name), reverse=True)
-
-
 def top(key, names):
     """Returns the name of the greatest weight for a key, or None."""
     return max(names, key=lambda name: _weight(key, name), default=None)
--- a/basilwind/placement/execution.py
+++ b/basilwind/placement/execution.py
@@ -82,7 +82,7 @@
                 self._shard.release(ticket)
             if isinstance(result, Outcome):
                 return result
-            outcome = await self._next_step(spec, deadline, attempts, result, guard)
+            outcome = await self._next_step(spec, deadline, attempts, result)
             if outcome is not None:
                 return outcome
 
@@ -158,7 +158,7 @@
         else:
             worker.busy_until = now + retry_delay_s(2)
 
-    async def _next_step(self, spec, deadline, attempts, attempted, guard):
+    async def _next_step(self, spec, deadline, attempts, attempted):
         result = attempted.result
         if isinstance(result, TaskAnswer):
             outcome = _answer_outcome(result, attempted.worker.name)
--- a/basilwind/placement/service.py
+++ b/basilwind/placement/service.py
@@ -77,10 +77,7 @@
         refusal = self.shard.refusal(spec, deadline, self._zone.clock())
         if refusal is not None:
             return refusal
-        outcome = refused(Reason.CANCELLED_BY_CALLER)
-        with custody.open_scope():
-            outcome = await self._executor.execute(spec, deadline, custody)
-        return cancelled_if_asked(custody, outcome)
+        return await self.run_attempts(spec, deadline, custody, guard=None)
 
     async def _serve_once(self, spec, deadline, custody):
         flight = self._in_flight.get(spec.identity)
@@ -272,14 +269,7 @@
         owned = self._zone.ownership.owned.get(self.pool)
         if owned is None:
             return outcome if outcome is not None else unknown(Reason.OUTCOME_LOST)
-        guard = StartGuard(
-            WorkRef(work.identity, self.pool),
-            owned.epoch,
-            self._zone.journal,
-            self._zone.ownership,
-            self._zone.copies,
-            self._zone.clock,
-        )
+        guard = self.guard(WorkRef(work.identity, self.pool), owned.epoch)
         if outcome is None:
             guard.record_not_run(started.task_id)
             self._proven_not_run.append(started.task_id)
--- a/basilwind/placement/slots.py
+++ b/basilwind/placement/slots.py
@@ -4,8 +4,6 @@
 
 from basilwind.settings.generated.fleet import HostSettings
 
-BUSY_PAUSE_S = 0.1
-
 
 @dataclass(eq=False)
 class WorkerSlots:
