--- /dev/null
+++ b/basilwind/cli/commands/entry.py
@@ -0,0 +1,30 @@
+"""Runs the daemon of an entry host on the users' platform."""
+
+import gc
+from pathlib import Path
+
+import anyio
+
+from basilwind.entry.host import EntryHost
+from basilwind.errors import SettingsError
+from basilwind.logs import log, log_to
+from basilwind.platform.host_settings import decode_host_settings
+
+
+def run(context, settings_file):
+    """Runs the daemon until it is stopped."""
+    try:
+        data = Path(settings_file).read_bytes()
+    except OSError as error:
+        raise SettingsError(
+            f"{error.strerror}; check the path", "", settings_file
+        ) from error
+    settings = decode_host_settings(data, settings_file)
+    log_to(context.stdout)
+    log("started", host=settings.name, zone=settings.zone)
+    gc.freeze()
+    anyio.run(_serve, settings, backend_options={"use_uvloop": True})
+
+
+async def _serve(settings):
+    await EntryHost(settings).run()
--- a/basilwind/cli/definition.py
+++ b/basilwind/cli/definition.py
@@ -69,6 +69,21 @@
     return _run("serve", context, settings_file=settings_file)
 
 
+@cli.command()
+@click.option(
+    "--settings",
+    "settings_file",
+    envvar="BASILWIND_NODE_FILE",
+    required=True,
+    type=click.Path(dir_okay=False),
+    help="Settings that the platform wrote. [env: BASILWIND_NODE_FILE]",
+)
+@click.pass_obj
+def entry(context, settings_file):
+    """Run the daemon of an entry host on the users' platform."""
+    return _run("entry", context, settings_file=settings_file)
+
+
 @cli.command()
 @click.argument("paths", nargs=-1, required=True, type=click.Path(exists=True))
 @click.pass_obj
--- /dev/null
+++ b/basilwind/entry/configuration.py
@@ -0,0 +1,73 @@
+"""The operator's configuration and waves, as they are in force here."""
+
+from basilwind.entry.follower import KeyedFollower
+from basilwind.errors import RecordInvalid
+from basilwind.logs import log
+from basilwind.platform.documents import (
+    CONFIGURATION_KEY,
+    OPERATOR_TOPIC,
+    WAVE_KEY_PREFIX,
+    decode_configuration,
+    decode_wave,
+)
+
+
+class ConfigurationWatch:
+    """Follows what the operator writes.
+
+    Args:
+        store: ``Store``.
+        clock: Returns boot time.
+        on_change: Called after each change.
+    """
+
+    def __init__(self, store, clock, on_change):
+        self._current = None
+        self._waves = {}
+        self._known_queues = {}
+        self._clock = clock
+        self._on_change = on_change
+        self._follower = KeyedFollower(
+            store, OPERATOR_TOPIC, self._apply, self._apply, clock
+        )
+
+    @property
+    def current(self):
+        """The ``Configuration`` in force, or None before the first."""
+        return self._current
+
+    @property
+    def waves(self):
+        """Pairs of ``Wave`` and the boot time of its arrival, by number."""
+        return self._waves
+
+    def find_queue(self, name):
+        """Returns a ``Queue``, also one that was removed, or None."""
+        return self._known_queues.get(name)
+
+    async def run(self):
+        """Follows the operator's topic."""
+        await self._follower.run()
+
+    def _apply(self, records):
+        for record in records:
+            try:
+                if record.key == CONFIGURATION_KEY:
+                    self._set(decode_configuration(record.value))
+                elif record.key.startswith(WAVE_KEY_PREFIX) and record.value:
+                    self._add_wave(decode_wave(record.value))
+            except RecordInvalid as error:
+                log("record ignored", topic=OPERATOR_TOPIC, error=str(error))
+        self._on_change()
+
+    def _set(self, configuration):
+        if self._current and configuration.version <= self._current.version:
+            return
+        log("configuration in force", version=configuration.version)
+        self._current = configuration
+        self._known_queues.update(configuration.queues)
+
+    def _add_wave(self, wave):
+        if wave.number not in self._waves:
+            log("wave announced", wave=wave.number, machines=len(wave.machines))
+            self._waves[wave.number] = (wave, self._clock())
--- /dev/null
+++ b/basilwind/entry/front.py
@@ -0,0 +1,186 @@
+"""Answers callers: jobs, their states, cancels and queues."""
+
+import re
+
+import anyio
+import msgspec
+
+from basilwind.api.asgi import (
+    ClientGone,
+    HttpResponse,
+    json_response,
+    read_request,
+    send_response,
+)
+from basilwind.errors import (
+    NotOwner,
+    NotStarted,
+    RequestInvalid,
+    StoreUnanswered,
+)
+from basilwind.platform.jobs import decode_job
+from basilwind.scheduling.records import SubmissionRecord
+
+JOB_ID = re.compile(r"[0-9a-f]{16}\Z", re.IGNORECASE)
+DEFAULT_DEADLINE_S = 3.0  # the callers' deadline on every sheet
+ANSWER_MARGIN_S = 0.15  # an answer takes some ms, and more on a slow machine
+ASK_RETRY_S = 0.1  # a duty changes hands within seconds
+RETRY_AFTER_S = 1  # an owner or the store returns within seconds
+WAITING_AGE_S = 0.5  # a queue's count may be 2 s old
+
+
+class Front:
+    """ASGI application for callers.
+
+    Args:
+        services: ``Services``.
+        peers: ``PeerCalls``.
+        intake_of: Returns the ``Intake`` of a pool.
+        is_stopping: Returns whether connections are to be closed.
+    """
+
+    def __init__(self, services, peers, intake_of, is_stopping):
+        self._services = services
+        self._peers = peers
+        self._intake_of = intake_of
+        self._is_stopping = is_stopping
+        self._counts = {}
+
+    async def __call__(self, scope, receive, send):
+        """Answers a request."""
+        started_at = self._services.clock()
+        configuration = self._services.configuration.current
+        max_body = configuration.limits.body_bytes if configuration else 262144
+        try:
+            request = await read_request(scope, receive, max_body)
+        except ClientGone:
+            return
+        except RequestInvalid as error:
+            await send_response(send, _error(413, str(error)))
+            return
+        response = await self._answer(request, started_at)
+        if self._is_stopping():
+            response.headers["Connection"] = "close"
+        await send_response(send, response)
+
+    async def _answer(self, request, started_at):
+        configuration = self._services.configuration.current
+        if configuration is None:
+            return _unavailable("no configuration yet")
+        queue = configuration.find_queue(request.headers.get("host", ""), request.path)
+        if queue is None:
+            return _error(404, "no queue has this host and path")
+        deadline = started_at + _patience_s(request, queue) - ANSWER_MARGIN_S
+        name = request.path[len(queue.path_prefix) :]
+        if not name:
+            if request.method != "GET":
+                return _error(405, "a queue is only read; name a job to submit it")
+            return await self._count_waiting(queue, deadline)
+        if not JOB_ID.match(name):
+            return _error(404, "a job's id has 16 hexadecimal digits")
+        if request.method == "POST":
+            return await self._submit(queue, name, request, deadline)
+        if request.method == "GET":
+            return await self._state(queue, name, deadline)
+        if request.method == "DELETE":
+            return await self._cancel(queue, name, deadline)
+        return _error(405, "use POST, GET or DELETE")
+
+    async def _submit(self, queue, job_id, request, deadline):
+        try:
+            decode_job(request.body)
+        except RequestInvalid as error:
+            return _error(400, str(error))
+        record = msgspec.json.encode(
+            SubmissionRecord(
+                queue.name, self._services.wall(), msgspec.Raw(request.body)
+            )
+        )
+        if len(record) + 64 > self._services.settings.store_record_bytes:
+            return _error(413, "the job is larger than the store's records")
+        intake = self._intake_of(queue.pool)
+        response = await self._settle(intake.submit(job_id, record), deadline)
+        self._services.report(
+            "job submitted", job=job_id, queue=queue.name, status=response.status
+        )
+        return response
+
+    async def _cancel(self, queue, job_id, deadline):
+        intake = self._intake_of(queue.pool)
+        response = await self._settle(intake.cancel(job_id), deadline)
+        self._services.report(
+            "job cancel", job=job_id, queue=queue.name, status=response.status
+        )
+        return response
+
+    async def _settle(self, storing, deadline):
+        """Waits for an append; tells the truth about what may have happened."""
+        with anyio.move_on_after(max(0.0, deadline - self._services.clock())):
+            try:
+                await storing
+            except NotStarted as error:
+                return _unavailable(str(error))
+            except StoreUnanswered:
+                return _error(504, "the platform's store did not answer")
+            return json_response({})
+        return _error(504, "the platform's store did not answer in time")
+
+    async def _state(self, queue, job_id, deadline):
+        while True:
+            try:
+                state = await self._find_state(queue, job_id)
+            except NotOwner as error:
+                if self._services.clock() + ASK_RETRY_S > deadline:
+                    return _unavailable(str(error))
+                await anyio.sleep(ASK_RETRY_S)
+                continue
+            if state is None:
+                return _error(410, "no such job")
+            return json_response({"state": state.value})
+
+    async def _find_state(self, queue, job_id):
+        state = await self._peers.job_state(queue.pool, job_id)
+        if state is not None:
+            return state
+        # The queue may have been sent to another pool since the job came.
+        for pool in self._services.configuration.current.pools.values():
+            if pool.name == queue.pool or pool.is_spare:
+                continue
+            state = await self._peers.job_state(pool.name, job_id)
+            if state is not None:
+                return state
+        return None
+
+    async def _count_waiting(self, queue, deadline):
+        known = self._counts.get(queue.name)
+        if known is not None and self._services.clock() - known[0] < WAITING_AGE_S:
+            return json_response({"waiting": known[1]})
+        while True:
+            try:
+                answer = await self._peers.queue(queue.pool, queue.name)
+            except NotOwner as error:
+                if self._services.clock() + ASK_RETRY_S > deadline:
+                    return _unavailable(str(error))
+                await anyio.sleep(ASK_RETRY_S)
+                continue
+            self._counts[queue.name] = (self._services.clock(), answer.waiting)
+            return json_response({"waiting": answer.waiting})
+
+
+def _patience_s(request, queue):
+    """Returns how long the caller waits for an answer, seconds."""
+    try:
+        asked_s = float(request.headers.get("x-deadline-ms", "")) / 1000
+    except ValueError:
+        asked_s = DEFAULT_DEADLINE_S
+    return min(asked_s, queue.timeout_s) if queue.timeout_s > 0 else asked_s
+
+
+def _error(status, message):
+    return HttpResponse(status, msgspec.json.encode({"error": message}))
+
+
+def _unavailable(message):
+    response = _error(503, message)
+    response.headers["Retry-After"] = str(RETRY_AFTER_S)
+    return response
--- /dev/null
+++ b/basilwind/entry/host.py
@@ -0,0 +1,204 @@
+"""The application of an entry host."""
+
+import uuid
+
+import anyio
+
+from basilwind.api.asgi import HttpResponse, HttpServer, read_request, send_response
+from basilwind.application import Application
+from basilwind.entry.clock import boot_time, wall_time
+from basilwind.entry.configuration import ConfigurationWatch
+from basilwind.entry.duties import FLEET_DUTY, POOL_PREFIX, Duties
+from basilwind.entry.front import Front
+from basilwind.entry.intake import Intake
+from basilwind.entry.owner import PoolOwner
+from basilwind.entry.peers import PeerApp, PeerCalls
+from basilwind.entry.registry import WorkerRegistry
+from basilwind.entry.services import Services
+from basilwind.errors import ProducerFenced
+from basilwind.logs import log
+from basilwind.platform.advice import AdviceCalls
+from basilwind.platform.machines import MachineCalls
+from basilwind.platform.store import Store
+from basilwind.platform.transport import Transport
+from basilwind.platform.workers import WorkerCalls
+
+READY_CHECK_S = 1.0  # the balancer takes a daemon out after two failed checks
+LEAVE_AFTER_S = 2.6  # two failed checks and a new connection in flight
+FINISH_S = 1.5  # what is left of the 6 s between SIGTERM and SIGKILL, with margin
+
+
+class EntryHost(Application):
+    """Takes callers' jobs and holds duties for the fleet.
+
+    Args:
+        settings: ``HostSettings``.
+    """
+
+    def __init__(self, settings):
+        super().__init__()
+        self._settings = settings
+        self._is_stopping = False
+        self._owners = {}
+        self._scopes = {}
+        self._intakes = {}
+        self._store_answered_at = boot_time()
+        self._shared = self._make_services(settings)
+        peers = PeerCalls(
+            self._shared.transport, self._loaded_owner, self._owner_address
+        )
+        front = Front(self._shared, peers, self._intake_of, lambda: self._is_stopping)
+        self._front_server = HttpServer(front, settings.front_address)
+        self._servers = [
+            self._front_server,
+            HttpServer(self._answer_ready, settings.ready_address),
+            HttpServer(
+                PeerApp(self._loaded_owner), f"{settings.ip}:{settings.peer_port}"
+            ),
+        ]
+        self.on_start(self._shared.transport.start)
+        for server in self._servers:
+            self.add_service(server.serve_until_stopped)
+        for service in (
+            self._shared.configuration.run,
+            self._shared.registry.run,
+            self._shared.duties.follow,
+            self._shared.duties.claim_free,
+            self._shared.duties.beat,
+        ):
+            self.add_service(service)
+        self.on_stop(self._stop_serving)
+        self.on_stop(self._hand_over)
+
+    def _make_services(self, settings):
+        incarnation = f"{settings.name}#{uuid.uuid4().hex[:8]}"
+        transport = Transport()
+        store = Store(transport, settings.store_address, self._note_store_call)
+        return Services(
+            settings=settings,
+            incarnation=incarnation,
+            transport=transport,
+            store=store,
+            worker_calls=WorkerCalls(transport),
+            machine_calls=MachineCalls(transport, settings.machines_address),
+            advice_calls=AdviceCalls(transport, settings.advice_address),
+            configuration=ConfigurationWatch(store, boot_time, self._on_configuration),
+            registry=WorkerRegistry(store, boot_time, self._on_registry),
+            duties=Duties(
+                store,
+                settings,
+                incarnation,
+                f"{settings.ip}:{settings.peer_port}",
+                boot_time,
+                self._on_duties,
+            ),
+            clock=boot_time,
+            wall=wall_time,
+            report=self._report,
+            store_answered_at=lambda: self._store_answered_at,
+            duties_changed=self._on_fenced,
+        )
+
+    def _report(self, event, **fields):
+        log(event, **fields)
+
+    def _note_store_call(self, name, is_answered):
+        if is_answered:
+            self._store_answered_at = boot_time()
+
+    # Duties
+
+    def _loaded_owner(self, pool):
+        owner = self._owners.get(pool)
+        return owner if owner is not None and owner.is_loaded else None
+
+    def _owner_address(self, pool):
+        claim = self._shared.duties.claim_of(POOL_PREFIX + pool)
+        return claim.address if claim else None
+
+    def _on_configuration(self):
+        configuration = self._shared.configuration.current
+        if configuration is None:
+            return
+        pools = [pool for pool in configuration.pools.values() if not pool.is_spare]
+        self._shared.duties.want(
+            [POOL_PREFIX + pool.name for pool in pools] + [FLEET_DUTY]
+        )
+        for owner in self._owners.values():
+            owner.wake()
+
+    def _on_registry(self):
+        for owner in self._owners.values():
+            owner.refresh_workers()
+
+    def _on_duties(self):
+        held = {
+            duty[len(POOL_PREFIX) :]: token
+            for duty, token in self._shared.duties.mine().items()
+            if duty.startswith(POOL_PREFIX)
+        }
+        for pool, owner in list(self._owners.items()):
+            if held.get(pool) != owner.token:
+                self._drop_owner(pool, owner)
+        for pool, token in held.items():
+            if pool not in self._owners and self.tasks is not None:
+                owner = PoolOwner(pool, token, self._shared)
+                self._owners[pool] = owner
+                self.tasks.start_soon(self._run_owner, pool, owner)
+
+    def _drop_owner(self, pool, owner):
+        del self._owners[pool]
+        scope = self._scopes.pop(owner, None)
+        if scope is not None:
+            scope.cancel()
+
+    async def _run_owner(self, pool, owner):
+        with anyio.CancelScope() as scope:
+            self._scopes[owner] = scope
+            if self._owners.get(pool) is not owner:
+                return
+            try:
+                await owner.run()
+            except* ProducerFenced as error:
+                log("owner fenced", pool=pool, token=owner.token, error=str(error))
+                self._on_fenced(pool, owner.token)
+
+    def _on_fenced(self, pool, token):
+        duty = POOL_PREFIX + pool
+        if self._shared.duties.mine().get(duty) == token:
+            self._shared.duties.abandon(duty)
+
+    def _intake_of(self, pool):
+        intake = self._intakes.get(pool)
+        if intake is None:
+            intake = Intake(self._shared.store, pool, self._shared.incarnation)
+            self._intakes[pool] = intake
+            self.tasks.start_soon(intake.run)
+        return intake
+
+    # Life cycle
+
+    async def _answer_ready(self, scope, receive, send):
+        await read_request(scope, receive)
+        is_ready = (
+            not self._is_stopping and self._shared.configuration.current is not None
+        )
+        await send_response(send, HttpResponse(200 if is_ready else 503))
+
+    async def _hand_over(self):
+        log("stopping", host=self._settings.name)
+        self._is_stopping = True
+        with anyio.move_on_after(FINISH_S):
+            for owner in list(self._owners.values()):
+                if owner.is_loaded:
+                    await owner.hand_over()
+            await self._shared.duties.release()
+
+    async def _stop_serving(self):
+        await anyio.sleep(LEAVE_AFTER_S)
+        self._front_server.stop()
+        with anyio.move_on_after(FINISH_S):
+            while self._front_server.server_state.connections:
+                await anyio.sleep(0.02)
+        await self._shared.transport.stop()
+        log("stopped", host=self._settings.name)
--- /dev/null
+++ b/basilwind/entry/intake.py
@@ -0,0 +1,128 @@
+"""Durable acceptance of submissions and cancels, by any daemon."""
+
+import anyio
+
+from basilwind.entry.signals import Signal
+from basilwind.errors import NotStarted, StoreRefused, StoreUnanswered
+from basilwind.platform.store import Producer, encode_keyed
+
+CANCEL_PREFIX = "!"  # no job id begins with it
+RETRY_S = 0.1  # shorter than a caller's patience, longer than a store's answer
+REFUSE_AFTER_S = 1.0  # a third of the callers' deadline of 3 s
+
+
+def intake_topic(pool):
+    """Returns the topic of a pool's submissions."""
+    return f"keyed.intake.{pool}"
+
+
+class _Entry:
+    """A record that waits for its append.
+
+    Attributes:
+        record: The framed record.
+        done: Set once the outcome is settled.
+        is_sent: Whether it was sent, so that it may take effect.
+        is_stored: Whether it is durable.
+        is_withdrawn: Whether its caller was refused before it was sent.
+    """
+
+    def __init__(self, record):
+        self.record = record
+        self.done = anyio.Event()
+        self.is_sent = False
+        self.is_stored = False
+        self.is_withdrawn = False
+
+
+class Intake:
+    """Appends to one pool's intake; one call at a time gathers what waits.
+
+    Args:
+        store: ``Store``.
+        pool: Name of the pool.
+        producer: Name of this daemon's incarnation, for repeats.
+    """
+
+    def __init__(self, store, pool, producer):
+        self._store = store
+        self._topic = intake_topic(pool)
+        self._producer = producer
+        self._sequence = 0
+        self._entries = []
+        self._signal = Signal()
+
+    async def submit(self, job_id, record):
+        """Stores a submission.
+
+        Args:
+            job_id: Id of the job.
+            record: Encoded ``SubmissionRecord``.
+
+        Raises:
+            NotStarted: It was not stored and never will be.
+            StoreUnanswered: It may be stored, even later.
+        """
+        await self._store_record(encode_keyed(job_id, record))
+
+    async def cancel(self, job_id):
+        """Stores a cancel; raises like ``submit``."""
+        await self._store_record(encode_keyed(CANCEL_PREFIX + job_id, b"1"))
+
+    async def _store_record(self, record):
+        entry = _Entry(record)
+        self._entries.append(entry)
+        self._signal.set()
+        with anyio.move_on_after(REFUSE_AFTER_S):
+            await entry.done.wait()
+        if not entry.done.is_set():
+            if not entry.is_sent:
+                entry.is_withdrawn = True
+                raise NotStarted("the platform's store is away")
+            await entry.done.wait()
+        if not entry.is_stored:
+            raise NotStarted("the platform's store turned the record away")
+
+    async def run(self):
+        """Appends what waits, for ever."""
+        while True:
+            await self._signal.wait()
+            while self._entries:
+                await self._append_waiting()
+
+    async def _append_waiting(self):
+        taken, self._entries = self._entries, []
+        batch = [entry for entry in taken if not entry.is_withdrawn]
+        if not batch:
+            return
+        self._sequence += 1
+        producer = Producer(self._producer, 1, self._sequence)
+        for entry in batch:
+            entry.is_sent = True
+        is_doubtful = False
+        while True:
+            try:
+                await self._store.append(
+                    self._topic, [entry.record for entry in batch], producer=producer
+                )
+            except StoreUnanswered:
+                is_doubtful = True
+                await anyio.sleep(RETRY_S)
+            except StoreRefused:
+                # Only an append that was never in doubt may be taken back.
+                if not is_doubtful:
+                    self._sequence -= 1
+                    self._requeue(batch)
+                    await anyio.sleep(RETRY_S)
+                    return
+                await anyio.sleep(RETRY_S)
+            else:
+                break
+        for entry in batch:
+            entry.is_stored = True
+            entry.done.set()
+
+    def _requeue(self, batch):
+        for entry in batch:
+            entry.is_sent = False
+        self._entries = batch + self._entries
--- /dev/null
+++ b/basilwind/entry/journal.py
@@ -0,0 +1,121 @@
+"""The journal of a pool's jobs: fenced appends, gathered into few calls."""
+
+import anyio
+
+from basilwind.entry.signals import Signal
+from basilwind.errors import StoreRefused, StoreUnanswered
+from basilwind.platform.store import Producer, encode_keyed
+from basilwind.scheduling.records import encode_job
+
+PRODUCER = "owner"  # fences are kept by producer name, so all owners share one
+GATHER_S = 0.02  # calls are priced; an append takes 10 ms by itself
+RETRY_S = 0.15  # a busy store turns calls away for some tenths of a second
+MAX_CALL_BYTES = 1_000_000  # below the store's limit of 2 MB a call
+
+
+def journal_topic(pool):
+    """Returns the topic of a pool's journal."""
+    return f"keyed.journal.{pool}"
+
+
+class JobJournal:
+    """Makes a pool's changes durable.
+
+    Args:
+        store: ``Store``.
+        state: ``PoolState`` whose dirty jobs are written.
+        intake_topic: Topic from which forgotten submissions are dropped.
+    """
+
+    def __init__(self, store, state, intake_topic):
+        self._store = store
+        self._state = state
+        self._topic = journal_topic(state.name)
+        self._intake_topic = intake_topic
+        self._signal = Signal()
+        self._sequence = 0
+        self._taken = 0
+        self._written = 0
+        self._written_event = anyio.Event()
+
+    async def fence(self):
+        """Raises the producer's epoch, which ends the former owner's appends.
+
+        Raises:
+            ProducerFenced: A later owner has raised it already.
+        """
+        await self._append([])
+
+    def wake(self):
+        """Writes what is dirty soon."""
+        self._signal.set()
+
+    async def durable(self):
+        """Waits until everything that is dirty now is durable."""
+        target = self._taken + 1 if self._state.dirty else self._taken
+        while self._written < target:
+            self._signal.set()
+            await self._written_event.wait()
+
+    async def run(self):
+        """Writes dirty jobs as they come.
+
+        Raises:
+            ProducerFenced: A later owner has taken over.
+        """
+        while True:
+            await self._signal.wait()
+            if not self._state.dirty and not self._state.dropped:
+                continue
+            await self._write()
+            await anyio.sleep(GATHER_S)
+
+    async def _write(self):
+        state = self._state
+        job_ids, state.dirty = state.dirty, set()
+        dropped, state.dropped = state.dropped, []
+        self._taken += 1
+        records = [
+            encode_keyed(job_id, encode_job(state.jobs[job_id]))
+            for job_id in job_ids
+            if job_id in state.jobs
+        ]
+        records += [encode_keyed(job_id, b"") for job_id in dropped]
+        for chunk in _chunks(records):
+            await self._append(chunk)
+        self._written = self._taken
+        event, self._written_event = self._written_event, anyio.Event()
+        event.set()
+        if dropped:
+            await self._drop_submissions(dropped)
+
+    async def _drop_submissions(self, job_ids):
+        records = [encode_keyed(job_id, b"") for job_id in job_ids]
+        try:
+            await self._store.append(self._intake_topic, records)
+        except (StoreRefused, StoreUnanswered):
+            # A submission left behind is dropped with the next owner's start.
+            return
+
+    async def _append(self, records):
+        self._sequence += 1
+        producer = Producer(PRODUCER, self._state.token, self._sequence)
+        while True:
+            try:
+                await self._store.append(self._topic, records, producer=producer)
+                return
+            except (StoreRefused, StoreUnanswered):
+                # Repeating under the same sequence settles a lost answer.
+                await anyio.sleep(RETRY_S)
+
+
+def _chunks(records):
+    chunk, size = [], 0
+    for record in records:
+        if size + len(record) > MAX_CALL_BYTES and chunk:
+            yield chunk
+            chunk, size = [], 0
+        chunk.append(record)
+        size += len(record)
+    if chunk:
+        yield chunk
--- /dev/null
+++ b/basilwind/entry/owner.py
@@ -0,0 +1,375 @@
+"""Runs one pool: takes jobs in, starts their tasks, holds the workers' leases."""
+
+import anyio
+import msgspec
+
+from basilwind.entry.follower import RETRY_S
+from basilwind.entry.intake import CANCEL_PREFIX, intake_topic
+from basilwind.entry.journal import JobJournal, journal_topic
+from basilwind.entry.signals import Signal
+from basilwind.errors import (
+    CallRefused,
+    CallUnanswered,
+    PlatformError,
+    ProducerFenced,
+    RequestInvalid,
+    RetentionGap,
+    WorkerCallFailed,
+    WorkerReplaced,
+)
+from basilwind.logs import log
+from basilwind.platform.jobs import decode_job
+from basilwind.scheduling.jobs import Job, JobState
+from basilwind.scheduling.pool import PoolState
+from basilwind.scheduling.records import (
+    decode_job_record,
+    decode_submission,
+    restore_job,
+)
+from basilwind.scheduling.reports import StartOutcome
+
+LEASE_S = 5.0  # longer than a successor needs: 2.4 s of silence and 1 s to start
+UNCONFIRMED_S = 7.0  # time without the store after which leases are not extended
+HOLD_WAIT_S = 1.5  # a lease survives two lost answers
+REACH_RETRY_S = 0.3  # workers restart within seconds
+GATHER_S = 0.003  # jobs and ends come in bursts
+TICK_S = 0.25  # the shortest bound that ticks serve is 0.25 s for due times
+READ_WAIT_S = 1.5  # a connection that went silent is noticed within 3 s
+
+
+class PoolOwner:
+    """Owner of one pool for the time of one token.
+
+    Args:
+        pool: Name of the pool.
+        token: Fencing token.
+        services: ``Services`` that all duties of the daemon share.
+    """
+
+    def __init__(self, pool, token, services):
+        self._services = services
+        self._store = services.store
+        self._calls = services.worker_calls
+        self._clock = services.clock
+        self._wall = services.wall
+        self._state = PoolState(
+            pool,
+            token,
+            services.configuration.find_queue,
+            services.settings.status_s,
+            self._report,
+        )
+        self._journal = JobJournal(services.store, self._state, intake_topic(pool))
+        self._wake = Signal()
+        self._tasks = None
+        self._intake_from = 0
+        self._is_loaded = False
+        self._is_paused = False
+
+    @property
+    def pool(self):
+        """Name of the pool."""
+        return self._state.name
+
+    @property
+    def token(self):
+        """Fencing token."""
+        return self._state.token
+
+    @property
+    def state(self):
+        """The ``PoolState``."""
+        return self._state
+
+    @property
+    def is_loaded(self):
+        """Whether the jobs of former owners are known."""
+        return self._is_loaded
+
+    async def run(self):
+        """Owns the pool until cancelled or fenced.
+
+        Raises:
+            ProducerFenced: A later owner has taken over.
+        """
+        await self._load()
+        async with anyio.create_task_group() as tasks:
+            self._tasks = tasks
+            tasks.start_soon(self._journal.run)
+            tasks.start_soon(self._follow_intake)
+            tasks.start_soon(self._schedule)
+            tasks.start_soon(self._tick)
+            self.refresh_workers()
+
+    async def hand_over(self):
+        """Stops giving orders and makes all that happened durable."""
+        self._is_paused = True
+        await self._journal.durable()
+
+    async def job_state(self, job_id):
+        """Returns a job's durable ``JobState``, or None if there is no such job."""
+        job = self._state.jobs.get(job_id)
+        if job is None:
+            return None
+        if not job.is_live:
+            await self._journal.durable()
+        return job.state
+
+    def wake(self):
+        """Looks for work to place soon."""
+        self._wake.set()
+
+    def refresh_workers(self):
+        """Takes over the registry's entries."""
+        if self._tasks is None or not self._services.registry.is_known:
+            return
+        entries = self._services.registry.of_pool(self.pool)
+        for worker in self._state.set_workers(entries, self._clock()):
+            self._tasks.start_soon(self._hold_worker, worker)
+        self._wake.set()
+
+    def _report(self, event, **fields):
+        self._services.report(event, pool=self.pool, **fields)
+
+    # Taking over
+
+    async def _load(self):
+        started_at = self._clock()
+        await self._journal.fence()
+        records, _ = await self._read_newest(journal_topic(self.pool))
+        submissions, self._intake_from = await self._read_newest(
+            intake_topic(self.pool)
+        )
+        histories = {record.key: record.value for record in records if record.value}
+        for record in submissions:
+            self._restore(record, histories.get(record.key))
+        for record in submissions:
+            self._apply_cancel(record)
+        now = self._clock()
+        self._state.former_leases_until = now + UNCONFIRMED_S + LEASE_S * 1.05
+        self._is_loaded = True
+        self._report(
+            "pool taken over",
+            token=self.token,
+            jobs=len(self._state.jobs),
+            seconds=round(now - started_at, 3),
+        )
+
+    async def _read_newest(self, topic):
+        while True:
+            try:
+                return await self._store.newest(topic)
+            except PlatformError as error:
+                log("take-over waits for the store", topic=topic, error=str(error))
+                await anyio.sleep(RETRY_S)
+
+    def _restore(self, record, history):
+        job = self._decode_submission(record)
+        if job is None:
+            return
+        if history:
+            try:
+                restore_job(job, decode_job_record(history), self._clock())
+            except (msgspec.DecodeError, KeyError, IndexError) as error:
+                self._report("job record damaged", job=record.key, error=str(error))
+        self._state.add_job(job, self._wall())
+
+    def _decode_submission(self, record):
+        if record.key.startswith(CANCEL_PREFIX) or not record.value:
+            return None
+        try:
+            submission = decode_submission(record.value)
+            spec = decode_job(bytes(submission.body))
+        except (msgspec.DecodeError, RequestInvalid) as error:
+            self._report("submission damaged", job=record.key, error=str(error))
+            return None
+        return Job(record.key, submission.queue, spec, submission.accepted_at)
+
+    def _apply_cancel(self, record):
+        if record.key.startswith(CANCEL_PREFIX) and record.value:
+            self._state.cancel(record.key[len(CANCEL_PREFIX) :], self._clock())
+
+    # Taking jobs in
+
+    async def _follow_intake(self):
+        topic = intake_topic(self.pool)
+        while True:
+            try:
+                records = await self._store.read(topic, self._intake_from, READ_WAIT_S)
+            except RetentionGap:
+                records, self._intake_from = await self._read_newest(topic)
+            except PlatformError:
+                await anyio.sleep(RETRY_S)
+                continue
+            for record in records:
+                self._intake_from = max(self._intake_from, record.offset + 1)
+                self._take_in(record)
+            if records:
+                self._wake.set()
+
+    def _take_in(self, record):
+        self._apply_cancel(record)
+        if record.key in self._state.jobs:
+            return
+        job = self._decode_submission(record)
+        if job is not None:
+            self._state.submit(
+                job.job_id,
+                job.queue,
+                job.spec,
+                job.accepted_at,
+                self._clock(),
+                self._wall(),
+            )
+
+    # Placing work
+
+    async def _schedule(self):
+        while True:
+            await self._wake.wait(TICK_S)
+            await anyio.sleep(GATHER_S)
+            if self._is_paused:
+                continue
+            now = self._clock()
+            orders = self._state.schedule(now, self._wall())
+            for stop in self._state.stop_orders(now):
+                self._tasks.start_soon(self._send_stop, stop)
+            if orders:
+                self._tasks.start_soon(self._send_starts, orders)
+            if self._state.dirty:
+                self._journal.wake()
+
+    async def _send_starts(self, orders):
+        await self._journal.durable()
+        for order in orders:
+            self._tasks.start_soon(self._send_start, order)
+
+    async def _send_start(self, order):
+        task, worker = order.task, order.worker
+        if task.run != order.run or not task.is_active:
+            return
+        if task.is_stopping or not task.job.is_live or not worker.has_clock:
+            self._state.apply_start(order, StartOutcome.NOT_SENT, self._clock())
+            return
+        tickets = task.step.tickets or {}
+        try:
+            outcome, clock_s = await self._calls.start(
+                worker.entry.address,
+                worker.worker_id,
+                task.name,
+                order.run,
+                task.job.spec.text,
+                worker.lease_end(LEASE_S, self._clock()),
+                self.token,
+                task.checkpoint,
+                tickets.get(worker.worker_id, ""),
+            )
+        except CallUnanswered:
+            self._state.apply_lost_start(order)
+            return
+        if clock_s is not None:
+            worker.set_clock(clock_s, self._clock())
+        if outcome is StartOutcome.FENCED:
+            self._fenced(worker)
+        self._state.apply_start(order, outcome, self._clock())
+        if outcome is not StartOutcome.STARTED:
+            self._wake.set()
+
+    async def _send_stop(self, order):
+        worker = order.worker
+        try:
+            is_taken = await self._calls.stop(
+                worker.entry.address,
+                worker.worker_id,
+                order.task_name,
+                order.run,
+                self.token,
+            )
+        except (CallRefused, CallUnanswered):
+            return
+        if is_taken:
+            self._state.apply_stop_answer(order, self._clock())
+
+    # Holding workers
+
+    async def _hold_worker(self, worker):
+        while self._state.workers.get(worker.worker_id) is worker:
+            sent_at = self._clock()
+            try:
+                await self._hold_once(worker, sent_at)
+            except WorkerReplaced:
+                self._report("worker replaced", worker=worker.worker_id)
+                self._state.lose_worker(worker)
+                self._wake.set()
+            except CallRefused:
+                self._note_silence(worker, sent_at)
+                if worker.entry.is_draining and not worker.is_listed:
+                    self._state.lose_worker(worker)
+                    self._wake.set()
+                await anyio.sleep(REACH_RETRY_S)
+            except (CallUnanswered, WorkerCallFailed):
+                self._note_silence(worker, sent_at)
+                await anyio.sleep(REACH_RETRY_S / 10)
+            except ProducerFenced:
+                self._fenced(worker)
+                await anyio.sleep(REACH_RETRY_S)
+
+    def _note_silence(self, worker, sent_at):
+        if worker.silent_since is None:
+            worker.silent_since = sent_at
+            self._report("worker lost", worker=worker.worker_id)
+
+    def _fenced(self, worker):
+        self._report("order fenced", worker=worker.worker_id, token=self.token)
+        self._services.duties_changed(self.pool, self.token)
+
+    async def _hold_once(self, worker, sent_at):
+        expires_s = None
+        if worker.has_clock and self._may_extend(sent_at):
+            expires_s = worker.lease_end(LEASE_S, sent_at)
+        report = await self._calls.hold(
+            worker.entry.address,
+            worker.worker_id,
+            self.token,
+            worker.noted,
+            expires_s,
+            HOLD_WAIT_S if worker.has_clock else 0.0,
+        )
+        was_silent = worker.silent_since is not None
+        last = self._state.apply_report(worker, report, sent_at, self._clock())
+        if was_silent:
+            self._report("worker regained", worker=worker.worker_id)
+        self._wake.set()
+        if last > worker.noted:
+            await self._journal.durable()
+            worker.noted = last
+
+    def _may_extend(self, now):
+        """Tells whether no successor can count on this owner's leases' end."""
+        return now - self._services.store_answered_at() < UNCONFIRMED_S
+
+    # Housekeeping
+
+    async def _tick(self):
+        while True:
+            await anyio.sleep(TICK_S)
+            now = self._clock()
+            self._services.registry.drop_missing(now)
+            self._state.expire_leases(now)
+            self._state.stop_stalled(now)
+            self._state.forget_ended(now)
+            if self._state.dirty or self._state.dropped:
+                self._journal.wake()
+
+    def waiting(self, queue):
+        """Returns how many accepted jobs of a queue have started nothing."""
+        return self._state.waiting_jobs(queue)
+
+    def summary(self):
+        """Returns counts for metrics: live jobs, active tasks, workers."""
+        live = sum(job.state is not JobState.COMPLETED for job in self._jobs())
+        active = sum(len(worker.tasks) for worker in self._state.workers.values())
+        return live, active, len(self._state.workers)
+
+    def _jobs(self):
+        return (job for job in self._state.jobs.values() if job.is_live)
--- /dev/null
+++ b/basilwind/entry/registry.py
@@ -0,0 +1,86 @@
+"""The registry of workers, as the platform's store lists them."""
+
+from basilwind.entry.follower import KeyedFollower
+from basilwind.errors import RecordInvalid
+from basilwind.logs import log
+from basilwind.platform.documents import WORKERS_TOPIC, decode_worker
+
+PAUSE_S = 0.3  # drains have to be heeded within 2 s; heartbeats come each 1.5 s
+RETURN_S = 2.5  # entries that lapsed in an outage are back 2 s after its end
+
+
+class WorkerRegistry:
+    """Follows the workers' entries.
+
+    Args:
+        store: ``Store``.
+        clock: Returns boot time.
+        on_change: Called after each change that matters.
+    """
+
+    def __init__(self, store, clock, on_change):
+        self._entries = {}
+        self._missing = {}
+        self._clock = clock
+        self._on_change = on_change
+        self._follower = KeyedFollower(
+            store, WORKERS_TOPIC, self._apply, self._reset, clock, PAUSE_S
+        )
+
+    @property
+    def is_known(self):
+        """Whether the registry was read."""
+        return self._follower.position is not None
+
+    def of_pool(self, pool):
+        """Returns the entries of a pool's workers by id."""
+        return {
+            worker_id: entry
+            for worker_id, entry in self._entries.items()
+            if entry.pool == pool
+        }
+
+    async def run(self):
+        """Follows the registry."""
+        await self._follower.run()
+
+    def drop_missing(self, now):
+        """Forgets entries that did not come back after an outage."""
+        for worker_id, since in list(self._missing.items()):
+            if now - since >= RETURN_S:
+                del self._missing[worker_id]
+                self._entries.pop(worker_id, None)
+                self._on_change()
+
+    def _reset(self, records):
+        present = {record.key for record in records if record.value}
+        for worker_id in list(self._entries):
+            if worker_id not in present:
+                self._remove(worker_id)
+        self._apply(records)
+
+    def _apply(self, records):
+        has_changed = False
+        for record in records:
+            if not record.value:
+                has_changed |= record.key in self._entries
+                self._remove(record.key)
+                continue
+            try:
+                entry = decode_worker(record.key, record.value)
+            except RecordInvalid as error:
+                log("record ignored", topic=WORKERS_TOPIC, error=str(error))
+                continue
+            self._missing.pop(record.key, None)
+            if self._entries.get(record.key) != entry:
+                self._entries[record.key] = entry
+                has_changed = True
+        if has_changed:
+            self._on_change()
+
+    def _remove(self, worker_id):
+        failed_at, now = self._follower.failed_at, self._clock()
+        if failed_at is not None and now - failed_at < RETURN_S:
+            self._missing.setdefault(worker_id, now)
+        else:
+            self._entries.pop(worker_id, None)
--- /dev/null
+++ b/basilwind/entry/services.py
@@ -0,0 +1,54 @@
+"""What the parts of an entry host's daemon share."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from basilwind.entry.configuration import ConfigurationWatch
+from basilwind.entry.duties import Duties
+from basilwind.entry.registry import WorkerRegistry
+from basilwind.platform.advice import AdviceCalls
+from basilwind.platform.host_settings import HostSettings
+from basilwind.platform.machines import MachineCalls
+from basilwind.platform.store import Store
+from basilwind.platform.transport import Transport
+from basilwind.platform.workers import WorkerCalls
+
+
+@dataclass
+class Services:
+    """Clients, watches and clocks of one daemon.
+
+    Attributes:
+        settings: ``HostSettings``.
+        incarnation: Name of this daemon's life.
+        transport: ``Transport`` of all calls.
+        store: ``Store``.
+        worker_calls: ``WorkerCalls``.
+        machine_calls: ``MachineCalls``.
+        advice_calls: ``AdviceCalls``.
+        configuration: ``ConfigurationWatch``.
+        registry: ``WorkerRegistry``.
+        duties: ``Duties``.
+        clock: Returns boot time.
+        wall: Returns Unix time.
+        report: Logs and counts an event.
+        store_answered_at: Returns when the store last answered; boot time.
+        duties_changed: Called after an order of a duty was fenced, with the
+            pool's name and the token.
+    """
+
+    settings: HostSettings
+    incarnation: str
+    transport: Transport
+    store: Store
+    worker_calls: WorkerCalls
+    machine_calls: MachineCalls
+    advice_calls: AdviceCalls
+    configuration: ConfigurationWatch
+    registry: WorkerRegistry
+    duties: Duties
+    clock: Callable[[], float]
+    wall: Callable[[], float]
+    report: Callable
+    store_answered_at: Callable[[], float]
+    duties_changed: Callable
--- a/basilwind/errors.py
+++ b/basilwind/errors.py
@@ -103,3 +103,47 @@
 
 class DaemonUnreachable(BasilwindError):
     """A daemon did not answer its client."""
+
+
+class CallRefused(BasilwindError):
+    """A call did not reach its receiver; nothing was done."""
+
+
+class CallUnanswered(BasilwindError):
+    """A call got no answer; it may take effect, even later."""
+
+
+class StoreRefused(PlatformError):
+    """The platform's store turned a call away; nothing was done."""
+
+
+class StoreUnanswered(PlatformError):
+    """The platform's store did not answer; the call may take effect."""
+
+
+class StoreConflict(PlatformError):
+    """A conditional append found the partition at another offset.
+
+    Args:
+        end: Offset that the next record will get.
+    """
+
+    def __init__(self, end):
+        super().__init__(f"the partition ends at offset {end}")
+        self.end = end
+
+
+class ProducerFenced(PlatformError):
+    """A later owner has raised the epoch of this producer."""
+
+
+class WorkerCallFailed(BasilwindError):
+    """A worker did not carry out a call and said so."""
+
+
+class WorkerReplaced(WorkerCallFailed):
+    """Another incarnation answers at the worker's address."""
+
+
+class NotOwner(BasilwindError):
+    """This daemon does not own the pool (any more)."""
--- /dev/null
+++ b/basilwind/platform/documents.py
@@ -0,0 +1,176 @@
+"""Records that the operator and the workers write to the platform's store."""
+
+import msgspec
+
+from basilwind.errors import RecordInvalid
+from basilwind.scheduling.fleet import (
+    Configuration,
+    FrontLimits,
+    Pool,
+    Queue,
+    Wave,
+    WorkerEntry,
+)
+
+OPERATOR_TOPIC = "keyed.op"
+WORKERS_TOPIC = "keyed.servers"
+STATUS_TOPIC = "keyed.status"
+CONFIGURATION_KEY = "config"
+WAVE_KEY_PREFIX = "wave/"
+
+
+class _Route(msgspec.Struct, rename="camel"):
+    name: str
+    host: str
+    path_prefix: str
+    service: str
+    timeout_ms: float = 3000
+    target_duration_ms: float = 0
+    priority: int = 0
+    attempts: int = 1
+    stretch: float = 1.0
+    advice: dict | None = None
+
+
+class _Service(msgspec.Struct, rename="camel"):
+    name: str
+    rejects_overload: bool = True
+    spare: bool = False
+    health_path: str = "/health"
+    max_conns: int = 64
+
+
+class _FrontLimits(msgspec.Struct, rename="camel"):
+    max_header_bytes: int = 16384
+    max_body_bytes: int = 262144
+    header_timeout_ms: float = 3000
+    idle_timeout_ms: float = 15000
+
+
+class _Configuration(msgspec.Struct):
+    version: int
+    routes: list[_Route]
+    services: list[_Service]
+    limits: _FrontLimits = msgspec.field(default_factory=_FrontLimits)
+
+
+class _Capacity(msgspec.Struct, rename="camel"):
+    cpu: int
+    mem_mb: int
+    gpu: int = 0
+
+
+class _Worker(msgspec.Struct, rename="camel"):
+    service: str
+    address: str
+    zone: str
+    state: str
+    capacity: _Capacity
+    labels: list[str] = []
+    born: int = 0
+    remaining_ms: float = 0
+    cold_left_ms: float = 0
+    machine: str = ""
+
+
+class _Wave(msgspec.Struct, rename="camel"):
+    wave: int
+    machines: list[str]
+    deadline_s: float = msgspec.field(name="deadlineS")
+    maximum: int = 1
+
+
+def _decode(data, kind, what):
+    try:
+        return msgspec.json.decode(data, type=kind)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise RecordInvalid(f"{what}: {error}") from error
+
+
+def decode_configuration(data):
+    """Decodes the operator's configuration.
+
+    Raises:
+        RecordInvalid: The record doesn't parse.
+    """
+    document = _decode(data, _Configuration, "configuration")
+    queues = {
+        route.name: Queue(
+            name=route.name,
+            host=route.host,
+            path_prefix=route.path_prefix,
+            pool=route.service,
+            timeout_s=route.timeout_ms / 1000,
+            target_s=route.target_duration_ms / 1000,
+            stretch=route.stretch,
+            priority=route.priority,
+            attempts=route.attempts,
+            has_advice=route.advice is not None,
+        )
+        for route in document.routes
+    }
+    pools = {
+        service.name: Pool(
+            name=service.name,
+            guards_capacity=service.rejects_overload,
+            is_spare=service.spare,
+            health_path=service.health_path,
+        )
+        for service in document.services
+    }
+    limits = FrontLimits(
+        header_bytes=document.limits.max_header_bytes,
+        body_bytes=document.limits.max_body_bytes,
+        header_timeout_s=document.limits.header_timeout_ms / 1000,
+        idle_timeout_s=document.limits.idle_timeout_ms / 1000,
+    )
+    return Configuration(document.version, queues, pools, limits)
+
+
+def decode_worker(worker_id, data):
+    """Decodes a worker's registry entry.
+
+    Raises:
+        RecordInvalid: The entry doesn't parse or has an unknown state.
+    """
+    entry = _decode(data, _Worker, f"entry of worker {worker_id!r}")
+    if entry.state not in ("ready", "draining"):
+        raise RecordInvalid(f"entry of worker {worker_id!r}: state {entry.state!r}")
+    if (
+        entry.capacity.cpu <= 0
+        or entry.capacity.mem_mb <= 0
+        or ":" not in entry.address
+    ):
+        raise RecordInvalid(f"entry of worker {worker_id!r}: no capacity or address")
+    return WorkerEntry(
+        worker_id=worker_id,
+        pool=entry.service,
+        address=entry.address,
+        zone=entry.zone,
+        is_draining=entry.state == "draining",
+        remaining_s=entry.remaining_ms / 1000,
+        cpu=entry.capacity.cpu,
+        memory=entry.capacity.mem_mb,
+        gpu=entry.capacity.gpu,
+        labels=frozenset(entry.labels),
+        # The worker's kind comes first, its rack second.
+        rack=entry.labels[1] if len(entry.labels) > 1 else "",
+        born=entry.born,
+        machine=entry.machine,
+    )
+
+
+def decode_wave(data):
+    """Decodes a wave of upkeep.
+
+    Raises:
+        RecordInvalid: The record doesn't parse.
+    """
+    wave = _decode(data, _Wave, "wave")
+    return Wave(wave.wave, tuple(wave.machines), wave.deadline_s, max(1, wave.maximum))
+
+
+def encode_wave_status(number, is_completed):
+    """Returns key and value that report a wave's progress."""
+    state = "completed" if is_completed else "running"
+    return f"{WAVE_KEY_PREFIX}{number}", msgspec.json.encode({"state": state})
--- /dev/null
+++ b/basilwind/platform/jobs.py
@@ -0,0 +1,89 @@
+"""Jobs as callers send them."""
+
+import msgspec
+
+from basilwind.errors import RequestInvalid
+from basilwind.scheduling.specs import JobSpec, StepSpec
+
+MAX_TEXT_BYTES = 4000
+
+
+class _Step(msgspec.Struct, rename="camel"):
+    count: int = 1
+    cpu: int = 0
+    mem_mb: int = 0
+    gpu: int = 0
+    estimate_ms: float = 0
+    after: list[int] = []
+    checkpointable: bool = False
+    gang: bool = False
+    same_rack: bool = False
+    requires: str = ""
+    data_rack: str = ""
+    anti_affinity: int = 0
+    allow_duplicates: bool = False
+    long_running: bool = False
+    image: str = ""
+    target_ms: float = 0
+    fills: bool = False
+    may_miss: int = 0
+
+
+class _Job(msgspec.Struct, rename="camel"):
+    steps: list[_Step]
+    spec: str = ""
+    repeat_count: int = 0
+    # Unix milliseconds of the first occurrence.
+    start_time_ms: float = 0
+    interval_ms: float = 0
+
+
+def _decode_step(number, step):
+    if step.count < 1 or min(step.cpu, step.mem_mb, step.gpu, step.may_miss) < 0:
+        raise RequestInvalid(f"steps[{number}]: count or sizes out of range")
+    if any(not 0 <= earlier < number for earlier in step.after):
+        raise RequestInvalid(f"steps[{number}]: 'after' must name earlier steps")
+    return StepSpec(
+        count=step.count,
+        cpu=step.cpu,
+        memory=step.mem_mb,
+        gpu=step.gpu,
+        estimate_s=step.estimate_ms / 1000,
+        after=tuple(step.after),
+        is_checkpointable=step.checkpointable,
+        is_gang=step.gang,
+        needs_one_rack=step.same_rack,
+        required_label=step.requires,
+        data_rack=step.data_rack,
+        most_per_worker=step.anti_affinity,
+        allows_copies=step.allow_duplicates,
+        is_lasting=step.long_running,
+        image=step.image,
+        tail_target_ms=step.target_ms,
+        is_filler=step.fills,
+        may_miss=step.may_miss,
+    )
+
+
+def decode_job(data):
+    """Decodes a submitted job.
+
+    Raises:
+        RequestInvalid: The body doesn't parse or breaks a rule.
+    """
+    try:
+        job = msgspec.json.decode(data, type=_Job)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise RequestInvalid(f"job: {error}") from error
+    if not job.steps:
+        raise RequestInvalid("job: 'steps' is empty; name at least one step")
+    if len(job.spec.encode()) > MAX_TEXT_BYTES:
+        raise RequestInvalid(f"job: 'spec' is longer than {MAX_TEXT_BYTES} bytes")
+    return JobSpec(
+        text=job.spec,
+        steps=tuple(_decode_step(n, step) for n, step in enumerate(job.steps)),
+        occurrences=max(1, job.repeat_count),
+        is_timed=job.repeat_count > 0,
+        first_due_s=job.start_time_ms / 1000,
+        interval_s=job.interval_ms / 1000,
+    )
--- /dev/null
+++ b/basilwind/platform/transport.py
@@ -0,0 +1,70 @@
+"""The HTTP client that all calls to the platform, workers and peers share."""
+
+import aiohttp
+import anyio
+
+from basilwind.errors import CallRefused, CallUnanswered
+
+MAX_CONNECTIONS_PER_PEER = 64  # a worker's connection limit in the deployments
+KEEPALIVE_S = 12.0  # below the 15 s after which idle connections are closed
+
+
+class Transport:
+    """Pooled connections to any number of addresses.
+
+    A connection is closed when an answer on it is late, since a connection that
+    lost one answer returns nothing further.
+    """
+
+    def __init__(self):
+        self._session = None
+
+    async def start(self):
+        """Opens the client; must run inside the event loop."""
+        connector = aiohttp.TCPConnector(
+            limit=0,
+            limit_per_host=MAX_CONNECTIONS_PER_PEER,
+            keepalive_timeout=KEEPALIVE_S,
+            use_dns_cache=False,
+        )
+        self._session = aiohttp.ClientSession(
+            connector=connector,
+            cookie_jar=aiohttp.DummyCookieJar(),
+            auto_decompress=False,
+            skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
+            timeout=aiohttp.ClientTimeout(total=None),
+        )
+
+    async def stop(self):
+        """Closes all connections."""
+        await self._session.close()
+
+    async def call(self, method, url, timeout_s, body=None, headers=None):
+        """Sends a request and reads the whole answer.
+
+        Args:
+            method: HTTP method.
+            url: Absolute URL.
+            timeout_s: Longest time until the whole answer is read.
+            body: Request body, bytes.
+            headers: Further headers.
+
+        Returns:
+            Status and body.
+
+        Raises:
+            CallRefused: No connection was made, so nothing was done.
+            CallUnanswered: The call may have taken effect.
+        """
+        try:
+            with anyio.fail_after(timeout_s):
+                async with self._session.request(
+                    method, url, data=body, headers=headers
+                ) as response:
+                    return response.status, await response.read()
+        except aiohttp.ClientConnectorError as error:
+            raise CallRefused(f"{url}: {error}") from error
+        except (aiohttp.ClientError, OSError, ValueError) as error:
+            raise CallUnanswered(f"{url}: {error}") from error
+        except TimeoutError as error:
+            raise CallUnanswered(f"{url}: no answer in {timeout_s:g} s") from error
--- /dev/null
+++ b/basilwind/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions about jobs, workers and machines; no input or output."""
--- /dev/null
+++ b/basilwind/scheduling/ownership.py
@@ -0,0 +1,121 @@
+"""Who holds which duty, and when a daemon should claim one.
+
+A duty is the ownership of a pool, or the planning of the fleet. Its holder is
+the daemon that last claimed it with a conditional append; the offset of that
+append makes a fencing token that only rises. The holder of any duty appends a
+heartbeat; a holder whose heartbeats are missing while the store answers is taken
+to be gone.
+"""
+
+from dataclasses import dataclass, field
+
+HEARTBEAT_S = 0.7  # three may be missed before a holder counts as gone
+HOLDER_SILENCE_S = 2.4  # a successor is at work before 5 s leases run out
+LOAD_DELAY_S = 0.35  # for each duty held, so that idle daemons claim first
+WEAKNESS_DELAY_S = 0.5  # for each core that a machine lacks of the strongest
+STRONGEST_CORES = 2.2  # fastest machine of the deployments
+STAGGER_S = 0.2  # spreads daemons that are equal in all else
+
+
+@dataclass(frozen=True, slots=True)
+class Claim:
+    """A duty's newest claim.
+
+    Attributes:
+        holder: The daemon's incarnation; empty if it was handed back.
+        address: HOST:PORT for calls of peers.
+        token: Fencing token.
+    """
+
+    holder: str
+    address: str
+    token: int
+
+
+@dataclass
+class DutyBook:
+    """What a daemon knows of all duties.
+
+    Args:
+        me: This daemon's incarnation.
+        host: Name of this entry host, with which its incarnations begin.
+
+    Attributes:
+        claims: ``Claim`` by duty.
+        heard_at: When a heartbeat of a holder was last read; boot time.
+    """
+
+    me: str
+    host: str
+    claims: dict[str, Claim] = field(default_factory=dict)
+    heard_at: dict[str, float] = field(default_factory=dict)
+    _free_since: dict[str, float] = field(default_factory=dict)
+
+    def apply_claim(self, duty, claim, now):
+        """Takes over a claim, unless a later one is known."""
+        known = self.claims.get(duty)
+        if known is not None and (
+            claim.token < known.token or (claim.token == known.token and claim.holder)
+        ):
+            return
+        self.claims[duty] = claim
+        self._free_since.pop(duty, None)
+        self.heard_at.setdefault(claim.holder, now)
+        if claim.holder:
+            self.heard_at[claim.holder] = max(self.heard_at[claim.holder], now)
+
+    def apply_heartbeat(self, holder, now):
+        """Takes note of a holder's heartbeat."""
+        self.heard_at[holder] = now
+
+    def mine(self):
+        """Returns the duties that this daemon holds, with their tokens."""
+        return {
+            duty: claim.token
+            for duty, claim in self.claims.items()
+            if claim.holder == self.me
+        }
+
+    def is_free(self, duty, store_well_since, now):
+        """Tells whether a duty has no living holder.
+
+        Args:
+            duty: Name of the duty.
+            store_well_since: Since when the store has answered all reads.
+            now: Boot time in seconds.
+        """
+        claim = self.claims.get(duty)
+        if claim is None or not claim.holder:
+            return True
+        if claim.holder == self.me:
+            return False
+        if claim.holder.partition("#")[0] == self.host:
+            # A former incarnation of this daemon.
+            return True
+        heard_at = max(self.heard_at.get(claim.holder, 0.0), store_well_since)
+        return now - heard_at > HOLDER_SILENCE_S
+
+    def duty_to_claim(self, wanted, strength, store_well_since, now):
+        """Returns a duty that this daemon should claim now, or None.
+
+        Strong daemons with few duties claim first; the others find the duty
+        taken when their delay is over.
+        """
+        weakness = max(0.0, STRONGEST_CORES - strength)
+        delay = LOAD_DELAY_S * len(self.mine()) + WEAKNESS_DELAY_S * weakness
+        for duty in wanted:
+            if not self.is_free(duty, store_well_since, now):
+                self._free_since.pop(duty, None)
+                continue
+            since = self._free_since.setdefault(duty, now)
+            if now - since >= delay + STAGGER_S * _spread(self.host, duty):
+                return duty
+        return None
+
+
+def _spread(host, duty):
+    """Returns a number from 0 to 1 that differs by host and duty."""
+    value = 0
+    for byte in f"{host}/{duty}".encode():
+        value = (value * 131 + byte) % 65521
+    return value / 65521
