--- a/basilwind/api/asgi.py
+++ b/basilwind/api/asgi.py
@@ -118,6 +118,7 @@
             app,
             host=host,
             port=int(port),
+            interface="asgi3",
             loop="asyncio",
             http="httptools",
             ws="none",
--- a/basilwind/entry/host.py
+++ b/basilwind/entry/host.py
@@ -13,6 +13,7 @@
 from basilwind.entry.intake import Intake
 from basilwind.entry.owner import PoolOwner
 from basilwind.entry.peers import PeerApp, PeerCalls
+from basilwind.entry.planner import Planner
 from basilwind.entry.registry import WorkerRegistry
 from basilwind.entry.services import Services
 from basilwind.errors import ProducerFenced
@@ -44,10 +45,13 @@
         self._intakes = {}
         self._store_answered_at = boot_time()
         self._shared = self._make_services(settings)
-        peers = PeerCalls(
+        self._planner = None
+        self._peers = PeerCalls(
             self._shared.transport, self._loaded_owner, self._owner_address
         )
-        front = Front(self._shared, peers, self._intake_of, lambda: self._is_stopping)
+        front = Front(
+            self._shared, self._peers, self._intake_of, lambda: self._is_stopping
+        )
         self._front_server = HttpServer(front, settings.front_address)
         self._servers = [
             self._front_server,
@@ -146,6 +150,34 @@
                 self._owners[pool] = owner
                 self.tasks.start_soon(self._run_owner, pool, owner)
 
+        self._follow_fleet_duty()
+
+    def _follow_fleet_duty(self):
+        token = self._shared.duties.mine().get(FLEET_DUTY)
+        planner = self._planner
+        if planner is not None and planner.token != token:
+            self._planner = None
+            scope = self._scopes.pop(planner, None)
+            if scope is not None:
+                scope.cancel()
+        if token is not None and self._planner is None and self.tasks is not None:
+            if not self._settings.machines_address:
+                return
+            self._planner = Planner(token, self._shared, self._peers)
+            self.tasks.start_soon(self._run_planner, self._planner)
+
+    async def _run_planner(self, planner):
+        with anyio.CancelScope() as scope:
+            self._scopes[planner] = scope
+            if self._planner is not planner:
+                return
+            try:
+                await planner.run()
+            except* ProducerFenced as error:
+                log("planner fenced", token=planner.token, error=str(error))
+                if self._planner is planner:
+                    self._shared.duties.abandon(FLEET_DUTY)
+
     def _drop_owner(self, pool, owner):
         del self._owners[pool]
         scope = self._scopes.pop(owner, None)
--- a/basilwind/entry/owner.py
+++ b/basilwind/entry/owner.py
@@ -361,6 +361,13 @@
             if self._state.dirty or self._state.dropped:
                 self._journal.wake()
 
+    def withhold(self, worker_ids):
+        """Keeps tasks off some workers, and only off those; returns a report."""
+        now = self._clock()
+        self._state.withhold(worker_ids, now)
+        self._wake.set()
+        return self._state.pool_report(now)
+
     def waiting(self, queue):
         """Returns how many accepted jobs of a queue have started nothing."""
         return self._state.waiting_jobs(queue)
--- a/basilwind/entry/peers.py
+++ b/basilwind/entry/peers.py
@@ -4,6 +4,7 @@
 
 from basilwind.api.asgi import HttpResponse, json_response, read_request, send_response
 from basilwind.errors import CallRefused, CallUnanswered, NotOwner, RequestInvalid
+from basilwind.scheduling.capacity import PoolReport
 from basilwind.scheduling.jobs import JobState
 
 CALL_TIMEOUT_S = 1.0  # a third of the callers' deadline of 3 s
@@ -33,7 +34,6 @@
 
     Args:
         owners: Returns the loaded ``PoolOwner`` of a pool, or None.
-        on_withhold: Called with pool and worker ids that the planner wants empty.
     """
 
     def __init__(self, owners):
@@ -59,11 +59,9 @@
             return json_response(await answer_job(owner, rest[0]))
         if kind == "queues" and rest:
             return json_response(answer_queue(owner, rest[0]))
-        if kind == "report":
-            return json_response(owner.pool_report())
         if kind == "withhold":
-            owner.withhold(msgspec.json.decode(request.body, type=list[str]))
-            return json_response(owner.pool_report())
+            worker_ids = msgspec.json.decode(request.body, type=list[str])
+            return json_response(owner.withhold(worker_ids))
         raise RequestInvalid(f"no such call: {request.path}")
 
 
@@ -101,7 +99,7 @@
         owner = self._find_owner(pool)
         if owner is not None:
             return await owner.job_state(job_id)
-        body = await self._get(pool, f"/jobs/{pool}/{job_id}")
+        body = await self._call(pool, f"/jobs/{pool}/{job_id}")
         state = msgspec.json.decode(body, type=JobAnswer).state
         return JobState(state) if state else None
 
@@ -114,10 +112,27 @@
         owner = self._find_owner(pool)
         if owner is not None:
             return answer_queue(owner, queue)
-        body = await self._get(pool, f"/queues/{pool}/{queue}")
+        body = await self._call(pool, f"/queues/{pool}/{queue}")
         return msgspec.json.decode(body, type=QueueAnswer)
 
-    async def _get(self, pool, path, method="GET", body=None):
+    async def withhold(self, pool, worker_ids):
+        """Has an owner empty some workers, and no others.
+
+        Returns:
+            ``PoolReport`` of the moment after that.
+
+        Raises:
+            NotOwner: No owner answered.
+        """
+        owner = self._find_owner(pool)
+        if owner is not None:
+            return owner.withhold(worker_ids)
+        body = await self._call(
+            pool, f"/withhold/{pool}", "POST", msgspec.json.encode(worker_ids)
+        )
+        return msgspec.json.decode(body, type=PoolReport)
+
+    async def _call(self, pool, path, method="GET", body=None):
         address = self._find_address(pool)
         if not address:
             raise NotOwner(f"pool {pool!r} has no owner")
--- /dev/null
+++ b/basilwind/entry/planner.py
@@ -0,0 +1,349 @@
+"""The fleet planner: moves machines to demand and takes them down for waves."""
+
+import anyio
+import msgspec
+
+from basilwind.entry.follower import RETRY_S
+from basilwind.errors import (
+    CallUnanswered,
+    NotOwner,
+    PlatformError,
+    PlatformUnavailable,
+    ProducerFenced,
+    StoreRefused,
+    StoreUnanswered,
+)
+from basilwind.logs import log
+from basilwind.platform.documents import STATUS_TOPIC, encode_wave_status
+from basilwind.platform.machines import MachineState, OrderOutcome
+from basilwind.platform.store import Producer, encode_keyed
+from basilwind.scheduling.capacity import CapacityPlan
+from basilwind.scheduling.upkeep import Candidate, choose_upkeep
+
+TOPIC = "keyed.fleet"
+PRODUCER = "planner"  # fences are kept by producer name, so all planners share one
+TICK_S = 0.4  # a move takes 1.5 s; each tick costs one call and one per pool
+SETTLE_S = 3.5  # orders of two holders must lie at least 3 s apart
+
+
+class Planner:
+    """Holder of the fleet duty for the time of one token.
+
+    Args:
+        token: Fencing token.
+        services: ``Services``.
+        peers: ``PeerCalls``.
+    """
+
+    def __init__(self, token, services, peers):
+        self._token = token
+        self._services = services
+        self._peers = peers
+        self._machines = services.machine_calls
+        self._store = services.store
+        self._clock = services.clock
+        self._plan = None
+        self._sequence = 0
+        # Machines by wave whose upkeep the platform has accepted.
+        self._served = {}
+        self._completed = set()
+        self._chosen = frozenset()
+        self._emptying = {}
+        # Target pool and time of orders for machines that the list may not show.
+        self._ordered = {}
+
+    @property
+    def token(self):
+        """Fencing token."""
+        return self._token
+
+    async def run(self):
+        """Plans until cancelled or fenced.
+
+        Raises:
+            ProducerFenced: A later planner has taken over.
+        """
+        await self._append([])
+        await self._load()
+        await anyio.sleep(SETTLE_S)
+        while True:
+            try:
+                await self._tick(self._clock())
+            except (PlatformUnavailable, StoreRefused, StoreUnanswered) as error:
+                log("planning waits", error=str(error))
+            await anyio.sleep(TICK_S)
+
+    async def _load(self):
+        while True:
+            try:
+                records, _ = await self._store.newest(TOPIC)
+                break
+            except PlatformError as error:
+                log("planning waits", error=str(error))
+                await anyio.sleep(RETRY_S)
+        for record in records:
+            try:
+                machines, is_completed = msgspec.json.decode(
+                    record.value, type=tuple[list[str], bool]
+                )
+            except msgspec.DecodeError as error:
+                log("record ignored", topic=TOPIC, error=str(error))
+                continue
+            self._served[int(record.key)] = set(machines)
+            if is_completed:
+                self._completed.add(int(record.key))
+
+    async def _tick(self, now):
+        configuration = self._services.configuration.current
+        if configuration is None:
+            return
+        machines = await self._machines.list()
+        spare_pool = next(
+            (pool.name for pool in configuration.pools.values() if pool.is_spare), ""
+        )
+        reports = await self._collect_reports(configuration)
+        self._forget_orders(machines, now)
+        in_upkeep = await self._serve_waves(machines, reports, now)
+        if spare_pool and machines:
+            await self._move_machines(machines, reports, spare_pool, in_upkeep, now)
+
+    async def _collect_reports(self, configuration):
+        reports = {}
+        for pool in configuration.pools.values():
+            if pool.is_spare:
+                continue
+            try:
+                reports[pool.name] = await self._peers.withhold(
+                    pool.name, sorted(self._emptying.get(pool.name, ()))
+                )
+            except NotOwner as error:
+                log("pool not reported", pool=pool.name, error=str(error))
+        return reports
+
+    def _forget_orders(self, machines, now):
+        """Forgets orders that the list shows, or that are long past."""
+        states = {machine.name: machine for machine in machines}
+        for name, (_, ordered_at) in list(self._ordered.items()):
+            machine = states.get(name)
+            if (
+                machine is None
+                or machine.state is not MachineState.UP
+                or now - ordered_at > SETTLE_S
+            ):
+                del self._ordered[name]
+
+    # Waves
+
+    async def _serve_waves(self, machines, reports, now):
+        """Returns the names of machines that waves have claimed."""
+        busy = set()
+        self._emptying = {}
+        for number, (wave, came_at) in self._services.configuration.waves.items():
+            if number not in self._completed:
+                busy |= await self._serve_wave(wave, came_at, machines, reports, now)
+        return busy
+
+    async def _serve_wave(self, wave, came_at, machines, reports, now):
+        served = self._served.setdefault(wave.number, set())
+        members = [machine for machine in machines if machine.name in wave.machines]
+        down = [m for m in members if m.state is MachineState.UPKEEP]
+        served.update(machine.name for machine in down)
+        left = [machine for machine in members if machine.name not in served]
+        if not left:
+            await self._complete(wave, served)
+            return set()
+        candidates = [
+            self._candidate(machine, reports)
+            for machine in left
+            if machine.state is MachineState.UP
+        ]
+        ordered = sum(
+            name in wave.machines and target is None
+            for name, (target, _) in self._ordered.items()
+        )
+        chosen = choose_upkeep(
+            candidates,
+            wave.at_once - max(len(down), ordered),
+            now - came_at,
+            wave.deadline_s,
+            self._chosen,
+        )
+        self._chosen = frozenset(candidate.machine for candidate in chosen)
+        await self._empty_and_take_down(wave, chosen, served)
+        return {machine.name for machine in left}
+
+    def _candidate(self, machine, reports):
+        report = reports.get(machine.pool)
+        loads = {load.worker_id: load for load in report.workers} if report else {}
+        load = loads.get(machine.worker_id)
+        is_short = bool(report and self._plan and self._plan.is_short(report))
+        return Candidate(
+            machine=machine.name,
+            worker_id=machine.worker_id,
+            pool=machine.pool,
+            tasks=load.tasks if load else 0,
+            lasting=load.lasting if load else 0,
+            is_pool_short=is_short,
+        )
+
+    async def _empty_and_take_down(self, wave, chosen, served):
+        for candidate in chosen:
+            if candidate.worker_id:
+                pool = self._emptying.setdefault(candidate.pool, set())
+                pool.add(candidate.worker_id)
+        reports = {}
+        for pool, worker_ids in self._emptying.items():
+            try:
+                reports[pool] = await self._peers.withhold(pool, sorted(worker_ids))
+            except NotOwner as error:
+                log("pool not reported", pool=pool, error=str(error))
+        empty = {
+            load.worker_id
+            for report in reports.values()
+            for load in report.workers
+            if not load.tasks
+        }
+        has_new = False
+        for candidate in chosen:
+            if candidate.worker_id and candidate.worker_id not in empty:
+                continue
+            if await self._take_down(wave, candidate):
+                served.add(candidate.machine)
+                has_new = True
+        if has_new:
+            await self._store_wave(wave.number, served, False)
+
+    async def _take_down(self, wave, candidate):
+        try:
+            outcome = await self._machines.take_down(
+                candidate.machine, wave.number, self._services.incarnation, self._token
+            )
+        except CallUnanswered:
+            # Repeated in the next turn, until the platform says that it is done.
+            return False
+        self._services.report(
+            "machine upkeep", machine=candidate.machine, outcome=outcome.value
+        )
+        self._heed(outcome)
+        if outcome is OrderOutcome.DONE:
+            self._ordered[candidate.machine] = (None, self._clock())
+        return outcome in (OrderOutcome.DONE, OrderOutcome.NOT_OF_WAVE)
+
+    async def _complete(self, wave, served):
+        if not any(name in served for name in wave.machines):
+            return
+        await self._store_wave(wave.number, served, True)
+        key, value = encode_wave_status(wave.number, True)
+        await self._store.append(STATUS_TOPIC, [encode_keyed(key, value)])
+        self._completed.add(wave.number)
+        self._services.report("wave completed", wave=wave.number)
+
+    async def _store_wave(self, number, served, is_completed):
+        value = msgspec.json.encode((sorted(served), is_completed))
+        await self._append([encode_keyed(str(number), value)])
+        if not is_completed:
+            key, status = encode_wave_status(number, False)
+            await self._store.append(STATUS_TOPIC, [encode_keyed(key, status)])
+
+    # Moves
+
+    async def _move_machines(self, machines, reports, spare_pool, reserved, now):
+        if self._plan is None:
+            cpu = max(machine.cpu for machine in machines) or 1
+            self._plan = CapacityPlan(spare_pool, cpu)
+        spare = [
+            machine
+            for machine in machines
+            if machine.pool == spare_pool
+            and machine.state is MachineState.UP
+            and machine.name not in self._ordered
+        ]
+        by_worker = {m.worker_id: m for m in machines if m.worker_id}
+        moves = self._plan.moves(
+            list(reports.values()), len(spare), self._incoming(machines, reports), now
+        )
+        moves = [
+            move
+            for move in moves
+            if not move.worker_id
+            or (
+                move.worker_id in by_worker
+                and by_worker[move.worker_id].state is MachineState.UP
+                and by_worker[move.worker_id].name not in reserved
+            )
+        ]
+        empty = await self._withhold(moves)
+        async with anyio.create_task_group() as tasks:
+            for move in moves:
+                if not move.worker_id:
+                    tasks.start_soon(self._move, spare.pop(), move.target)
+                elif move.worker_id in empty:
+                    machine = by_worker[move.worker_id]
+                    tasks.start_soon(self._move, machine, move.target)
+
+    def _incoming(self, machines, reports):
+        """Counts machines of each pool that its owner can't use yet."""
+        known = {
+            load.worker_id for report in reports.values() for load in report.workers
+        }
+        incoming = {}
+        for machine in machines:
+            target = self._ordered.get(machine.name, (machine.pool, 0))[0]
+            if machine.worker_id in known and machine.name not in self._ordered:
+                continue
+            if machine.state in (MachineState.DOWN, MachineState.UPKEEP):
+                continue
+            if target:
+                incoming[target] = incoming.get(target, 0) + 1
+        return incoming
+
+    async def _withhold(self, moves):
+        """Keeps owners from using the machines; returns the empty ones' workers."""
+        by_pool = {}
+        for move in moves:
+            if move.worker_id:
+                by_pool.setdefault(move.source, set()).add(move.worker_id)
+        empty = set()
+        for pool, worker_ids in by_pool.items():
+            worker_ids |= self._emptying.get(pool, set())
+            try:
+                report = await self._peers.withhold(pool, sorted(worker_ids))
+            except NotOwner as error:
+                log("pool not reported", pool=pool, error=str(error))
+                continue
+            empty |= {load.worker_id for load in report.workers if not load.tasks}
+        return empty
+
+    async def _move(self, machine, target):
+        try:
+            outcome = await self._machines.move(
+                machine.name, target, self._services.incarnation, self._token
+            )
+        except CallUnanswered as error:
+            log("move unanswered", machine=machine.name, error=str(error))
+            outcome = None
+        else:
+            self._heed(outcome)
+        if outcome in (None, OrderOutcome.DONE):
+            self._ordered[machine.name] = (target, self._clock())
+        self._services.report(
+            "machine moved",
+            machine=machine.name,
+            source=machine.pool,
+            target=target,
+            outcome=outcome.value if outcome else "unknown",
+        )
+
+    def _heed(self, outcome):
+        if outcome is OrderOutcome.FENCED:
+            raise ProducerFenced("a later planner gives orders for machines")
+
+    async def _append(self, records):
+        self._sequence += 1
+        producer = Producer(PRODUCER, self._token, self._sequence)
+        while True:
+            try:
+                await self._store.append(TOPIC, records, producer=producer)
+                return
+            except (StoreRefused, StoreUnanswered):
+                await anyio.sleep(RETRY_S)
--- /dev/null
+++ b/basilwind/scheduling/capacity.py
@@ -0,0 +1,215 @@
+"""How many machines each pool needs, and which ones to move.
+
+Load pattern: demand comes in turns. Each queue asks several times its mean for
+some seconds, more than its pool holds, and next to nothing in between. A move
+takes seconds, so machines are fetched by what the work at hand will need when
+they arrive, and before a turn that the last ones foretell; idle machines cost
+money every second and go back to the spare pool.
+"""
+
+import math
+from dataclasses import dataclass, field
+
+import msgspec
+
+DRAIN_S = 1.1  # slack of a mean job: 0.6 s and 0.6 of its chain of 1 s
+FETCH_S = 2.2  # a move of 1.5 s, a planner's turn and the worker's first entry
+SURE_FLOOR = 2  # machines left in a pool whose next turn is foretold
+UNSURE_FLOOR_SHARE = 0.7  # of the first size, while the turns are not known
+IDLE_S = 0.8  # work between two steps of a job leaves machines idle for a moment
+RATE_S = 1.0  # span over which arrivals are averaged
+TURN_SHARE = 0.35  # of the highest rate seen; turns ask 4 times the mean
+FORETELL_S = 1.5  # how long a foretold turn may be late
+
+
+class WorkerLoad(msgspec.Struct, array_like=True):
+    """What runs on a worker.
+
+    Attributes:
+        worker_id: Id of the worker.
+        cpu: Its thousandths of a core.
+        tasks: Tasks that it has or may have.
+        lasting: How many of these last.
+    """
+
+    worker_id: str
+    cpu: int
+    tasks: int
+    lasting: int
+
+
+class PoolReport(msgspec.Struct):
+    """What a pool's owner tells the planner.
+
+    Attributes:
+        pool: Name of the pool.
+        workers: Its usable and withheld workers.
+        work: Unfinished work of jobs that end, core-seconds.
+        lasting_cpu: Thousandths of a core that lasting tasks need.
+        arrived: Work of all jobs taken in so far, core-seconds.
+    """
+
+    pool: str
+    workers: list[WorkerLoad]
+    work: float
+    lasting_cpu: int
+    arrived: float
+
+
+@dataclass
+class PoolTrend:
+    """What the planner has learned of a pool's demand.
+
+    Attributes:
+        first_size: Machines when the pool was first seen.
+        rate: Recent arrivals, cores.
+        peak: Highest rate of a turn.
+        starts: When turns began; boot time.
+        idle_since: Since when a worker has been empty, by id.
+    """
+
+    first_size: int = 0
+    rate: float = 0.0
+    peak: float = 0.0
+    starts: list[float] = field(default_factory=list)
+    idle_since: dict[str, float] = field(default_factory=dict)
+    _arrived: float = 0.0
+    _seen_at: float = 0.0
+    _is_in_turn: bool = False
+
+    def observe(self, report, now):
+        """Learns from a report."""
+        self.first_size = max(self.first_size, len(report.workers))
+        if self._seen_at and report.arrived >= self._arrived:
+            span = max(1e-3, now - self._seen_at)
+            rate = (report.arrived - self._arrived) / span
+            weight = 1 - math.exp(-span / RATE_S)
+            self.rate += weight * (rate - self.rate)
+        self._arrived, self._seen_at = report.arrived, now
+        self.peak = max(self.peak, self.rate)
+        is_in_turn = self.rate > TURN_SHARE * self.peak and self.peak > 0
+        if is_in_turn and not self._is_in_turn and len(report.workers) > 0:
+            self.starts.append(now)
+        self._is_in_turn = is_in_turn
+        idle = {load.worker_id for load in report.workers if not load.tasks}
+        self.idle_since = {
+            worker_id: self.idle_since.get(worker_id, now) for worker_id in idle
+        }
+
+
+@dataclass(frozen=True, slots=True)
+class Move:
+    """A machine to be moved."""
+
+    worker_id: str
+    source: str
+    target: str
+
+
+class CapacityPlan:
+    """Decides on moves from tick to tick.
+
+    Args:
+        spare_pool: Pool whose machines are off.
+        machine_cpu: Thousandths of a core of a machine.
+    """
+
+    def __init__(self, spare_pool, machine_cpu):
+        self._spare_pool = spare_pool
+        self._machine_cpu = machine_cpu
+        self._trends = {}
+        self._needs = {}
+
+    def needed(self, report, now):
+        """Returns how many machines a pool needs, whole or not."""
+        trend = self._trends.setdefault(report.pool, PoolTrend())
+        trend.observe(report, now)
+        cores = sum(load.cpu for load in report.workers) / 1000
+        lasting = report.lasting_cpu / 1000
+        growth = max(0.0, trend.rate - (cores - lasting)) * FETCH_S
+        need = (report.work + growth) / DRAIN_S
+        if self._is_foretold(report.pool, now):
+            need = max(need, trend.peak)
+        machines = (need + lasting) * 1000 / self._machine_cpu
+        self._needs[report.pool] = machines
+        return machines
+
+    def is_short(self, report):
+        """Tells whether a pool had fewer machines than it needed when last seen."""
+        return self._needs.get(report.pool, 0.0) > len(report.workers) - 1
+
+    def floor(self, report):
+        """Returns how many machines stay in a pool at least."""
+        trend = self._trends[report.pool]
+        if self._period(report.pool) is not None:
+            return SURE_FLOOR
+        return max(SURE_FLOOR, round(trend.first_size * UNSURE_FLOOR_SHARE))
+
+    def moves(self, reports, spare, incoming, now):
+        """Decides which machines to move.
+
+        Args:
+            reports: ``PoolReport`` of each pool.
+            spare: Spare machines that are up.
+            incoming: Machines on their way to each pool.
+            now: Boot time in seconds.
+
+        Returns:
+            List of ``Move``. Those that fetch a spare machine have an empty
+            worker id.
+        """
+        wanted, surplus = {}, []
+        for report in reports:
+            need = math.ceil(self.needed(report, now))
+            have = len(report.workers) + incoming.get(report.pool, 0)
+            wanted[report.pool] = need - have
+            surplus += self._surplus(report, max(need, self.floor(report)), now)
+        moves = []
+        left = spare
+        for pool, count in sorted(wanted.items(), key=lambda item: -item[1]):
+            for _ in range(max(0, count)):
+                if left > 0:
+                    left -= 1
+                    moves.append(Move("", self._spare_pool, pool))
+                    continue
+                taken = next((row for row in surplus if row[0] != pool), None)
+                if taken is None:
+                    break
+                surplus.remove(taken)
+                moves.append(Move(taken[1], taken[0], pool))
+        moves += [
+            Move(worker_id, pool, self._spare_pool)
+            for pool, worker_id, idle_s in surplus
+            if idle_s >= IDLE_S
+        ]
+        return moves
+
+    def _surplus(self, report, keep, now):
+        trend = self._trends[report.pool]
+        idle = sorted(
+            (since, worker_id) for worker_id, since in trend.idle_since.items()
+        )
+        count = max(0, len(report.workers) - keep)
+        return [
+            (report.pool, worker_id, now - since) for since, worker_id in idle[:count]
+        ]
+
+    def _period(self, pool):
+        """Returns the time between two turns of a pool, or None if unknown."""
+        starts = self._trends[pool].starts
+        if len(starts) > 1:
+            return starts[-1] - starts[-2]
+        firsts = sorted(
+            trend.starts[0] for trend in self._trends.values() if trend.starts
+        )
+        if len(firsts) < len(self._trends) or len(firsts) < 2:
+            return None
+        return (firsts[-1] - firsts[0]) / (len(firsts) - 1) * len(firsts)
+
+    def _is_foretold(self, pool, now):
+        period = self._period(pool)
+        starts = self._trends[pool].starts
+        if period is None or not starts:
+            return False
+        due = starts[-1] + period
+        return due - FETCH_S <= now <= due + FORETELL_S
--- a/basilwind/scheduling/pool.py
+++ b/basilwind/scheduling/pool.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 
 from basilwind.scheduling import health
+from basilwind.scheduling.capacity import PoolReport, WorkerLoad
 from basilwind.scheduling.estimates import RunTimes
 from basilwind.scheduling.jobs import Job, JobState, TaskState
 from basilwind.scheduling.ordering import rank_step
@@ -21,6 +22,7 @@
 from basilwind.scheduling.workers import WorkerView
 
 STOP_RETRY_S = 0.7  # a stop takes up to 0.2 or 0.9 s in the site files
+WITHHOLD_S = 3.0  # the planner renews it each 0.4 s, a successor in 3 s
 UNSURE_S = 0.3  # time for a hold to show a run whose start got no answer
 
 
@@ -67,6 +69,8 @@
         self._find_queue = find_queue
         self._status_s = status_s
         self._report = report
+        self._withheld_until = 0.0
+        self._arrived = 0.0
         self._ready = {}
         self._cancelled = set()
         self._timed = set()
@@ -80,6 +84,7 @@
             return
         job = Job(job_id, queue_name, spec, accepted_at)
         self.add_job(job, wall)
+        self._arrived += self._unfinished_work(job)
         if job_id in self._cancelled:
             self._cancelled.discard(job_id)
             self._end_job(job, JobState.CANCELLED, now)
@@ -367,6 +372,75 @@
                         self._ready[task.step] = None
         self.former_leases_until = 0.0
 
+    # What the fleet planner asks
+
+    def withhold(self, worker_ids, now):
+        """Keeps new tasks off some workers and moves lasting ones away."""
+        wanted = frozenset(worker_ids)
+        self._withheld_until = now + WITHHOLD_S
+        for worker in self.workers.values():
+            worker.is_withheld = worker.worker_id in wanted
+        self._empty_withheld()
+
+    def _empty_withheld(self):
+        for worker in self.workers.values():
+            if not worker.is_withheld:
+                continue
+            for task in worker.tasks.values():
+                if task.spec.is_lasting and not task.is_stopping:
+                    # The task itself is at work until it is stopped.
+                    task.is_stopping = task.step.away() < task.spec.may_miss
+
+    def _expire_withholding(self, now):
+        if now > self._withheld_until:
+            for worker in self.workers.values():
+                worker.is_withheld = False
+
+    def pool_report(self, now):
+        """Returns the ``PoolReport`` for the planner."""
+        lasting_cpu = sum(
+            task.spec.reserved_cpu
+            for job in self.jobs.values()
+            if job.is_live
+            for task in job.tasks()
+            if task.spec.is_lasting
+        )
+        return PoolReport(
+            pool=self.name,
+            workers=[
+                WorkerLoad(
+                    worker.worker_id,
+                    worker.entry.cpu,
+                    len(worker.tasks),
+                    sum(task.spec.is_lasting for task in worker.tasks.values()),
+                )
+                for worker in self.workers.values()
+                if worker.has_clock
+                and worker.is_listed
+                and not worker.entry.is_draining
+                and worker.avoid_until <= now
+                and worker.silent_since is None
+            ],
+            work=sum(
+                self._unfinished_work(job) for job in self.jobs.values() if job.is_live
+            ),
+            lasting_cpu=lasting_cpu,
+            arrived=self._arrived,
+        )
+
+    def _work_of(self, queue, step):
+        """Returns the core-seconds of a task of a step that ends, else 0."""
+        if step.is_lasting:
+            return 0.0
+        return step.cpu / 1000 * self.run_times.estimate(queue, step.estimate_s)
+
+    def _unfinished_work(self, job):
+        return sum(
+            step.left * self._work_of(job.queue, step.spec)
+            for steps in job.occurrences.values()
+            for step in steps
+        )
+
     # Orders
 
     def schedule(self, now, wall):
@@ -380,6 +454,7 @@
             List of ``StartOrder``; their jobs are dirty.
         """
         self._open_due(wall)
+        self._expire_withholding(now)
         workers = [worker for worker in self.workers.values() if is_usable(worker, now)]
         orders, shortages = [], []
         for step in self._ranked(wall):
--- /dev/null
+++ b/basilwind/scheduling/upkeep.py
@@ -0,0 +1,63 @@
+"""Which machines of a wave go down next.
+
+Load pattern: a wave asks for about half of the machines within half a minute,
+while turns of demand go on. Machines that run nothing go first, then those that
+run the least; lasting tasks are moved away beforehand; machines of pools with
+waiting work wait as long as the time that is left allows.
+"""
+
+from dataclasses import dataclass
+
+MARGIN = 0.75  # share of the time given after which demand no longer matters
+
+
+@dataclass(frozen=True, slots=True)
+class Candidate:
+    """A machine that a wave still has to take down.
+
+    Attributes:
+        machine: Name of the machine.
+        worker_id: Its worker; empty for a machine that is off.
+        pool: Its pool.
+        tasks: Tasks that its worker has or may have.
+        lasting: How many of these last.
+        is_pool_short: Whether its pool needs more machines than it has.
+    """
+
+    machine: str
+    worker_id: str
+    pool: str
+    tasks: int
+    lasting: int
+    is_pool_short: bool
+
+
+def choose_upkeep(candidates, free_places, elapsed_s, deadline_s, chosen):
+    """Returns the machines to empty and take down now.
+
+    Args:
+        candidates: ``Candidate`` objects.
+        free_places: How many more may be down or on their way at once.
+        elapsed_s: Time since the wave was announced.
+        deadline_s: Time given for it.
+        chosen: Machines that are being emptied already; they stay chosen.
+
+    Returns:
+        List of ``Candidate``, at most ``free_places``.
+    """
+    is_late = elapsed_s > MARGIN * deadline_s
+    ranked = sorted(
+        (
+            candidate
+            for candidate in candidates
+            if candidate.machine in chosen or is_late or not candidate.is_pool_short
+        ),
+        key=lambda candidate: (
+            candidate.machine not in chosen,
+            bool(candidate.worker_id),
+            candidate.lasting,
+            candidate.tasks,
+            candidate.machine,
+        ),
+    )
+    return ranked[: max(0, free_places)]
