Restore occurrences once, keep small floors, prefer begun jobs

Cause: a take-over opened restored occurrences anew, so tasks ran twice; the planner's floor grew with each machine that a pool ever had; a new job that could only just make its objective displaced begun ones.

--- a/basilwind/entry/host.py
+++ b/basilwind/entry/host.py
@@ -74,6 +74,11 @@
         self.on_stop(self._stop_serving)
         self.on_stop(self._hand_over)
 
+    async def run(self, handle_signals=True):
+        """Runs until stopped, then closes all connections."""
+        await super().run(handle_signals)
+        await self._shared.transport.stop()
+
     def _make_services(self, settings):
         incarnation = f"{settings.name}#{uuid.uuid4().hex[:8]}"
         transport = Transport()
@@ -232,5 +237,4 @@
         with anyio.move_on_after(FINISH_S):
             while self._front_server.server_state.connections:
                 await anyio.sleep(0.02)
-        await self._shared.transport.stop()
         log("stopped", host=self._settings.name)
--- a/basilwind/entry/planner.py
+++ b/basilwind/entry/planner.py
@@ -272,6 +272,14 @@
                 and by_worker[move.worker_id].name not in reserved
             )
         ]
+        log(
+            "capacity planned",
+            needs=self._plan.needs(),
+            machines={name: len(row.workers) for name, row in reports.items()},
+            work={name: round(row.work) for name, row in reports.items()},
+            spare=len(spare),
+            moves=len(moves),
+        )
         empty = await self._withhold(moves)
         async with anyio.create_task_group() as tasks:
             for move in moves:
--- a/basilwind/scheduling/capacity.py
+++ b/basilwind/scheduling/capacity.py
@@ -15,7 +15,7 @@
 DRAIN_S = 1.1  # slack of a mean job: 0.6 s and 0.6 of its chain of 1 s
 FETCH_S = 2.2  # a move of 1.5 s, a planner's turn and the worker's first entry
 SURE_FLOOR = 2  # machines left in a pool whose next turn is foretold
-UNSURE_FLOOR_SHARE = 0.7  # of the first size, while the turns are not known
+UNSURE_FLOOR_SHARE = 0.5  # of an even share of all machines, before turns are known
 IDLE_S = 0.8  # work between two steps of a job leaves machines idle for a moment
 RATE_S = 1.0  # span over which arrivals are averaged
 TURN_SHARE = 0.35  # of the highest rate seen; turns ask 4 times the mean
@@ -61,14 +61,12 @@
     """What the planner has learned of a pool's demand.
 
     Attributes:
-        first_size: Machines when the pool was first seen.
         rate: Recent arrivals, cores.
         peak: Highest rate of a turn.
         starts: When turns began; boot time.
         idle_since: Since when a worker has been empty, by id.
     """
 
-    first_size: int = 0
     rate: float = 0.0
     peak: float = 0.0
     starts: list[float] = field(default_factory=list)
@@ -79,7 +77,6 @@
 
     def observe(self, report, now):
         """Learns from a report."""
-        self.first_size = max(self.first_size, len(report.workers))
         if self._seen_at and report.arrived >= self._arrived:
             span = max(1e-3, now - self._seen_at)
             rate = (report.arrived - self._arrived) / span
@@ -134,16 +131,24 @@
         self._needs[report.pool] = machines
         return machines
 
+    def needs(self):
+        """Returns the machines that each pool needed when last seen."""
+        return {pool: round(need, 1) for pool, need in self._needs.items()}
+
     def is_short(self, report):
         """Tells whether a pool had fewer machines than it needed when last seen."""
         return self._needs.get(report.pool, 0.0) > len(report.workers) - 1
 
-    def floor(self, report):
-        """Returns how many machines stay in a pool at least."""
-        trend = self._trends[report.pool]
-        if self._period(report.pool) is not None:
+    def floor(self, pool, machines):
+        """Returns how many machines stay in a pool at least.
+
+        Args:
+            pool: Name of the pool.
+            machines: Number of all machines, spare ones included.
+        """
+        if self._period(pool) is not None:
             return SURE_FLOOR
-        return max(SURE_FLOOR, round(trend.first_size * UNSURE_FLOOR_SHARE))
+        return max(SURE_FLOOR, round(machines / len(self._trends) * UNSURE_FLOOR_SHARE))
 
     def moves(self, reports, spare, incoming, now):
         """Decides which machines to move.
@@ -159,11 +164,15 @@
             worker id.
         """
         wanted, surplus = {}, []
+        needs = {row.pool: math.ceil(self.needed(row, now)) for row in reports}
+        machines = spare + sum(incoming.values())
+        machines += sum(len(report.workers) for report in reports)
         for report in reports:
-            need = math.ceil(self.needed(report, now))
+            need = needs[report.pool]
             have = len(report.workers) + incoming.get(report.pool, 0)
             wanted[report.pool] = need - have
-            surplus += self._surplus(report, max(need, self.floor(report)), now)
+            floor = self.floor(report.pool, machines)
+            surplus += self._surplus(report, max(need, floor), now)
         moves = []
         left = spare
         for pool, count in sorted(wanted.items(), key=lambda item: -item[1]):
--- a/basilwind/scheduling/jobs.py
+++ b/basilwind/scheduling/jobs.py
@@ -107,6 +107,16 @@
         """Whether a run may exist on a worker."""
         return self.state in _ACTIVE
 
+    @property
+    def is_at_work(self):
+        """Whether a lasting task works at full pace, as far as known."""
+        return (
+            self.state is TaskState.RUNNING
+            and not self.is_stopping
+            and self.percent >= 100
+            and self.pace >= 100
+        )
+
     def release(self):
         """Puts the task back among the waiting ones; its run has ended."""
         self.state = TaskState.WAITING
@@ -177,16 +187,6 @@
         """Returns the tasks that wait for a worker."""
         return [task for task in self.tasks if task.state is TaskState.WAITING]
 
-    def away(self):
-        """Returns how many tasks of a lasting step are not at work."""
-        return sum(
-            task.state is not TaskState.RUNNING
-            or task.is_stopping
-            or task.percent < 100
-            or task.pace < 100
-            for task in self.tasks
-        )
-
 
 class Job:
     """A job that was accepted.
@@ -249,7 +249,7 @@
         ):
             number = self.next_occurrence
             self.next_occurrence += 1
-            if number in self.done_occurrences:
+            if number in self.done_occurrences or number in self.occurrences:
                 continue
             ready += self.open_occurrence(number)
         return ready
--- a/basilwind/scheduling/ordering.py
+++ b/basilwind/scheduling/ordering.py
@@ -1,13 +1,18 @@
 """The order of waiting work.
 
 Load pattern: each queue in its turn asks several times what its pool holds, for
-some seconds. A job is worth most inside its objective and little after it, so
-lasting tasks go first, then jobs by priority class that can still make their
-objective, the least slack first, and then the late ones, the oldest first.
+some seconds. A job is worth most inside its objective and little after it. So
+lasting tasks go first, then by priority class the jobs that can still make their
+objective, and the late ones last, the oldest first. Among the former, begun jobs
+go before new ones, since half a job is worth nothing, and the least slack first;
+a new job that could only just make it counts as late, because run times are
+known to within a factor of two at best.
 """
 
 from dataclasses import dataclass
 
+START_MARGIN = 0.2  # of the chain: run times spread by half, over several tasks
+
 
 @dataclass(frozen=True, slots=True, order=True)
 class Rank:
@@ -17,12 +22,14 @@
         is_short: Whether its tasks end by themselves.
         priority: Priority of the queue.
         is_late: Whether the objective is out of reach.
+        is_new: Whether none of its tasks was started.
         urgency: Slack in seconds, or the time of acceptance of a late job.
     """
 
     is_short: bool
     priority: int
     is_late: bool
+    is_new: bool
     urgency: float
 
 
@@ -39,7 +46,7 @@
         ``Rank``.
     """
     if step.spec.is_lasting:
-        return Rank(False, queue.priority, False, step.job.accepted_at)
+        return Rank(False, queue.priority, False, False, step.job.accepted_at)
     job = step.job
     begin = job.spec.due_s(step.occurrence) if job.spec.is_timed else job.accepted_at
     steps = job.occurrences[step.occurrence]
@@ -48,6 +55,7 @@
         queue.name, job.spec.steps, lambda number: steps[number].is_done
     )
     slack = begin + queue.target_s + queue.stretch * whole - wall - rest
-    if slack < 0:
-        return Rank(True, queue.priority, True, begin)
-    return Rank(True, queue.priority, False, slack)
+    is_new = not job.has_begun
+    if slack < (START_MARGIN * whole if is_new else 0.0):
+        return Rank(True, queue.priority, True, False, begin)
+    return Rank(True, queue.priority, False, is_new, slack)
--- a/basilwind/scheduling/ownership.py
+++ b/basilwind/scheduling/ownership.py
@@ -9,8 +9,8 @@
 
 from dataclasses import dataclass, field
 
-HEARTBEAT_S = 0.7  # three may be missed before a holder counts as gone
-HOLDER_SILENCE_S = 2.4  # a successor is at work before 5 s leases run out
+HEARTBEAT_S = 0.5  # two may be missed before a holder counts as gone
+HOLDER_SILENCE_S = 1.7  # a successor is at work before 5 s leases run out
 LOAD_DELAY_S = 0.35  # for each duty held, so that idle daemons claim first
 WEAKNESS_DELAY_S = 0.5  # for each core that a machine lacks of the strongest
 STRONGEST_CORES = 2.2  # fastest machine of the deployments
--- a/basilwind/scheduling/pool.py
+++ b/basilwind/scheduling/pool.py
@@ -389,7 +389,16 @@
             for task in worker.tasks.values():
                 if task.spec.is_lasting and not task.is_stopping:
                     # The task itself is at work until it is stopped.
-                    task.is_stopping = task.step.away() < task.spec.may_miss
+                    task.is_stopping = self._away(task.step) < task.spec.may_miss
+
+    def _away(self, step):
+        """Returns how many tasks of a lasting step are not at work."""
+        away = 0
+        for task in step.tasks:
+            worker = self.workers.get(task.worker_id)
+            is_heard = worker is not None and worker.silent_since is None
+            away += not (is_heard and task.is_at_work)
+        return away
 
     def _expire_withholding(self, now):
         if now > self._withheld_until:
