--- a/basilwind/platform/workers.py
+++ b/basilwind/platform/workers.py
@@ -118,7 +118,7 @@
                 address, worker_id, "/run-start", order, START_TIMEOUT_S
             )
         except CallRefused:
-            return StartOutcome.NOT_SENT, None
+            return StartOutcome.UNREACHABLE, None
         if status == 421:
             return StartOutcome.WRONG_INCARNATION, None
         if status in (429, 503):
--- a/basilwind/scheduling/pool.py
+++ b/basilwind/scheduling/pool.py
@@ -213,7 +213,7 @@
             if row is not None:
                 self._confirm(task, row, now)
             elif self._has_vanished(task, sent_at):
-                self._release(task, worker)
+                self._release(task)
         self._strays += [StopOrder(name, run, worker) for name, run in seen]
         return last
 
@@ -261,7 +261,7 @@
 
     def _settle(self, task, worker, kind, now):
         was_stopping = task.is_stopping
-        self._release(task, worker)
+        self._release(task)
         if kind is EndKind.DONE and not task.spec.is_lasting:
             health.note_success(worker)
             self._finish(task, now)
@@ -314,9 +314,8 @@
             worker.free(task)
         task.release()
 
-    def _release(self, task, worker):
-        worker.free(task)
-        task.release()
+    def _release(self, task):
+        self._free(task)
         self.dirty.add(task.job.job_id)
         if task.job.is_live:
             self._ready[task.step] = None
@@ -327,7 +326,7 @@
         for task in list(worker.tasks.values()):
             # An unanswered order may still reach the new incarnation.
             if task.state is TaskState.RUNNING or task.token < self.token:
-                self._release(task, worker)
+                self._release(task)
             else:
                 task.state = TaskState.UNSURE
 
@@ -335,7 +334,7 @@
         """Releases all runs of a worker that has surely ended."""
         worker.is_listed = False
         for task in list(worker.tasks.values()):
-            self._release(task, worker)
+            self._release(task)
         self.workers.pop(worker.worker_id, None)
 
     def expire_leases(self, now):
@@ -354,7 +353,7 @@
                     run=task.run,
                     worker=worker.worker_id,
                 )
-                self._release(task, worker)
+                self._release(task)
             if not worker.is_listed:
                 self.workers.pop(worker.worker_id, None)
         self._release_unlisted(now)
@@ -516,6 +515,12 @@
             task.ordered_at = now
             orders.append(StartOrder(task, task.run, worker))
         job = step.job
+        self._report(
+            "step placed",
+            step=step.name,
+            runs={order.task.index: order.run for order in orders},
+            workers=sorted({order.worker.worker_id for order in orders}),
+        )
         job.has_begun = True
         if job.state is JobState.PENDING:
             job.state = JobState.RUNNING
@@ -531,7 +536,7 @@
             task.state = TaskState.RUNNING
             task.confirmed_at = now
             return
-        if outcome is StartOutcome.UNHEALTHY:
+        if outcome in (StartOutcome.UNHEALTHY, StartOutcome.UNREACHABLE):
             health.note_busy(order.worker, now)
         elif outcome is StartOutcome.NO_TICKET:
             task.step.tickets.pop(order.worker.worker_id, None)
@@ -542,13 +547,19 @@
             worker=order.worker.worker_id,
             outcome=outcome.value,
         )
-        self._release(task, order.worker)
+        self._release(task)
 
     def apply_lost_start(self, order):
         """Notes that a start order got no answer: it may be carried out late."""
         task = order.task
         if task.run == order.run and task.state is TaskState.STARTING:
             task.state = TaskState.UNSURE
+            self._report(
+                "start unanswered",
+                task=task.name,
+                run=task.run,
+                worker=order.worker.worker_id,
+            )
 
     def apply_stop_answer(self, order, now):
         """Notes that a worker took a stop: the run is ended or never starts."""
--- a/basilwind/scheduling/reports.py
+++ b/basilwind/scheduling/reports.py
@@ -16,6 +16,7 @@
     REFUSED = "refused"
     UNHEALTHY = "unhealthy"
     WRONG_INCARNATION = "incarnation"
+    UNREACHABLE = "unreachable"
     NOT_SENT = "not sent"
 
 
