Keep machines and one worker free for large lasting tasks

Cause: lasting tasks of up to 81 GB found no worker with room, because the planner counted only their processors and the worker kept free changed each round; after a graceful hand-over a successor waited 12 s for leases of an owner that had stopped.

--- a/basilwind/entry/duties.py
+++ b/basilwind/entry/duties.py
@@ -64,16 +64,16 @@
         """Returns a duty's newest ``Claim``, or None."""
         return self._book.claims.get(duty)
 
-    def is_claimed(self, duty):
-        """Tells whether a duty has a holder that counts as alive."""
-        return not self._book.is_free(duty, self._well_since, self._clock())
+    def is_handed_over(self, duty):
+        """Tells whether the former holder gave a duty back before it was claimed."""
+        return duty in self._book.handed_over
 
     def abandon(self, duty):
         """Drops a duty here after a refusal for a lower token."""
         claim = self._book.claims.get(duty)
         if claim is not None and claim.holder == self._me:
             log("duty lost", duty=duty, token=claim.token)
-            self._book.claims[duty] = Claim("", "", claim.token)
+            self._book.forget(duty)
             self._on_change()
 
     async def follow(self):
--- a/basilwind/entry/follower.py
+++ b/basilwind/entry/follower.py
@@ -6,6 +6,7 @@
 from basilwind.logs import log
 
 RETRY_S = 0.25  # a store that is away returns after seconds
+IDLE_S = 0.05  # a new owner needs the workers at once
 WAIT_S = 1.5  # a connection that went silent is noticed within this and 1.5 s
 
 
@@ -20,15 +21,26 @@
             was known.
         clock: Returns boot time.
         pause_s: Pause between reads, which bounds their rate.
+        is_wanted: Tells whether anybody needs the topic now.
     """
 
-    def __init__(self, store, topic, apply, reset, clock, pause_s=0.0):
+    def __init__(
+        self,
+        store,
+        topic,
+        apply,
+        reset,
+        clock,
+        pause_s=0.0,
+        is_wanted=lambda: True,
+    ):
         self._store = store
         self._topic = topic
         self._apply = apply
         self._reset = reset
         self._clock = clock
         self._pause_s = pause_s
+        self._is_wanted = is_wanted
         self._position = None
         self._read_at = None
         self._failed_at = None
@@ -51,6 +63,10 @@
     async def run(self):
         """Follows the topic for ever."""
         while True:
+            if not self._is_wanted():
+                self._position = None
+                await anyio.sleep(IDLE_S)
+                continue
             try:
                 await self._step()
             except RetentionGap:
--- a/basilwind/entry/host.py
+++ b/basilwind/entry/host.py
@@ -92,7 +92,9 @@
             machine_calls=MachineCalls(transport, settings.machines_address),
             advice_calls=AdviceCalls(transport, settings.advice_address),
             configuration=ConfigurationWatch(store, boot_time, self._on_configuration),
-            registry=WorkerRegistry(store, boot_time, self._on_registry),
+            registry=WorkerRegistry(
+                store, boot_time, self._on_registry, lambda: bool(self._owners)
+            ),
             duties=Duties(
                 store,
                 settings,
@@ -151,7 +153,12 @@
                 self._drop_owner(pool, owner)
         for pool, token in held.items():
             if pool not in self._owners and self.tasks is not None:
-                owner = PoolOwner(pool, token, self._shared)
+                owner = PoolOwner(
+                    pool,
+                    token,
+                    self._shared,
+                    self._shared.duties.is_handed_over(POOL_PREFIX + pool),
+                )
                 self._owners[pool] = owner
                 self.tasks.start_soon(self._run_owner, pool, owner)
 
--- a/basilwind/entry/owner.py
+++ b/basilwind/entry/owner.py
@@ -28,8 +28,9 @@
 )
 from basilwind.scheduling.reports import StartOutcome
 
-LEASE_S = 5.0  # longer than a successor needs: 2.4 s of silence and 1 s to start
-UNCONFIRMED_S = 7.0  # time without the store after which leases are not extended
+LEASE_S = 4.5  # a successor needs 1.7 s of silence and 1 s; a hold takes 1.5 s
+UNCONFIRMED_S = 3.5  # time without the store after which leases are not extended
+DRIFT_ALLOWANCE = 1.05  # workers' clocks may be 2% slow
 HOLD_WAIT_S = 1.5  # a lease survives two lost answers
 REACH_RETRY_S = 0.3  # workers restart within seconds
 GATHER_S = 0.003  # jobs and ends come in bursts
@@ -44,10 +45,13 @@
         pool: Name of the pool.
         token: Fencing token.
         services: ``Services`` that all duties of the daemon share.
+        is_handed_over: Whether the former owner gave the pool back itself, and
+            extends no leases any more.
     """
 
-    def __init__(self, pool, token, services):
+    def __init__(self, pool, token, services, is_handed_over=False):
         self._services = services
+        self._is_handed_over = is_handed_over
         self._store = services.store
         self._calls = services.worker_calls
         self._clock = services.clock
@@ -146,7 +150,10 @@
         for record in submissions:
             self._apply_cancel(record)
         now = self._clock()
-        self._state.former_leases_until = now + UNCONFIRMED_S + LEASE_S * 1.05
+        former_s = LEASE_S * DRIFT_ALLOWANCE
+        if not self._is_handed_over:
+            former_s += UNCONFIRMED_S
+        self._state.former_leases_until = now + former_s
         self._is_loaded = True
         self._report(
             "pool taken over",
--- a/basilwind/entry/planner.py
+++ b/basilwind/entry/planner.py
@@ -22,7 +22,7 @@
 
 TOPIC = "keyed.fleet"
 PRODUCER = "planner"  # fences are kept by producer name, so all planners share one
-TICK_S = 0.4  # a move takes 1.5 s; each tick costs one call and one per pool
+TICK_S = 0.2  # a move takes 1.5 s; each tick costs a call of the platform
 SETTLE_S = 3.5  # orders of two holders must lie at least 3 s apart
 
 
@@ -250,7 +250,8 @@
     async def _move_machines(self, machines, reports, spare_pool, reserved, now):
         if self._plan is None:
             cpu = max(machine.cpu for machine in machines) or 1
-            self._plan = CapacityPlan(spare_pool, cpu)
+            memory = max(machine.memory for machine in machines) or 1
+            self._plan = CapacityPlan(spare_pool, cpu, memory)
         spare = [
             machine
             for machine in machines
--- a/basilwind/entry/registry.py
+++ b/basilwind/entry/registry.py
@@ -5,7 +5,7 @@
 from basilwind.logs import log
 from basilwind.platform.documents import WORKERS_TOPIC, decode_worker
 
-PAUSE_S = 0.3  # drains have to be heeded within 2 s; heartbeats come each 1.5 s
+PAUSE_S = 0.12  # new workers of a moved machine are waited for
 RETURN_S = 2.5  # entries that lapsed in an outage are back 2 s after its end
 
 
@@ -16,15 +16,22 @@
         store: ``Store``.
         clock: Returns boot time.
         on_change: Called after each change that matters.
+        is_wanted: Tells whether this daemon owns a pool.
     """
 
-    def __init__(self, store, clock, on_change):
+    def __init__(self, store, clock, on_change, is_wanted):
         self._entries = {}
         self._missing = {}
         self._clock = clock
         self._on_change = on_change
         self._follower = KeyedFollower(
-            store, WORKERS_TOPIC, self._apply, self._reset, clock, PAUSE_S
+            store,
+            WORKERS_TOPIC,
+            self._apply,
+            self._reset,
+            clock,
+            PAUSE_S,
+            is_wanted,
         )
 
     @property
--- a/basilwind/platform/machines.py
+++ b/basilwind/platform/machines.py
@@ -42,6 +42,7 @@
         zone: Its availability zone.
         labels: Its kind and its rack.
         cpu: Thousandths of a core.
+        memory: Megabytes.
         worker_id: Its present worker; empty if there is none.
     """
 
@@ -51,11 +52,13 @@
     zone: str
     labels: frozenset[str]
     cpu: int
+    memory: int
     worker_id: str
 
 
-class _Capacity(msgspec.Struct):
+class _Capacity(msgspec.Struct, rename="camel"):
     cpu: int = 0
+    mem_mb: int = 0
 
 
 class _Machine(msgspec.Struct):
@@ -115,6 +118,7 @@
                     zone=entry.zone,
                     labels=frozenset(entry.labels),
                     cpu=entry.capacity.cpu,
+                    memory=entry.capacity.mem_mb,
                     worker_id=entry.id or "",
                 )
                 for entry in page.machines
--- a/basilwind/scheduling/capacity.py
+++ b/basilwind/scheduling/capacity.py
@@ -13,11 +13,12 @@
 import msgspec
 
 DRAIN_S = 1.1  # slack of a mean job: 0.6 s and 0.6 of its chain of 1 s
-FETCH_S = 2.2  # a move of 1.5 s, a planner's turn and the worker's first entry
+FETCH_S = 1.9  # a move of 1.5 s, a planner's turn and the worker's first entry
 SURE_FLOOR = 2  # machines left in a pool whose next turn is foretold
 UNSURE_FLOOR_SHARE = 0.5  # of an even share of all machines, before turns are known
+LASTING_FILL = 1.3  # lasting tasks are large, and leave gaps that none fits into
 IDLE_S = 0.8  # work between two steps of a job leaves machines idle for a moment
-RATE_S = 1.0  # span over which arrivals are averaged
+RATE_S = 0.5  # a turn's first half second tells it from single jobs
 TURN_SHARE = 0.35  # of the highest rate seen; turns ask 4 times the mean
 FORETELL_S = 1.5  # how long a foretold turn may be late
 
@@ -46,6 +47,8 @@
         workers: Its usable and withheld workers.
         work: Unfinished work of jobs that end, core-seconds.
         lasting_cpu: Thousandths of a core that lasting tasks need.
+        lasting_memory: Megabytes that lasting tasks need.
+        lasting_waiting: Lasting tasks that found no room.
         arrived: Work of all jobs taken in so far, core-seconds.
     """
 
@@ -53,6 +56,8 @@
     workers: list[WorkerLoad]
     work: float
     lasting_cpu: int
+    lasting_memory: int
+    lasting_waiting: int
     arrived: float
 
 
@@ -65,18 +70,25 @@
         peak: Highest rate of a turn.
         starts: When turns began; boot time.
         idle_since: Since when a worker has been empty, by id.
+        is_in_turn: Whether arrivals are near their highest.
     """
 
     rate: float = 0.0
     peak: float = 0.0
     starts: list[float] = field(default_factory=list)
     idle_since: dict[str, float] = field(default_factory=dict)
+    is_in_turn: bool = False
     _arrived: float = 0.0
     _seen_at: float = 0.0
-    _is_in_turn: bool = False
 
-    def observe(self, report, now):
-        """Learns from a report."""
+    def observe(self, report, turn_rate, now):
+        """Learns from a report.
+
+        Args:
+            report: ``PoolReport``.
+            turn_rate: Least rate of a turn, cores.
+            now: Boot time in seconds.
+        """
         if self._seen_at and report.arrived >= self._arrived:
             span = max(1e-3, now - self._seen_at)
             rate = (report.arrived - self._arrived) / span
@@ -84,10 +96,10 @@
             self.rate += weight * (rate - self.rate)
         self._arrived, self._seen_at = report.arrived, now
         self.peak = max(self.peak, self.rate)
-        is_in_turn = self.rate > TURN_SHARE * self.peak and self.peak > 0
-        if is_in_turn and not self._is_in_turn and len(report.workers) > 0:
+        is_in_turn = self.rate > turn_rate
+        if is_in_turn and not self.is_in_turn:
             self.starts.append(now)
-        self._is_in_turn = is_in_turn
+        self.is_in_turn = is_in_turn
         idle = {load.worker_id for load in report.workers if not load.tasks}
         self.idle_since = {
             worker_id: self.idle_since.get(worker_id, now) for worker_id in idle
@@ -109,28 +121,40 @@
     Args:
         spare_pool: Pool whose machines are off.
         machine_cpu: Thousandths of a core of a machine.
+        machine_memory: Megabytes of a machine.
     """
 
-    def __init__(self, spare_pool, machine_cpu):
+    def __init__(self, spare_pool, machine_cpu, machine_memory):
         self._spare_pool = spare_pool
         self._machine_cpu = machine_cpu
+        self._machine_memory = machine_memory
         self._trends = {}
         self._needs = {}
 
     def needed(self, report, now):
         """Returns how many machines a pool needs, whole or not."""
         trend = self._trends.setdefault(report.pool, PoolTrend())
-        trend.observe(report, now)
+        turn_rate = max(
+            self._machine_cpu / 1000, TURN_SHARE * self._expected_peak(trend)
+        )
+        trend.observe(report, turn_rate, now)
         cores = sum(load.cpu for load in report.workers) / 1000
         lasting = report.lasting_cpu / 1000
         growth = max(0.0, trend.rate - (cores - lasting)) * FETCH_S
         need = (report.work + growth) / DRAIN_S
-        if self._is_foretold(report.pool, now):
-            need = max(need, trend.peak)
+        if trend.is_in_turn or self._is_foretold(report.pool, now):
+            need = max(need, self._expected_peak(trend))
         machines = (need + lasting) * 1000 / self._machine_cpu
+        machines = max(machines, self._machines_to_last(report))
         self._needs[report.pool] = machines
         return machines
 
+    def _machines_to_last(self, report):
+        """Returns how many machines the lasting tasks need."""
+        if report.lasting_waiting:
+            return len(report.workers) + 1
+        return LASTING_FILL * report.lasting_memory / self._machine_memory
+
     def needs(self):
         """Returns the machines that each pool needed when last seen."""
         return {pool: round(need, 1) for pool, need in self._needs.items()}
@@ -193,6 +217,17 @@
         ]
         return moves
 
+    def _expected_peak(self, trend):
+        """Returns the rate that a turn will reach, as far as turns so far tell."""
+        if len(trend.starts) > 1:
+            return trend.peak
+        others = [
+            other.peak
+            for other in self._trends.values()
+            if other is not trend and other.starts
+        ]
+        return max(trend.peak, sum(others) / len(others) if others else 0.0)
+
     def _surplus(self, report, keep, now):
         trend = self._trends[report.pool]
         idle = sorted(
--- a/basilwind/scheduling/jobs.py
+++ b/basilwind/scheduling/jobs.py
@@ -148,7 +148,8 @@
             has no policy.
         tickets_until: End of the tickets' validity.
         rack: Rack that the step was started on, if it needs one; else empty.
-        ready_at: When its turn came, or None.
+        short_since: Since when its tasks have found no room, or None.
+        kept_worker: Worker that is kept free for it, or None.
     """
 
     __slots__ = (
@@ -162,7 +163,8 @@
         "tickets",
         "tickets_until",
         "rack",
-        "ready_at",
+        "short_since",
+        "kept_worker",
     )
 
     def __init__(self, job, occurrence, number):
@@ -176,7 +178,8 @@
         self.tickets = None
         self.tickets_until = 0.0
         self.rack = ""
-        self.ready_at = None
+        self.short_since = None
+        self.kept_worker = None
 
     @property
     def is_done(self):
--- a/basilwind/scheduling/ownership.py
+++ b/basilwind/scheduling/ownership.py
@@ -14,6 +14,7 @@
 LOAD_DELAY_S = 0.35  # for each duty held, so that idle daemons claim first
 WEAKNESS_DELAY_S = 0.5  # for each core that a machine lacks of the strongest
 STRONGEST_CORES = 2.2  # fastest machine of the deployments
+UNKNOWN_HOLDER = "?"  # a later claim exists that was not read yet
 STAGGER_S = 0.2  # spreads daemons that are equal in all else
 
 
@@ -43,12 +44,14 @@
     Attributes:
         claims: ``Claim`` by duty.
         heard_at: When a heartbeat of a holder was last read; boot time.
+        handed_over: Duties whose newest claim followed a hand-over, or is the first.
     """
 
     me: str
     host: str
     claims: dict[str, Claim] = field(default_factory=dict)
     heard_at: dict[str, float] = field(default_factory=dict)
+    handed_over: set[str] = field(default_factory=set)
     _free_since: dict[str, float] = field(default_factory=dict)
 
     def apply_claim(self, duty, claim, now):
@@ -58,12 +61,21 @@
             claim.token < known.token or (claim.token == known.token and claim.holder)
         ):
             return
+        if claim.holder and (known is None or not known.holder):
+            self.handed_over.add(duty)
+        elif claim.holder:
+            self.handed_over.discard(duty)
         self.claims[duty] = claim
         self._free_since.pop(duty, None)
         self.heard_at.setdefault(claim.holder, now)
         if claim.holder:
             self.heard_at[claim.holder] = max(self.heard_at[claim.holder], now)
 
+    def forget(self, duty):
+        """Drops this daemon's claim after a refusal for a lower token."""
+        claim = self.claims[duty]
+        self.claims[duty] = Claim(UNKNOWN_HOLDER, "", claim.token)
+
     def apply_heartbeat(self, holder, now):
         """Takes note of a holder's heartbeat."""
         self.heard_at[holder] = now
--- a/basilwind/scheduling/placement.py
+++ b/basilwind/scheduling/placement.py
@@ -158,11 +158,23 @@
         and worker.entry.cpu >= step.spec.reserved_cpu
         and _may_run(step, worker)
     ]
+    if step.kept_worker in fitting:
+        return step.kept_worker
     return max(
-        fitting, key=lambda worker: (worker.free_cpu, worker.free_memory), default=None
+        fitting,
+        key=lambda worker: (_ending_memory(worker), worker.free_cpu),
+        default=None,
     )
 
 
+def _ending_memory(worker):
+    """Returns the memory that is free once all short tasks have ended."""
+    ending = sum(
+        task.spec.memory for task in worker.tasks.values() if not task.spec.is_lasting
+    )
+    return worker.free_memory + ending
+
+
 def gang_is_whole(step):
     """Tells whether all members of a gang wait, so that it can be placed."""
     return all(task.state is TaskState.WAITING for task in step.tasks)
--- a/basilwind/scheduling/pool.py
+++ b/basilwind/scheduling/pool.py
@@ -21,6 +21,7 @@
 from basilwind.scheduling.reports import EndKind, StartOutcome
 from basilwind.scheduling.workers import WorkerView
 
+SHORT_S = 0.5  # short tasks leave room within a second
 STOP_RETRY_S = 0.7  # a stop takes up to 0.2 or 0.9 s in the site files
 WITHHOLD_S = 3.0  # the planner renews it each 0.4 s, a successor in 3 s
 UNSURE_S = 0.3  # time for a hold to show a run whose start got no answer
@@ -406,13 +407,13 @@
 
     def pool_report(self, now):
         """Returns the ``PoolReport`` for the planner."""
-        lasting_cpu = sum(
-            task.spec.reserved_cpu
+        lasting = [
+            task
             for job in self.jobs.values()
             if job.is_live
             for task in job.tasks()
             if task.spec.is_lasting
-        )
+        ]
         return PoolReport(
             pool=self.name,
             workers=[
@@ -432,7 +433,14 @@
             work=sum(
                 self._unfinished_work(job) for job in self.jobs.values() if job.is_live
             ),
-            lasting_cpu=lasting_cpu,
+            lasting_cpu=sum(task.spec.reserved_cpu for task in lasting),
+            lasting_memory=sum(task.spec.memory for task in lasting),
+            lasting_waiting=sum(
+                task.state is TaskState.WAITING
+                and now - task.step.short_since > SHORT_S
+                for task in lasting
+                if task.step.short_since is not None
+            ),
             arrived=self._arrived,
         )
 
@@ -473,9 +481,13 @@
             placed, is_short = place_step(step, workers)
             orders += self._start_orders(step, placed, now)
             if not is_short:
+                step.short_since = None
                 continue
+            if step.short_since is None:
+                step.short_since = now
             if step.spec.is_lasting:
                 kept = reserve_for_later(step, workers)
+                step.kept_worker = kept
                 workers = [worker for worker in workers if worker is not kept]
             elif not (step.spec.required_label or step.spec.most_per_worker):
                 shortages.append(Shortage(step.spec.reserved_cpu, step.spec.memory))
