Plan capacity by urgent work; clip learned run times; ask owners at once

Cause: pools full of late work kept their machines while others were in their turn; one end reported after a cut made run times, and with them needs, explode (600 machines); a cut-off owner stalled the planner for a second a tick; machines out of reach counted as on their way.

--- a/basilwind/entry/owner.py
+++ b/basilwind/entry/owner.py
@@ -373,7 +373,7 @@
         now = self._clock()
         self._state.withhold(worker_ids, now)
         self._wake.set()
-        return self._state.pool_report(now)
+        return self._state.pool_report(now, self._wall())
 
     def waiting(self, queue):
         """Returns how many accepted jobs of a queue have started nothing."""
--- a/basilwind/entry/peers.py
+++ b/basilwind/entry/peers.py
@@ -8,6 +8,7 @@
 from basilwind.scheduling.jobs import JobState
 
 CALL_TIMEOUT_S = 1.0  # a third of the callers' deadline of 3 s
+PLANNER_TIMEOUT_S = 0.3  # an answer takes 2 ms, 24 ms between regions
 NOT_OWNER = 421
 
 
@@ -128,17 +129,23 @@
         if owner is not None:
             return owner.withhold(worker_ids)
         body = await self._call(
-            pool, f"/withhold/{pool}", "POST", msgspec.json.encode(worker_ids)
+            pool,
+            f"/withhold/{pool}",
+            "POST",
+            msgspec.json.encode(worker_ids),
+            PLANNER_TIMEOUT_S,
         )
         return msgspec.json.decode(body, type=PoolReport)
 
-    async def _call(self, pool, path, method="GET", body=None):
+    async def _call(
+        self, pool, path, method="GET", body=None, timeout_s=CALL_TIMEOUT_S
+    ):
         address = self._find_address(pool)
         if not address:
             raise NotOwner(f"pool {pool!r} has no owner")
         try:
             status, answer = await self._transport.call(
-                method, f"http://{address}{path}", CALL_TIMEOUT_S, body
+                method, f"http://{address}{path}", timeout_s, body
             )
         except (CallRefused, CallUnanswered) as error:
             raise NotOwner(f"owner of pool {pool!r}: {error}") from error
--- a/basilwind/entry/planner.py
+++ b/basilwind/entry/planner.py
@@ -23,6 +23,7 @@
 TOPIC = "keyed.fleet"
 PRODUCER = "planner"  # fences are kept by producer name, so all planners share one
 TICK_S = 0.2  # a move takes 1.5 s; each tick costs a call of the platform
+ARRIVAL_S = 1.0  # from a move's end until its worker is known to the owner
 SETTLE_S = 3.5  # orders of two holders must lie at least 3 s apart
 
 
@@ -49,6 +50,7 @@
         self._completed = set()
         self._chosen = frozenset()
         self._emptying = {}
+        self._withheld = {}
         # Target pool and time of orders for machines that the list may not show.
         self._ordered = {}
 
@@ -108,28 +110,34 @@
             await self._move_machines(machines, reports, spare_pool, in_upkeep, now)
 
     async def _collect_reports(self, configuration):
+        wanted = {
+            pool.name: self._withheld.get(pool.name, set())
+            for pool in configuration.pools.values()
+            if not pool.is_spare
+        }
+        return await self._withhold_all(wanted)
+
+    async def _withhold_all(self, wanted):
+        """Asks owners to empty workers; returns the reports of those that answer."""
         reports = {}
-        for pool in configuration.pools.values():
-            if pool.is_spare:
-                continue
+
+        async def ask(pool, worker_ids):
             try:
-                reports[pool.name] = await self._peers.withhold(
-                    pool.name, sorted(self._emptying.get(pool.name, ()))
-                )
+                reports[pool] = await self._peers.withhold(pool, sorted(worker_ids))
             except NotOwner as error:
-                log("pool not reported", pool=pool.name, error=str(error))
+                log("pool not reported", pool=pool, error=str(error))
+
+        async with anyio.create_task_group() as tasks:
+            for pool, worker_ids in wanted.items():
+                tasks.start_soon(ask, pool, worker_ids)
         return reports
 
     def _forget_orders(self, machines, now):
-        """Forgets orders that the list shows, or that are long past."""
-        states = {machine.name: machine for machine in machines}
+        """Forgets orders whose machines must have arrived."""
+        names = {machine.name for machine in machines}
+        arrival_s = self._services.settings.move_s + ARRIVAL_S
         for name, (_, ordered_at) in list(self._ordered.items()):
-            machine = states.get(name)
-            if (
-                machine is None
-                or machine.state is not MachineState.UP
-                or now - ordered_at > SETTLE_S
-            ):
+            if name not in names or now - ordered_at > arrival_s:
                 del self._ordered[name]
 
     # Waves
@@ -147,7 +155,8 @@
         served = self._served.setdefault(wave.number, set())
         members = [machine for machine in machines if machine.name in wave.machines]
         down = [m for m in members if m.state is MachineState.UPKEEP]
-        served.update(machine.name for machine in down)
+        down_names = {machine.name for machine in down}
+        served.update(down_names)
         left = [machine for machine in members if machine.name not in served]
         if not left:
             await self._complete(wave, served)
@@ -158,12 +167,12 @@
             if machine.state is MachineState.UP
         ]
         ordered = sum(
-            name in wave.machines and target is None
+            name in wave.machines and target is None and name not in down_names
             for name, (target, _) in self._ordered.items()
         )
         chosen = choose_upkeep(
             candidates,
-            wave.at_once - max(len(down), ordered),
+            wave.at_once - len(down) - ordered,
             now - came_at,
             wave.deadline_s,
             self._chosen,
@@ -191,12 +200,7 @@
             if candidate.worker_id:
                 pool = self._emptying.setdefault(candidate.pool, set())
                 pool.add(candidate.worker_id)
-        reports = {}
-        for pool, worker_ids in self._emptying.items():
-            try:
-                reports[pool] = await self._peers.withhold(pool, sorted(worker_ids))
-            except NotOwner as error:
-                log("pool not reported", pool=pool, error=str(error))
+        reports = await self._withhold_all(self._emptying)
         empty = {
             load.worker_id
             for report in reports.values()
@@ -277,7 +281,10 @@
             "capacity planned",
             needs=self._plan.needs(),
             machines={name: len(row.workers) for name, row in reports.items()},
-            work={name: round(row.work) for name, row in reports.items()},
+            work={
+                name: [round(row.urgent_work), round(row.late_work)]
+                for name, row in reports.items()
+            },
             spare=len(spare),
             moves=len(moves),
         )
@@ -291,37 +298,35 @@
                     tasks.start_soon(self._move, machine, move.target)
 
     def _incoming(self, machines, reports):
-        """Counts machines of each pool that its owner can't use yet."""
+        """Counts machines on their way to each pool."""
         known = {
             load.worker_id for report in reports.values() for load in report.workers
         }
         incoming = {}
         for machine in machines:
-            target = self._ordered.get(machine.name, (machine.pool, 0))[0]
-            if machine.worker_id in known and machine.name not in self._ordered:
-                continue
-            if machine.state in (MachineState.DOWN, MachineState.UPKEEP):
+            if machine.worker_id in known:
                 continue
+            target, _ = self._ordered.get(machine.name, (None, 0))
+            if machine.state is MachineState.MOVING:
+                target = target or machine.pool
             if target:
                 incoming[target] = incoming.get(target, 0) + 1
         return incoming
 
     async def _withhold(self, moves):
         """Keeps owners from using the machines; returns the empty ones' workers."""
-        by_pool = {}
+        by_pool = {pool: set(ids) for pool, ids in self._emptying.items()}
         for move in moves:
             if move.worker_id:
                 by_pool.setdefault(move.source, set()).add(move.worker_id)
-        empty = set()
-        for pool, worker_ids in by_pool.items():
-            worker_ids |= self._emptying.get(pool, set())
-            try:
-                report = await self._peers.withhold(pool, sorted(worker_ids))
-            except NotOwner as error:
-                log("pool not reported", pool=pool, error=str(error))
-                continue
-            empty |= {load.worker_id for load in report.workers if not load.tasks}
-        return empty
+        self._withheld = by_pool
+        reports = await self._withhold_all(by_pool)
+        return {
+            load.worker_id
+            for report in reports.values()
+            for load in report.workers
+            if not load.tasks
+        }
 
     async def _move(self, machine, target):
         try:
--- a/basilwind/scheduling/capacity.py
+++ b/basilwind/scheduling/capacity.py
@@ -18,6 +18,7 @@
 UNSURE_FLOOR_SHARE = 0.5  # of an even share of all machines, before turns are known
 LASTING_FILL = 1.3  # lasting tasks are large, and leave gaps that none fits into
 IDLE_S = 0.8  # work between two steps of a job leaves machines idle for a moment
+LATE_DRAIN_S = 4.0  # late jobs are worth little, for up to 5 s more
 RATE_S = 0.5  # a turn's first half second tells it from single jobs
 TURN_SHARE = 0.35  # of the highest rate seen; turns ask 4 times the mean
 FORETELL_S = 1.5  # how long a foretold turn may be late
@@ -31,12 +32,14 @@
         cpu: Its thousandths of a core.
         tasks: Tasks that it has or may have.
         lasting: How many of these last.
+        is_withheld: Whether it gets no new tasks.
     """
 
     worker_id: str
     cpu: int
     tasks: int
     lasting: int
+    is_withheld: bool = False
 
 
 class PoolReport(msgspec.Struct):
@@ -45,7 +48,9 @@
     Attributes:
         pool: Name of the pool.
         workers: Its usable and withheld workers.
-        work: Unfinished work of jobs that end, core-seconds.
+        urgent_work: Unfinished work of jobs that can make their objective,
+            core-seconds.
+        late_work: Unfinished work of late jobs, core-seconds.
         lasting_cpu: Thousandths of a core that lasting tasks need.
         lasting_memory: Megabytes that lasting tasks need.
         lasting_waiting: Lasting tasks that found no room.
@@ -54,7 +59,8 @@
 
     pool: str
     workers: list[WorkerLoad]
-    work: float
+    urgent_work: float
+    late_work: float
     lasting_cpu: int
     lasting_memory: int
     lasting_waiting: int
@@ -115,6 +121,74 @@
     target: str
 
 
+class _Sources:
+    """Machines that can be taken from one pool for another."""
+
+    def __init__(self, spare_pool, spare):
+        self._spare_pool = spare_pool
+        self._spare = spare
+        self._idle = []
+        self._busy = []
+
+    def add(self, report, keep_urgent, keep, idle_since):
+        """Adds what a pool can give away.
+
+        Args:
+            report: ``PoolReport``.
+            keep_urgent: Machines that its urgent work needs.
+            keep: Machines that all its work needs.
+            idle_since: Since when a worker has been empty, by id.
+        """
+        count = len(report.workers)
+        idle = sorted((since, worker_id) for worker_id, since in idle_since.items())
+        idle = idle[: max(0, count - keep)]
+        self._idle += [(report.pool, worker_id, since) for since, worker_id in idle]
+        taken = {worker_id for _, worker_id in idle}
+        busy = sorted(
+            (not load.is_withheld, load.tasks, load.worker_id)
+            for load in report.workers
+            if not load.lasting and load.worker_id not in taken
+        )
+        busy = busy[: max(0, count - keep_urgent - len(idle))]
+        self._busy += [(report.pool, worker_id) for _, _, worker_id in busy]
+
+    def take(self, pool, wanted, may_interrupt):
+        """Returns up to ``wanted`` moves to a pool.
+
+        Args:
+            pool: Pool that needs machines.
+            wanted: How many it needs.
+            may_interrupt: Whether late work of other pools has to wait for it.
+        """
+        moves = []
+        while len(moves) < wanted:
+            if self._spare > 0:
+                self._spare -= 1
+                moves.append(Move("", self._spare_pool, pool))
+                continue
+            row = self._pop(self._idle, pool)
+            if row is None and may_interrupt:
+                row = self._pop(self._busy, pool)
+            if row is None:
+                break
+            moves.append(Move(row[1], row[0], pool))
+        return moves
+
+    def _pop(self, rows, pool):
+        for number, row in enumerate(rows):
+            if row[0] != pool:
+                return rows.pop(number)
+        return None
+
+    def give_back(self, now):
+        """Returns moves of machines that have been idle for some time."""
+        return [
+            Move(worker_id, pool, self._spare_pool)
+            for pool, worker_id, since in self._idle
+            if now - since >= IDLE_S
+        ]
+
+
 class CapacityPlan:
     """Decides on moves from tick to tick.
 
@@ -131,8 +205,8 @@
         self._trends = {}
         self._needs = {}
 
-    def needed(self, report, now):
-        """Returns how many machines a pool needs, whole or not."""
+    def _observe(self, report, now):
+        """Learns from a report; returns the urgent need and all need, machines."""
         trend = self._trends.setdefault(report.pool, PoolTrend())
         turn_rate = max(
             self._machine_cpu / 1000, TURN_SHARE * self._expected_peak(trend)
@@ -141,13 +215,14 @@
         cores = sum(load.cpu for load in report.workers) / 1000
         lasting = report.lasting_cpu / 1000
         growth = max(0.0, trend.rate - (cores - lasting)) * FETCH_S
-        need = (report.work + growth) / DRAIN_S
+        urgent = (report.urgent_work + growth) / DRAIN_S
         if trend.is_in_turn or self._is_foretold(report.pool, now):
-            need = max(need, self._expected_peak(trend))
-        machines = (need + lasting) * 1000 / self._machine_cpu
-        machines = max(machines, self._machines_to_last(report))
-        self._needs[report.pool] = machines
-        return machines
+            urgent = max(urgent, self._expected_peak(trend))
+        to_last = self._machines_to_last(report)
+        urgent = max((urgent + lasting) * 1000 / self._machine_cpu, to_last)
+        late = report.late_work / LATE_DRAIN_S * 1000 / self._machine_cpu
+        self._needs[report.pool] = urgent
+        return math.ceil(urgent), math.ceil(urgent + late)
 
     def _machines_to_last(self, report):
         """Returns how many machines the lasting tasks need."""
@@ -163,7 +238,7 @@
         """Tells whether a pool had fewer machines than it needed when last seen."""
         return self._needs.get(report.pool, 0.0) > len(report.workers) - 1
 
-    def floor(self, pool, machines):
+    def _floor(self, pool, machines):
         """Returns how many machines stay in a pool at least.
 
         Args:
@@ -175,7 +250,7 @@
         return max(SURE_FLOOR, round(machines / len(self._trends) * UNSURE_FLOOR_SHARE))
 
     def moves(self, reports, spare, incoming, now):
-        """Decides which machines to move.
+        """Decides which machines to move, once they are empty.
 
         Args:
             reports: ``PoolReport`` of each pool.
@@ -187,35 +262,28 @@
             List of ``Move``. Those that fetch a spare machine have an empty
             worker id.
         """
-        wanted, surplus = {}, []
-        needs = {row.pool: math.ceil(self.needed(row, now)) for row in reports}
+        needs = {report.pool: self._observe(report, now) for report in reports}
         machines = spare + sum(incoming.values())
         machines += sum(len(report.workers) for report in reports)
+        have = {
+            report.pool: len(report.workers) + incoming.get(report.pool, 0)
+            for report in reports
+        }
+        sources = _Sources(self._spare_pool, spare)
         for report in reports:
-            need = needs[report.pool]
-            have = len(report.workers) + incoming.get(report.pool, 0)
-            wanted[report.pool] = need - have
-            floor = self.floor(report.pool, machines)
-            surplus += self._surplus(report, max(need, floor), now)
+            urgent, full = needs[report.pool]
+            floor = self._floor(report.pool, machines)
+            idle = self._trends[report.pool].idle_since
+            sources.add(report, max(urgent, floor), max(full, floor), idle)
         moves = []
-        left = spare
-        for pool, count in sorted(wanted.items(), key=lambda item: -item[1]):
-            for _ in range(max(0, count)):
-                if left > 0:
-                    left -= 1
-                    moves.append(Move("", self._spare_pool, pool))
-                    continue
-                taken = next((row for row in surplus if row[0] != pool), None)
-                if taken is None:
-                    break
-                surplus.remove(taken)
-                moves.append(Move(taken[1], taken[0], pool))
-        moves += [
-            Move(worker_id, pool, self._spare_pool)
-            for pool, worker_id, idle_s in surplus
-            if idle_s >= IDLE_S
-        ]
-        return moves
+        for pool, (urgent, _) in sorted(
+            needs.items(), key=lambda item: have[item[0]] - item[1][0]
+        ):
+            moves += sources.take(pool, urgent - have[pool], may_interrupt=True)
+        for pool, (urgent, full) in needs.items():
+            wanted = full - max(have[pool], urgent)
+            moves += sources.take(pool, wanted, may_interrupt=False)
+        return moves + sources.give_back(now)
 
     def _expected_peak(self, trend):
         """Returns the rate that a turn will reach, as far as turns so far tell."""
@@ -228,16 +296,6 @@
         ]
         return max(trend.peak, sum(others) / len(others) if others else 0.0)
 
-    def _surplus(self, report, keep, now):
-        trend = self._trends[report.pool]
-        idle = sorted(
-            (since, worker_id) for worker_id, since in trend.idle_since.items()
-        )
-        count = max(0, len(report.workers) - keep)
-        return [
-            (report.pool, worker_id, now - since) for since, worker_id in idle[:count]
-        ]
-
     def _period(self, pool):
         """Returns the time between two turns of a pool, or None if unknown."""
         starts = self._trends[pool].starts
--- a/basilwind/scheduling/estimates.py
+++ b/basilwind/scheduling/estimates.py
@@ -9,6 +9,7 @@
 WEIGHT = 0.1  # of a new sample: about the last ten tasks count
 DECLARED_SHARE = 0.5  # declared times are right to within a factor of two at best
 DEFAULT_S = 1.0  # before anything is known
+MAX_RATIO = 3.0  # a task away from its data takes 3 times as long, as do outliers
 
 
 @dataclass(slots=True)
@@ -29,6 +30,7 @@
         if level is None:
             self._levels[queue] = _Level(measured_s, declared_s)
             return
+        measured_s = min(measured_s, MAX_RATIO * level.measured_s)
         level.measured_s += WEIGHT * (measured_s - level.measured_s)
         level.declared_s += WEIGHT * (declared_s - level.declared_s)
 
@@ -39,7 +41,8 @@
             return declared_s or DEFAULT_S
         if declared_s <= 0 or level.declared_s <= 0:
             return level.measured_s
-        scaled = declared_s * level.measured_s / level.declared_s
+        ratio = min(MAX_RATIO, declared_s / level.declared_s)
+        scaled = ratio * level.measured_s
         return DECLARED_SHARE * scaled + (1 - DECLARED_SHARE) * level.measured_s
 
     def chain(self, queue, steps, is_done=lambda number: False):
--- a/basilwind/scheduling/ordering.py
+++ b/basilwind/scheduling/ordering.py
@@ -48,14 +48,31 @@
     if step.spec.is_lasting:
         return Rank(False, queue.priority, False, False, step.job.accepted_at)
     job = step.job
-    begin = job.spec.due_s(step.occurrence) if job.spec.is_timed else job.accepted_at
-    steps = job.occurrences[step.occurrence]
+    slack, whole = _slack(job, step.occurrence, queue, run_times, wall)
+    is_new = not job.has_begun
+    if slack < (START_MARGIN * whole if is_new else 0.0):
+        return Rank(True, queue.priority, True, False, _begin(job, step.occurrence))
+    return Rank(True, queue.priority, False, is_new, slack)
+
+
+def is_late(job, queue, run_times, wall):
+    """Tells whether all begun occurrences of a job miss their objective."""
+    return all(
+        _slack(job, occurrence, queue, run_times, wall)[0] < 0
+        for occurrence in job.occurrences
+    )
+
+
+def _begin(job, occurrence):
+    return job.spec.due_s(occurrence) if job.spec.is_timed else job.accepted_at
+
+
+def _slack(job, occurrence, queue, run_times, wall):
+    """Returns the slack of an occurrence and its whole chain, seconds."""
+    steps = job.occurrences[occurrence]
     whole = run_times.chain(queue.name, job.spec.steps)
     rest = run_times.chain(
         queue.name, job.spec.steps, lambda number: steps[number].is_done
     )
-    slack = begin + queue.target_s + queue.stretch * whole - wall - rest
-    is_new = not job.has_begun
-    if slack < (START_MARGIN * whole if is_new else 0.0):
-        return Rank(True, queue.priority, True, False, begin)
-    return Rank(True, queue.priority, False, is_new, slack)
+    objective = queue.target_s + queue.stretch * whole
+    return _begin(job, occurrence) + objective - wall - rest, whole
--- a/basilwind/scheduling/pool.py
+++ b/basilwind/scheduling/pool.py
@@ -10,7 +10,7 @@
 from basilwind.scheduling.capacity import PoolReport, WorkerLoad
 from basilwind.scheduling.estimates import RunTimes
 from basilwind.scheduling.jobs import Job, JobState, TaskState
-from basilwind.scheduling.ordering import rank_step
+from basilwind.scheduling.ordering import is_late, rank_step
 from basilwind.scheduling.placement import (
     Shortage,
     gang_is_whole,
@@ -405,8 +405,9 @@
             for worker in self.workers.values():
                 worker.is_withheld = False
 
-    def pool_report(self, now):
+    def pool_report(self, now, wall):
         """Returns the ``PoolReport`` for the planner."""
+        urgent_work, late_work = self._backlog(wall)
         lasting = [
             task
             for job in self.jobs.values()
@@ -422,6 +423,7 @@
                     worker.entry.cpu,
                     len(worker.tasks),
                     sum(task.spec.is_lasting for task in worker.tasks.values()),
+                    worker.is_withheld,
                 )
                 for worker in self.workers.values()
                 if worker.has_clock
@@ -430,9 +432,8 @@
                 and worker.avoid_until <= now
                 and worker.silent_since is None
             ],
-            work=sum(
-                self._unfinished_work(job) for job in self.jobs.values() if job.is_live
-            ),
+            urgent_work=urgent_work,
+            late_work=late_work,
             lasting_cpu=sum(task.spec.reserved_cpu for task in lasting),
             lasting_memory=sum(task.spec.memory for task in lasting),
             lasting_waiting=sum(
@@ -444,6 +445,20 @@
             arrived=self._arrived,
         )
 
+    def _backlog(self, wall):
+        """Returns the unfinished work of urgent and of late jobs, core-seconds."""
+        urgent_work = late_work = 0.0
+        for job in self.jobs.values():
+            queue = self._find_queue(job.queue)
+            if not job.is_live or queue is None:
+                continue
+            work = self._unfinished_work(job)
+            if work and is_late(job, queue, self.run_times, wall):
+                late_work += work
+            else:
+                urgent_work += work
+        return urgent_work, late_work
+
     def _work_of(self, queue, step):
         """Returns the core-seconds of a task of a step that ends, else 0."""
         if step.is_lasting:
