Share machines in proportion when all are needed; pace waves to their time

Cause: the pool whose turn came first kept all machines while the next one's turn began, and a wave held up to seven machines down at the height of demand.

--- a/basilwind/entry/planner.py
+++ b/basilwind/entry/planner.py
@@ -18,7 +18,7 @@
 from basilwind.platform.machines import MachineState, OrderOutcome
 from basilwind.platform.store import Producer, encode_keyed
 from basilwind.scheduling.capacity import CapacityPlan
-from basilwind.scheduling.upkeep import Candidate, choose_upkeep
+from basilwind.scheduling.upkeep import Candidate, choose_upkeep, places_at_once
 
 TOPIC = "keyed.fleet"
 PRODUCER = "planner"  # fences are kept by producer name, so all planners share one
@@ -170,9 +170,17 @@
             name in wave.machines and target is None and name not in down_names
             for name, (target, _) in self._ordered.items()
         )
+        places = places_at_once(
+            wave.at_once,
+            len(left),
+            now - came_at,
+            wave.deadline_s,
+            self._services.settings.upkeep_s,
+            self._plan is not None and self._plan.is_short,
+        )
         chosen = choose_upkeep(
             candidates,
-            wave.at_once - len(down) - ordered,
+            places - len(down) - ordered,
             now - came_at,
             wave.deadline_s,
             self._chosen,
@@ -185,7 +193,7 @@
         report = reports.get(machine.pool)
         loads = {load.worker_id: load for load in report.workers} if report else {}
         load = loads.get(machine.worker_id)
-        is_short = bool(report and self._plan and self._plan.is_short(report))
+        is_short = bool(report and self._plan and self._plan.is_pool_short(report))
         return Candidate(
             machine=machine.name,
             worker_id=machine.worker_id,
--- a/basilwind/scheduling/capacity.py
+++ b/basilwind/scheduling/capacity.py
@@ -21,6 +21,8 @@
 LATE_DRAIN_S = 4.0  # late jobs are worth little, for up to 5 s more
 RATE_S = 0.5  # a turn's first half second tells it from single jobs
 TURN_SHARE = 0.35  # of the highest rate seen; turns ask 4 times the mean
+TURN_MACHINES = 3  # less than that is a single large job
+TAKE_MARGIN = 1  # machines by which shares may be off before work is interrupted
 FORETELL_S = 1.5  # how long a foretold turn may be late
 
 
@@ -121,6 +123,26 @@
     target: str
 
 
+def share_machines(needs, machines):
+    """Shares machines among pools in proportion to what they need.
+
+    Args:
+        needs: Machines that each pool needs.
+        machines: Number of machines that there are.
+
+    Returns:
+        Machines by pool; what they need if that is there.
+    """
+    total = sum(needs.values())
+    if total <= machines or not total:
+        return dict(needs)
+    shares = {pool: need * machines // total for pool, need in needs.items()}
+    left = machines - sum(shares.values())
+    for pool in sorted(needs, key=lambda pool: shares[pool] - needs[pool])[:left]:
+        shares[pool] += 1
+    return shares
+
+
 class _Sources:
     """Machines that can be taken from one pool for another."""
 
@@ -204,12 +226,14 @@
         self._machine_memory = machine_memory
         self._trends = {}
         self._needs = {}
+        self._is_short = False
 
     def _observe(self, report, now):
         """Learns from a report; returns the urgent need and all need, machines."""
         trend = self._trends.setdefault(report.pool, PoolTrend())
         turn_rate = max(
-            self._machine_cpu / 1000, TURN_SHARE * self._expected_peak(trend)
+            TURN_MACHINES * self._machine_cpu / 1000,
+            TURN_SHARE * self._expected_peak(trend),
         )
         trend.observe(report, turn_rate, now)
         cores = sum(load.cpu for load in report.workers) / 1000
@@ -234,7 +258,12 @@
         """Returns the machines that each pool needed when last seen."""
         return {pool: round(need, 1) for pool, need in self._needs.items()}
 
-    def is_short(self, report):
+    @property
+    def is_short(self):
+        """Whether all pools together needed more machines than there are."""
+        return self._is_short
+
+    def is_pool_short(self, report):
         """Tells whether a pool had fewer machines than it needed when last seen."""
         return self._needs.get(report.pool, 0.0) > len(report.workers) - 1
 
@@ -269,17 +298,20 @@
             report.pool: len(report.workers) + incoming.get(report.pool, 0)
             for report in reports
         }
+        shares = share_machines({pool: row[0] for pool, row in needs.items()}, machines)
+        self._is_short = sum(row[0] for row in needs.values()) > machines
         sources = _Sources(self._spare_pool, spare)
         for report in reports:
             urgent, full = needs[report.pool]
             floor = self._floor(report.pool, machines)
             idle = self._trends[report.pool].idle_since
-            sources.add(report, max(urgent, floor), max(full, floor), idle)
+            keep = shares[report.pool] + (TAKE_MARGIN if self._is_short else 0)
+            sources.add(report, max(keep, floor), max(full, floor), idle)
         moves = []
-        for pool, (urgent, _) in sorted(
-            needs.items(), key=lambda item: have[item[0]] - item[1][0]
+        for pool, share in sorted(
+            shares.items(), key=lambda item: have[item[0]] - item[1]
         ):
-            moves += sources.take(pool, urgent - have[pool], may_interrupt=True)
+            moves += sources.take(pool, share - have[pool], may_interrupt=True)
         for pool, (urgent, full) in needs.items():
             wanted = full - max(have[pool], urgent)
             moves += sources.take(pool, wanted, may_interrupt=False)
--- a/basilwind/scheduling/upkeep.py
+++ b/basilwind/scheduling/upkeep.py
@@ -6,9 +6,11 @@
 waiting work wait as long as the time that is left allows.
 """
 
+import math
 from dataclasses import dataclass
 
 MARGIN = 0.75  # share of the time given after which demand no longer matters
+CYCLE_S = 2.0  # time to empty a machine and to notice that it is back
 
 
 @dataclass(frozen=True, slots=True)
@@ -32,6 +34,26 @@
     is_pool_short: bool
 
 
+def places_at_once(at_once, left, elapsed_s, deadline_s, upkeep_s, is_fleet_short):
+    """Returns how many machines of a wave may be down now.
+
+    Args:
+        at_once: Most machines that the operator allows.
+        left: Machines that are still to go down.
+        elapsed_s: Time since the wave was announced.
+        deadline_s: Time given for it.
+        upkeep_s: Duration of one upkeep.
+        is_fleet_short: Whether demand needs every machine; the wave then takes
+            only the pace that it needs to be in time.
+    """
+    if not is_fleet_short:
+        return at_once
+    time_left_s = MARGIN * deadline_s - elapsed_s
+    if time_left_s <= 0:
+        return at_once
+    return min(at_once, max(1, math.ceil(left * (upkeep_s + CYCLE_S) / time_left_s)))
+
+
 def choose_upkeep(candidates, free_places, elapsed_s, deadline_s, chosen):
     """Returns the machines to empty and take down now.
 
