Open few connections to each worker; let a successor plan sooner

Cause: a worker takes 64 connections from all daemons, and those of a machine that lost power stay open there for seconds; the successor on the same host had opened up to 64 before, so its holds got none for 5 s. A planner waited 3.5 s more than the pause between two holders asks for.

--- a/basilwind/entry/host.py
+++ b/basilwind/entry/host.py
@@ -21,7 +21,7 @@
 from basilwind.platform.advice import AdviceCalls
 from basilwind.platform.machines import MachineCalls
 from basilwind.platform.store import Store
-from basilwind.platform.transport import Transport
+from basilwind.platform.transport import MAX_WORKER_CONNECTIONS, Transport
 from basilwind.platform.workers import WorkerCalls
 
 READY_CHECK_S = 1.0  # the balancer takes a daemon out after two failed checks
@@ -61,6 +61,7 @@
             ),
         ]
         self.on_start(self._shared.transport.start)
+        self.on_start(self._worker_transport.start)
         for server in self._servers:
             self.add_service(server.serve_until_stopped)
         for service in (
@@ -78,17 +79,19 @@
         """Runs until stopped, then closes all connections."""
         await super().run(handle_signals)
         await self._shared.transport.stop()
+        await self._worker_transport.stop()
 
     def _make_services(self, settings):
         incarnation = f"{settings.name}#{uuid.uuid4().hex[:8]}"
         transport = Transport()
+        self._worker_transport = Transport(MAX_WORKER_CONNECTIONS)
         store = Store(transport, settings.store_address, self._note_store_call)
         return Services(
             settings=settings,
             incarnation=incarnation,
             transport=transport,
             store=store,
-            worker_calls=WorkerCalls(transport),
+            worker_calls=WorkerCalls(self._worker_transport),
             machine_calls=MachineCalls(transport, settings.machines_address),
             advice_calls=AdviceCalls(transport, settings.advice_address),
             configuration=ConfigurationWatch(store, boot_time, self._on_configuration),
@@ -175,7 +178,12 @@
         if token is not None and self._planner is None and self.tasks is not None:
             if not self._settings.machines_address:
                 return
-            self._planner = Planner(token, self._shared, self._peers)
+            self._planner = Planner(
+                token,
+                self._shared,
+                self._peers,
+                self._shared.duties.is_handed_over(FLEET_DUTY),
+            )
             self.tasks.start_soon(self._run_planner, self._planner)
 
     async def _run_planner(self, planner):
--- a/basilwind/entry/planner.py
+++ b/basilwind/entry/planner.py
@@ -24,7 +24,7 @@
 PRODUCER = "planner"  # fences are kept by producer name, so all planners share one
 TICK_S = 0.2  # a move takes 1.5 s; each tick costs a call of the platform
 ARRIVAL_S = 1.0  # from a move's end until its worker is known to the owner
-SETTLE_S = 3.5  # orders of two holders must lie at least 3 s apart
+SETTLE_S = 1.5  # with the 1.7 s of the former holder's silence, over 3 s
 
 
 class Planner:
@@ -34,12 +34,14 @@
         token: Fencing token.
         services: ``Services``.
         peers: ``PeerCalls``.
+        is_handed_over: Whether the former holder gave the duty back itself.
     """
 
-    def __init__(self, token, services, peers):
+    def __init__(self, token, services, peers, is_handed_over=False):
         self._token = token
         self._services = services
         self._peers = peers
+        self._is_handed_over = is_handed_over
         self._machines = services.machine_calls
         self._store = services.store
         self._clock = services.clock
@@ -67,7 +69,8 @@
         """
         await self._append([])
         await self._load()
-        await anyio.sleep(SETTLE_S)
+        if not self._is_handed_over:
+            await anyio.sleep(SETTLE_S)
         while True:
             try:
                 await self._tick(self._clock())
--- a/basilwind/platform/transport.py
+++ b/basilwind/platform/transport.py
@@ -5,7 +5,8 @@
 
 from basilwind.errors import CallRefused, CallUnanswered
 
-MAX_CONNECTIONS_PER_PEER = 64  # a worker's connection limit in the deployments
+MAX_CONNECTIONS = 64  # long polls of all topics, with appends and calls of peers
+MAX_WORKER_CONNECTIONS = 10  # of the 64 that a worker takes from all daemons
 KEEPALIVE_S = 12.0  # below the 15 s after which idle connections are closed
 
 
@@ -14,16 +15,20 @@
 
     A connection is closed when an answer on it is late, since a connection that
     lost one answer returns nothing further.
+
+    Args:
+        connections: Most connections to one address.
     """
 
-    def __init__(self):
+    def __init__(self, connections=MAX_CONNECTIONS):
+        self._connections = connections
         self._session = None
 
     async def start(self):
         """Opens the client; must run inside the event loop."""
         connector = aiohttp.TCPConnector(
             limit=0,
-            limit_per_host=MAX_CONNECTIONS_PER_PEER,
+            limit_per_host=self._connections,
             keepalive_timeout=KEEPALIVE_S,
             use_dns_cache=False,
         )
--- a/basilwind/scheduling/ownership.py
+++ b/basilwind/scheduling/ownership.py
@@ -12,7 +12,7 @@
 HEARTBEAT_S = 0.5  # two may be missed before a holder counts as gone
 HOLDER_SILENCE_S = 1.7  # a successor is at work before 5 s leases run out
 LOAD_DELAY_S = 0.35  # for each duty held, so that idle daemons claim first
-WEAKNESS_DELAY_S = 0.5  # for each core that a machine lacks of the strongest
+WEAKNESS_DELAY_S = 0.2  # for each core that a machine lacks of the strongest
 STRONGEST_CORES = 2.2  # fastest machine of the deployments
 UNKNOWN_HOLDER = "?"  # a later claim exists that was not read yet
 STAGGER_S = 0.2  # spreads daemons that are equal in all else
