Pace fillers, ask the placement policy, serve metrics, bound the logs

Cause: contracts in force without code (sharing, advice); logs could block on a full pipe and were not bounded.

--- a/basilwind/cli/commands/entry.py
+++ b/basilwind/cli/commands/entry.py
@@ -7,7 +7,7 @@
 
 from basilwind.entry.host import EntryHost
 from basilwind.errors import SettingsError
-from basilwind.logs import log, log_to
+from basilwind.logs import log, log_to_descriptor
 from basilwind.platform.host_settings import decode_host_settings
 
 
@@ -20,11 +20,11 @@
             f"{error.strerror}; check the path", "", settings_file
         ) from error
     settings = decode_host_settings(data, settings_file)
-    log_to(context.stdout)
+    writer = log_to_descriptor(context.stdout.fileno())
     log("started", host=settings.name, zone=settings.zone)
     gc.freeze()
-    anyio.run(_serve, settings, backend_options={"use_uvloop": True})
+    anyio.run(_serve, settings, writer, backend_options={"use_uvloop": True})
 
 
-async def _serve(settings):
-    await EntryHost(settings).run()
+async def _serve(settings, writer):
+    await EntryHost(settings, lambda: writer.dropped_total).run()
--- a/basilwind/entry/front.py
+++ b/basilwind/entry/front.py
@@ -37,13 +37,15 @@
         peers: ``PeerCalls``.
         intake_of: Returns the ``Intake`` of a pool.
         is_stopping: Returns whether connections are to be closed.
+        count_answer: Counts an answer by queue, method, status and seconds.
     """
 
-    def __init__(self, services, peers, intake_of, is_stopping):
+    def __init__(self, services, peers, intake_of, is_stopping, count_answer):
         self._services = services
         self._peers = peers
         self._intake_of = intake_of
         self._is_stopping = is_stopping
+        self._count_answer = count_answer
         self._counts = {}
 
     async def __call__(self, scope, receive, send):
@@ -70,6 +72,12 @@
         queue = configuration.find_queue(request.headers.get("host", ""), request.path)
         if queue is None:
             return _error(404, "no queue has this host and path")
+        response = await self._answer_for(queue, request, started_at)
+        seconds = self._services.clock() - started_at
+        self._count_answer(queue.name, request.method, response.status, seconds)
+        return response
+
+    async def _answer_for(self, queue, request, started_at):
         deadline = started_at + _patience_s(request, queue) - ANSWER_MARGIN_S
         name = request.path[len(queue.path_prefix) :]
         if not name:
--- a/basilwind/entry/host.py
+++ b/basilwind/entry/host.py
@@ -11,6 +11,7 @@
 from basilwind.entry.duties import FLEET_DUTY, POOL_PREFIX, Duties
 from basilwind.entry.front import Front
 from basilwind.entry.intake import Intake
+from basilwind.entry.metrics import EntryMetrics
 from basilwind.entry.owner import PoolOwner
 from basilwind.entry.peers import PeerApp, PeerCalls
 from basilwind.entry.planner import Planner
@@ -34,9 +35,10 @@
 
     Args:
         settings: ``HostSettings``.
+        dropped_lines: Returns how many log lines were left out.
     """
 
-    def __init__(self, settings):
+    def __init__(self, settings, dropped_lines=lambda: 0):
         super().__init__()
         self._settings = settings
         self._is_stopping = False
@@ -44,13 +46,18 @@
         self._scopes = {}
         self._intakes = {}
         self._store_answered_at = boot_time()
+        self._metrics = EntryMetrics(lambda: self._owners.values(), dropped_lines)
         self._shared = self._make_services(settings)
         self._planner = None
         self._peers = PeerCalls(
             self._shared.transport, self._loaded_owner, self._owner_address
         )
         front = Front(
-            self._shared, self._peers, self._intake_of, lambda: self._is_stopping
+            self._shared,
+            self._peers,
+            self._intake_of,
+            lambda: self._is_stopping,
+            self._metrics.count_answer,
         )
         self._front_server = HttpServer(front, settings.front_address)
         self._servers = [
@@ -59,6 +66,7 @@
             HttpServer(
                 PeerApp(self._loaded_owner), f"{settings.ip}:{settings.peer_port}"
             ),
+            HttpServer(self._metrics, f"{settings.ip}:{settings.last_port}"),
         ]
         self.on_start(self._shared.transport.start)
         self.on_start(self._worker_transport.start)
@@ -114,9 +122,11 @@
         )
 
     def _report(self, event, **fields):
+        self._metrics.count_event(event)
         log(event, **fields)
 
     def _note_store_call(self, name, is_answered):
+        self._metrics.count_store_call(name, is_answered)
         if is_answered:
             self._store_answered_at = boot_time()
 
--- /dev/null
+++ b/basilwind/entry/metrics.py
@@ -0,0 +1,78 @@
+"""Counters and histograms of an entry host's daemon, served as text."""
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+from prometheus_client.exposition import CONTENT_TYPE_LATEST, generate_latest
+
+from basilwind.api.asgi import HttpResponse, read_request, send_response
+
+LATENCY_BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5)
+
+
+class EntryMetrics:
+    """What a daemon counts.
+
+    Args:
+        owners: Returns the ``PoolOwner`` objects of this daemon.
+        dropped_lines: Returns how many log lines were left out.
+    """
+
+    def __init__(self, owners, dropped_lines=lambda: 0):
+        self._owners = owners
+        self._registry = CollectorRegistry()
+        self._events = Counter(
+            "basilwind_events", "Logged events.", ["event"], registry=self._registry
+        )
+        self._answers = Counter(
+            "basilwind_answers",
+            "Answers to callers.",
+            ["queue", "method", "status"],
+            registry=self._registry,
+        )
+        self._latency = Histogram(
+            "basilwind_answer_seconds",
+            "Time until a caller was answered.",
+            ["method"],
+            buckets=LATENCY_BUCKETS_S,
+            registry=self._registry,
+        )
+        self._store = Counter(
+            "basilwind_store_calls",
+            "Calls to the platform's store.",
+            ["call", "outcome"],
+            registry=self._registry,
+        )
+        self._pools = Gauge(
+            "basilwind_pool",
+            "Live jobs, active tasks and workers of pools owned here.",
+            ["pool", "kind"],
+            registry=self._registry,
+        )
+        lines = Gauge(
+            "basilwind_log_lines_left_out", "Log lines.", registry=self._registry
+        )
+        lines.set_function(dropped_lines)
+
+    def count_event(self, event):
+        """Counts a logged event."""
+        self._events.labels(event).inc()
+
+    def count_answer(self, queue, method, status, seconds):
+        """Counts an answer to a caller."""
+        self._answers.labels(queue, method, status).inc()
+        self._latency.labels(method).observe(seconds)
+
+    def count_store_call(self, call, is_answered):
+        """Counts a call to the platform's store."""
+        self._store.labels(call, "answered" if is_answered else "failed").inc()
+
+    async def __call__(self, scope, receive, send):
+        """Serves the metrics as text."""
+        await read_request(scope, receive)
+        self._pools.clear()
+        for owner in self._owners():
+            live, active, workers = owner.summary()
+            self._pools.labels(owner.pool, "jobs").set(live)
+            self._pools.labels(owner.pool, "tasks").set(active)
+            self._pools.labels(owner.pool, "workers").set(workers)
+        body = generate_latest(self._registry)
+        await send_response(send, HttpResponse(200, body, CONTENT_TYPE_LATEST))
--- a/basilwind/entry/owner.py
+++ b/basilwind/entry/owner.py
@@ -32,6 +32,8 @@
 UNCONFIRMED_S = 3.5  # time without the store after which leases are not extended
 DRIFT_ALLOWANCE = 1.05  # workers' clocks may be 2% slow
 HOLD_WAIT_S = 1.5  # a lease survives two lost answers
+PACED_HOLD_WAIT_S = 0.5  # the span of the tail that serving tasks report
+POLICY_CHECK_S = 0.02  # steps become ready within milliseconds
 REACH_RETRY_S = 0.3  # workers restart within seconds
 GATHER_S = 0.003  # jobs and ends come in bursts
 TICK_S = 0.25  # the shortest bound that ticks serve is 0.25 s for due times
@@ -103,6 +105,7 @@
             tasks.start_soon(self._follow_intake)
             tasks.start_soon(self._schedule)
             tasks.start_soon(self._tick)
+            tasks.start_soon(self._ask_policy)
             self.refresh_workers()
 
     async def hand_over(self):
@@ -258,7 +261,7 @@
         if task.is_stopping or not task.job.is_live or not worker.has_clock:
             self._state.apply_start(order, StartOutcome.NOT_SENT, self._clock())
             return
-        tickets = task.step.tickets or {}
+        ticket = (task.step.tickets or {}).get(worker.worker_id)
         try:
             outcome, clock_s = await self._calls.start(
                 worker.entry.address,
@@ -269,7 +272,7 @@
                 worker.lease_end(LEASE_S, self._clock()),
                 self.token,
                 task.checkpoint,
-                tickets.get(worker.worker_id, ""),
+                ticket.text if ticket else "",
             )
         except CallUnanswered:
             self._state.apply_lost_start(order)
@@ -282,6 +285,43 @@
         if outcome is not StartOutcome.STARTED:
             self._wake.set()
 
+    async def _ask_policy(self):
+        """Asks about one step at a time, as the service takes them."""
+        while True:
+            question = self._state.policy_question(self._clock(), self._wall())
+            if question is None:
+                await anyio.sleep(POLICY_CHECK_S)
+                continue
+            step, worker_ids = question
+            asked_at = self._clock()
+            try:
+                advice = await self._services.advice_calls.ask(step.name, worker_ids)
+            except PlatformError as error:
+                self._report("policy unavailable", step=step.name, error=str(error))
+                await anyio.sleep(RETRY_S)
+                continue
+            until = asked_at + advice.validity_s
+            self._state.apply_policy(step, worker_ids, advice.tickets, until)
+            self._wake.set()
+
+    async def _send_pace(self, order):
+        worker = order.worker
+        try:
+            is_taken = await self._calls.pace(
+                worker.entry.address,
+                worker.worker_id,
+                order.task.name,
+                order.run,
+                order.percent,
+                self.token,
+            )
+        except (CallRefused, CallUnanswered):
+            # The next tick decides again.
+            return
+        if is_taken:
+            self._state.apply_pace(order, self._clock())
+            self._report("task paced", task=order.task.name, percent=order.percent)
+
     async def _send_stop(self, order):
         worker = order.worker
         try:
@@ -340,7 +380,7 @@
             self.token,
             worker.noted,
             expires_s,
-            HOLD_WAIT_S if expires_s is not None else 0.0,
+            self._hold_wait_s(worker) if expires_s is not None else 0.0,
         )
         if self._state.workers.get(worker.worker_id) is not worker:
             # The worker left and was listed anew meanwhile, with another view.
@@ -354,6 +394,11 @@
             await self._journal.durable()
             worker.noted = last
 
+    def _hold_wait_s(self, worker):
+        """Returns how long a hold may wait: briefly where fillers are paced."""
+        has_fillers = any(task.spec.is_filler for task in worker.tasks.values())
+        return PACED_HOLD_WAIT_S if has_fillers else HOLD_WAIT_S
+
     def _may_extend(self, now):
         """Tells whether no successor can count on this owner's leases' end."""
         return now - self._services.store_answered_at() < UNCONFIRMED_S
@@ -367,6 +412,8 @@
             self._services.registry.drop_missing(now)
             self._state.expire_leases(now)
             self._state.forget_ended(now)
+            for order in self._state.pace_orders(now):
+                self._tasks.start_soon(self._send_pace, order)
             if self._state.dirty or self._state.dropped:
                 self._journal.wake()
 
--- a/basilwind/scheduling/jobs.py
+++ b/basilwind/scheduling/jobs.py
@@ -144,9 +144,9 @@
         name: Name on the wire.
         tasks: Its tasks.
         left: Tasks that are not done.
-        tickets: Tickets of the placement policy by worker id; None if the queue
+        tickets: ``Ticket`` of the placement policy by worker id; None if the queue
             has no policy.
-        tickets_until: End of the tickets' validity.
+        denied: Workers that the policy does not allow.
         rack: Rack that the step was started on, if it needs one; else empty.
         short_since: Since when its tasks have found no room, or None.
         kept_worker: Worker that is kept free for it, or None.
@@ -161,7 +161,7 @@
         "tasks",
         "left",
         "tickets",
-        "tickets_until",
+        "denied",
         "rack",
         "short_since",
         "kept_worker",
@@ -176,7 +176,7 @@
         self.tasks = [Task(self, index) for index in range(self.spec.count)]
         self.left = self.spec.count
         self.tickets = None
-        self.tickets_until = 0.0
+        self.denied = set()
         self.rack = ""
         self.short_since = None
         self.kept_worker = None
--- a/basilwind/scheduling/placement.py
+++ b/basilwind/scheduling/placement.py
@@ -10,6 +10,7 @@
 
 from basilwind.scheduling.health import is_on_trial
 from basilwind.scheduling.jobs import TaskState
+from basilwind.scheduling.policy import valid_ticket
 
 SILENCE_S = 1.2  # a hold is answered within 1 s and its margin of 0.7 s
 TRIAL_TASKS = 1  # tasks on a worker that spoiled the last ones
@@ -109,32 +110,37 @@
     return min(fitting, key=lambda rack: (room[rack], rack), default=None)
 
 
-def place_step(step, workers):
+def place_step(step, workers, now):
     """Reserves workers for a step's waiting tasks.
 
     Args:
         step: ``StepRun``.
         workers: Usable ``WorkerView`` objects.
+        now: Boot time in seconds.
 
     Returns:
         Pairs of task and worker, and whether room was missing.
     """
     spec = step.spec
     candidates = workers
+    if step.tickets is not None:
+        candidates = [
+            worker
+            for worker in workers
+            if valid_ticket(step, worker.worker_id, now) is not None
+        ]
     if spec.needs_one_rack:
-        rack = _rack_for(step, workers)
+        rack = _rack_for(step, candidates)
         if rack is None:
             return [], True
-        candidates = [worker for worker in workers if worker.entry.rack == rack]
+        candidates = [worker for worker in candidates if worker.entry.rack == rack]
     placed = []
     is_short = False
     for task in step.waiting():
         fitting = [
             worker
             for worker in candidates
-            if worker.has_room(spec)
-            and (step.tickets is None or worker.worker_id in step.tickets)
-            and _may_run(step, worker)
+            if worker.has_room(spec) and _may_run(step, worker)
         ]
         if not fitting:
             is_short = True
--- a/basilwind/scheduling/pool.py
+++ b/basilwind/scheduling/pool.py
@@ -11,6 +11,7 @@
 from basilwind.scheduling.estimates import RunTimes
 from basilwind.scheduling.jobs import Job, JobState, TaskState
 from basilwind.scheduling.ordering import is_late, rank_step
+from basilwind.scheduling.pacing import pace_worker
 from basilwind.scheduling.placement import (
     Shortage,
     gang_is_whole,
@@ -18,6 +19,7 @@
     place_step,
     reserve_for_later,
 )
+from basilwind.scheduling.policy import Ticket, workers_to_ask
 from basilwind.scheduling.reports import EndKind, StartOutcome
 from basilwind.scheduling.workers import WorkerView
 
@@ -511,9 +513,9 @@
                 continue
             if step.spec.is_gang and not gang_is_whole(step):
                 continue
-            placed, is_short = place_step(step, workers)
+            placed, is_short = place_step(step, workers, now)
             orders += self._start_orders(step, placed, now)
-            if not is_short:
+            if not is_short or step.tickets is not None:
                 step.short_since = None
                 continue
             if step.short_since is None:
@@ -540,6 +542,8 @@
             queue = self._find_queue(step.job.queue)
             if queue is None:
                 continue
+            if queue.has_advice and step.tickets is None:
+                step.tickets = {}
             ranked.append((rank_step(step, queue, self.run_times, wall), step))
         ranked.sort(key=lambda row: row[0])
         return [step for _, step in ranked]
@@ -572,6 +576,51 @@
         self.dirty.add(job.job_id)
         return orders
 
+    def policy_question(self, now, wall):
+        """Returns the most urgent step to ask the policy about, and the workers.
+
+        Returns:
+            ``StepRun`` and worker ids, or None.
+        """
+        if not any(step.tickets is not None for step in self._ready):
+            return None
+        workers = [worker for worker in self.workers.values() if is_usable(worker, now)]
+        for step in self._ranked(wall):
+            if step.tickets is None:
+                continue
+            worker_ids = workers_to_ask(step, workers, now)
+            if worker_ids:
+                return step, worker_ids
+        return None
+
+    def apply_policy(self, step, asked, tickets, until):
+        """Applies the policy's answer.
+
+        Args:
+            step: ``StepRun``.
+            asked: Worker ids that were asked about.
+            tickets: Texts of tickets by worker id.
+            until: End of their validity; boot time.
+        """
+        step.denied.update(set(asked) - set(tickets))
+        for worker_id, text in tickets.items():
+            step.tickets[worker_id] = Ticket(text, until)
+
+    def pace_orders(self, now):
+        """Returns the pace orders that are due, a list of ``PaceOrder``."""
+        return [
+            order
+            for worker in self.workers.values()
+            if worker.has_clock and worker.silent_since is None
+            for order in pace_worker(worker, now)
+        ]
+
+    def apply_pace(self, order, now):
+        """Notes that a worker took a pace order."""
+        order.worker.paced_at = now
+        if order.task.run == order.run:
+            order.task.pace = order.percent
+
     def apply_start(self, order, outcome, now):
         """Applies a worker's answer to a start order."""
         task = order.task
@@ -585,7 +634,7 @@
         if outcome in (StartOutcome.UNHEALTHY, StartOutcome.UNREACHABLE):
             health.note_busy(order.worker, now)
         elif outcome is StartOutcome.NO_TICKET:
-            task.step.tickets.pop(order.worker.worker_id, None)
+            (task.step.tickets or {}).pop(order.worker.worker_id, None)
         self._report(
             "start rejected",
             task=task.name,
--- a/basilwind/scheduling/workers.py
+++ b/basilwind/scheduling/workers.py
@@ -21,6 +21,7 @@
         avoid_until: Until when it gets no work because of failures.
         penalty_s: Length of the next avoidance.
         recent_failures: Failed runs since the last that was done.
+        paced_at: When the pace of a task was last changed; boot time.
         slowness: Recent run times by expected ones.
     """
 
@@ -39,6 +40,7 @@
         "avoid_until",
         "penalty_s",
         "recent_failures",
+        "paced_at",
         "slowness",
         "_clock_s",
         "_clock_at",
@@ -60,6 +62,7 @@
         self.avoid_until = 0.0
         self.penalty_s = 0.0
         self.recent_failures = 0
+        self.paced_at = 0.0
         self.slowness = 1.0
         self._clock_s = None
         self._clock_at = None
