--- a/basilwind/entry/duties.py
+++ b/basilwind/entry/duties.py
@@ -10,13 +10,16 @@
 from basilwind.scheduling.ownership import HEARTBEAT_S, Claim, DutyBook
 
 TOPIC = "keyed.duties"
+# Heartbeats have a topic of their own, so that conditional claims don't collide
+# with them.
+HEARTBEATS_TOPIC = "keyed.heartbeats"
 FLEET_DUTY = "fleet"
 POOL_PREFIX = "pool/"
 _CLAIM_PREFIX = "claim/"
-_HEARTBEAT_PREFIX = "heartbeat/"
+_RELEASE_PREFIX = "release/"
 CHECK_S = 0.1  # a tenth of the time in which a duty changes hands
 PAUSE_S = 0.25  # bounds the reads that heartbeats of all holders cause
-RELEASE_TRIES = 10  # conflicts with heartbeats of others
+RELEASE_RETRY_S = 0.1  # a stopping daemon has seconds, and others wait for it
 
 
 class _ClaimRecord(msgspec.Struct, array_like=True):
@@ -48,8 +51,14 @@
         self._wanted = []
         self._well_since = clock()
         self._is_stopping = False
-        self._follower = KeyedFollower(
-            store, TOPIC, self._apply, self._apply, clock, PAUSE_S
+        self._follower = KeyedFollower(store, TOPIC, self._apply, self._apply, clock)
+        self._heartbeats = KeyedFollower(
+            store,
+            HEARTBEATS_TOPIC,
+            self._apply_heartbeats,
+            self._apply_heartbeats,
+            clock,
+            PAUSE_S,
         )
 
     def want(self, duties):
@@ -77,9 +86,13 @@
             self._on_change()
 
     async def follow(self):
-        """Follows claims and heartbeats of all daemons."""
+        """Follows the claims of all daemons."""
         await self._follower.run()
 
+    async def follow_heartbeats(self):
+        """Follows the heartbeats of all daemons."""
+        await self._heartbeats.run()
+
     async def claim_free(self):
         """Claims duties that nobody holds."""
         while True:
@@ -97,45 +110,43 @@
         """Appends heartbeats while this daemon holds a duty."""
         while True:
             if self.mine():
-                record = encode_keyed(_HEARTBEAT_PREFIX + self._me, b"1")
+                record = encode_keyed(self._me, b"1")
                 try:
-                    await self._store.append(TOPIC, [record])
+                    await self._store.append(HEARTBEATS_TOPIC, [record])
                 except PlatformError as error:
                     log("heartbeat failed", error=str(error))
             await anyio.sleep(HEARTBEAT_S)
 
-    async def release(self, duties=None):
-        """Hands duties back, so that others claim them at once.
+    async def release(self):
+        """Hands all duties back, so that others claim them at once.
 
-        Args:
-            duties: Names; all that are held if None.
+        The duties are held on until the store has the release.
         """
-        self._is_stopping = self._is_stopping or duties is None
-        for duty, token in self.mine().items():
-            if duties is None or duty in duties:
-                await self._release(duty, token)
-
-    async def _release(self, duty, token):
-        for _ in range(RELEASE_TRIES):
-            if self.mine().get(duty) != token:
-                return
-            record = _encode_claim(duty, _ClaimRecord("", "", token))
-            position = self._follower.position
+        self._is_stopping = True
+        while held := self.mine():
+            records = [
+                encode_keyed(_RELEASE_PREFIX + duty, str(token).encode())
+                for duty, token in held.items()
+            ]
             try:
-                await self._store.append(TOPIC, [record], at=position)
-            except StoreConflict:
-                await anyio.sleep(PAUSE_S / 5)
-                continue
+                await self._store.append(TOPIC, records)
             except PlatformError as error:
-                log("duty not handed back", duty=duty, error=str(error))
-                return
-            log("duty handed back", duty=duty, token=token)
-            self._book.apply_claim(duty, Claim("", "", token), self._clock())
-            self._on_change()
+                log("duties not handed back", error=str(error))
+                await anyio.sleep(RELEASE_RETRY_S)
+                continue
+            for duty, token in held.items():
+                self._set_released(duty, token)
+
+    def _set_released(self, duty, token):
+        claim = self._book.claims.get(duty)
+        if claim is None or claim.token != token or not claim.holder:
             return
+        log("duty handed back", duty=duty, token=token, holder=claim.holder)
+        self._book.apply_claim(duty, Claim("", "", token), self._clock())
+        self._on_change()
 
     def _note_trouble(self):
-        follower, now = self._follower, self._clock()
+        follower, now = self._heartbeats, self._clock()
         if follower.failed_at is not None:
             self._well_since = max(self._well_since, follower.failed_at)
         # A pause of this process looks like silence of all others.
@@ -164,18 +175,27 @@
             self._on_change()
 
     def _apply(self, records):
+        # Claims first: a complete reading is ordered by key, not by time.
+        for record in records:
+            if record.key.startswith(_CLAIM_PREFIX) and record.value:
+                self._apply_claim(record)
+        for record in records:
+            if record.key.startswith(_RELEASE_PREFIX) and record.value.isdigit():
+                duty = record.key[len(_RELEASE_PREFIX) :]
+                self._set_released(duty, int(record.value))
+
+    def _apply_claim(self, record):
+        try:
+            claim = msgspec.json.decode(record.value, type=_ClaimRecord)
+        except msgspec.DecodeError as error:
+            log("record ignored", topic=TOPIC, error=str(error))
+            return
+        self._set_claim(record.key[len(_CLAIM_PREFIX) :], claim)
+
+    def _apply_heartbeats(self, records):
         now = self._clock()
         for record in records:
-            kind, _, name = record.key.partition("/")
-            if kind + "/" == _HEARTBEAT_PREFIX:
-                self._book.apply_heartbeat(name, now)
-            elif kind + "/" == _CLAIM_PREFIX and record.value:
-                try:
-                    claim = msgspec.json.decode(record.value, type=_ClaimRecord)
-                except msgspec.DecodeError as error:
-                    log("record ignored", topic=TOPIC, error=str(error))
-                    continue
-                self._set_claim(name, claim)
+            self._book.apply_heartbeat(record.key, now)
 
 
 def _encode_claim(duty, record):
--- a/basilwind/entry/host.py
+++ b/basilwind/entry/host.py
@@ -76,6 +76,7 @@
             self._shared.configuration.run,
             self._shared.registry.run,
             self._shared.duties.follow,
+            self._shared.duties.follow_heartbeats,
             self._shared.duties.claim_free,
             self._shared.duties.beat,
         ):
@@ -250,11 +251,7 @@
     async def _hand_over(self):
         log("stopping", host=self._settings.name)
         self._is_stopping = True
-        with anyio.move_on_after(FINISH_S):
-            for owner in list(self._owners.values()):
-                if owner.is_loaded:
-                    await owner.hand_over()
-            await self._shared.duties.release()
+        self.tasks.start_soon(self._shared.duties.release)
 
     async def _stop_serving(self):
         await anyio.sleep(LEAVE_AFTER_S)
--- a/basilwind/entry/owner.py
+++ b/basilwind/entry/owner.py
@@ -70,7 +70,6 @@
         self._tasks = None
         self._intake_from = 0
         self._is_loaded = False
-        self._is_paused = False
 
     @property
     def pool(self):
@@ -108,11 +107,6 @@
             tasks.start_soon(self._ask_policy)
             self.refresh_workers()
 
-    async def hand_over(self):
-        """Stops giving orders and makes all that happened durable."""
-        self._is_paused = True
-        await self._journal.durable()
-
     async def job_state(self, job_id):
         """Returns a job's durable ``JobState``, or None if there is no such job."""
         job = self._state.jobs.get(job_id)
@@ -238,8 +232,6 @@
         while True:
             await self._wake.wait(TICK_S)
             await anyio.sleep(GATHER_S)
-            if self._is_paused:
-                continue
             now = self._clock()
             orders = self._state.schedule(now, self._wall())
             for stop in self._state.stop_orders(now):
