Refuse jobs that can only come too late; split the pool's state by concern

Change: scheduling/admission refuses at once what is known to be of no use when it is done, with a spread Retry-After; jobs, workers and orders each have a module.

--- a/basilwind/entry/front.py
+++ b/basilwind/entry/front.py
@@ -19,6 +19,7 @@
     StoreUnanswered,
 )
 from basilwind.platform.jobs import decode_job
+from basilwind.scheduling.admission import retry_after_s
 from basilwind.scheduling.records import SubmissionRecord
 
 JOB_ID = re.compile(r"[0-9a-f]{16}\Z", re.IGNORECASE)
@@ -26,7 +27,8 @@
 ANSWER_MARGIN_S = 0.15  # an answer takes some ms, and more on a slow machine
 ASK_RETRY_S = 0.1  # a duty changes hands within seconds
 RETRY_AFTER_S = 1  # an owner or the store returns within seconds
-WAITING_AGE_S = 0.5  # a queue's count may be 2 s old
+QUEUE_AGE_S = 0.5  # a queue's count may be 2 s old
+ADMISSION_S = 0.1  # an owner answers in 2 ms; none is waited for
 
 
 class Front:
@@ -46,7 +48,7 @@
         self._intake_of = intake_of
         self._is_stopping = is_stopping
         self._count_answer = count_answer
-        self._counts = {}
+        self._queues = {}
 
     async def __call__(self, scope, receive, send):
         """Answers a request."""
@@ -106,6 +108,9 @@
         )
         if len(record) + 64 > self._services.settings.store_record_bytes:
             return _error(413, "the job is larger than the store's records")
+        refusal = await self._refusal(queue, job_id)
+        if refusal is not None:
+            return refusal
         intake = self._intake_of(queue.pool)
         response = await self._settle(intake.submit(job_id, record), deadline)
         self._services.report(
@@ -160,20 +165,44 @@
         return None
 
     async def _count_waiting(self, queue, deadline):
-        known = self._counts.get(queue.name)
-        if known is not None and self._services.clock() - known[0] < WAITING_AGE_S:
-            return json_response({"waiting": known[1]})
         while True:
             try:
-                answer = await self._peers.queue(queue.pool, queue.name)
+                answer = await self._ask_queue(queue)
             except NotOwner as error:
                 if self._services.clock() + ASK_RETRY_S > deadline:
                     return _unavailable(str(error))
                 await anyio.sleep(ASK_RETRY_S)
                 continue
-            self._counts[queue.name] = (self._services.clock(), answer.waiting)
             return json_response({"waiting": answer.waiting})
 
+    async def _ask_queue(self, queue):
+        """Returns what the owner last said of a queue; asks again after a moment."""
+        known = self._queues.get(queue.name)
+        if known is not None and self._services.clock() - known[0] < QUEUE_AGE_S:
+            return known[1]
+        answer = await self._peers.queue(queue.pool, queue.name)
+        self._queues[queue.name] = (self._services.clock(), answer)
+        return answer
+
+    async def _refusal(self, queue, job_id):
+        """Returns the refusal of a job that is known to be of no use, or None."""
+        answer = None
+        with anyio.move_on_after(ADMISSION_S):
+            try:
+                answer = await self._ask_queue(queue)
+            except NotOwner:
+                # Jobs are accepted without an owner; a successor finds them.
+                return None
+        if answer is None or not answer.refuse_for_s:
+            return None
+        response = _error(429, "the queue can't be served in time; return later")
+        wait_s = retry_after_s(job_id, answer.refuse_for_s)
+        response.headers["Retry-After"] = str(wait_s)
+        self._services.report(
+            "job refused", job=job_id, queue=queue.name, retry_after_s=wait_s
+        )
+        return response
+
 
 def _patience_s(request, queue):
     """Returns how long the caller waits for an answer, seconds."""
--- a/basilwind/entry/owner.py
+++ b/basilwind/entry/owner.py
@@ -420,6 +420,10 @@
         """Returns how many accepted jobs of a queue have started nothing."""
         return self._state.waiting_jobs(queue)
 
+    def refuse_for_s(self, queue):
+        """Returns for how long new jobs of a queue are refused; 0 to accept them."""
+        return self._state.refuse_for_s(queue, self._clock(), self._wall())
+
     def summary(self):
         """Returns counts for metrics: live jobs, active tasks, workers."""
         live = sum(job.state is not JobState.COMPLETED for job in self._jobs())
--- a/basilwind/entry/peers.py
+++ b/basilwind/entry/peers.py
@@ -74,7 +74,7 @@
 
 def answer_queue(owner, queue):
     """Returns the ``QueueAnswer`` of an owner."""
-    return QueueAnswer(owner.waiting(queue))
+    return QueueAnswer(owner.waiting(queue), owner.refuse_for_s(queue))
 
 
 class PeerCalls:
--- a/basilwind/scheduling/pool.py
+++ b/basilwind/scheduling/pool.py
@@ -1,16 +1,15 @@
-"""The state of one pool: its jobs, tasks and workers.
+"""The state of one pool and the orders that follow from it.
 
 Each method applies an event and records which jobs have to be journalled; the
 caller makes them durable before it acts on them.
 """
 
-from dataclasses import dataclass
-
 from basilwind.scheduling import health
+from basilwind.scheduling.admission import refuse_for_s
 from basilwind.scheduling.capacity import PoolReport, WorkerLoad
-from basilwind.scheduling.estimates import RunTimes
-from basilwind.scheduling.jobs import Job, JobState, TaskState
-from basilwind.scheduling.ordering import is_late, rank_step
+from basilwind.scheduling.jobs import JobState, TaskState
+from basilwind.scheduling.ordering import rank_step
+from basilwind.scheduling.orders import StartOrder, StopOrder
 from basilwind.scheduling.pacing import pace_worker
 from basilwind.scheduling.placement import (
     Shortage,
@@ -20,8 +19,8 @@
     reserve_for_later,
 )
 from basilwind.scheduling.policy import Ticket, workers_to_ask
-from basilwind.scheduling.reports import EndKind, StartOutcome
-from basilwind.scheduling.workers import WorkerView
+from basilwind.scheduling.reports import StartOutcome
+from basilwind.scheduling.worker_book import WorkerBook
 
 SHORT_S = 0.5  # short tasks leave room within a second
 STOP_RETRY_S = 0.7  # a stop takes up to 0.2 or 0.9 s in the site files
@@ -29,368 +28,8 @@
 UNSURE_S = 0.3  # time for a hold to show a run whose start got no answer
 
 
-@dataclass(frozen=True, slots=True)
-class StartOrder:
-    """An order to start a task, to be sent once it is durable."""
-
-    task: object
-    run: int
-    worker: WorkerView
-
-
-@dataclass(frozen=True, slots=True)
-class StopOrder:
-    """An order to stop a run."""
-
-    task_name: str
-    run: int
-    worker: WorkerView
-
-
-class PoolState:
-    """Jobs and workers of one pool.
-
-    Args:
-        name: Name of the pool.
-        token: Fencing token of its owner.
-        find_queue: Returns the ``Queue`` of a name, or None.
-        status_s: How long an ended job is kept.
-        report: Called with an event's name and fields, for logs and metrics.
-    """
-
-    def __init__(self, name, token, find_queue, status_s, report):
-        self.name = name
-        self.token = token
-        self.jobs = {}
-        self.workers = {}
-        self.run_times = RunTimes()
-        # Ids of jobs to journal, and of ended jobs to drop from the store.
-        self.dirty = set()
-        self.dropped = []
-        # Until when former owners' leases may run on workers out of reach.
-        self.former_leases_until = 0.0
-        self._find_queue = find_queue
-        self._status_s = status_s
-        self._report = report
-        self._withheld_until = 0.0
-        self._arrived = 0.0
-        self._ready = {}
-        self._cancelled = set()
-        self._timed = set()
-        self._strays = []
-
-    # Jobs
-
-    def submit(self, job_id, queue_name, spec, accepted_at, now, wall):
-        """Adds a job; a job that is known already stays as it is."""
-        if job_id in self.jobs:
-            return
-        job = Job(job_id, queue_name, spec, accepted_at)
-        self.add_job(job, wall)
-        self._arrived += self._unfinished_work(job)
-        if job_id in self._cancelled:
-            self._cancelled.discard(job_id)
-            self._end_job(job, JobState.CANCELLED, now)
-
-    def add_job(self, job, wall):
-        """Adds a new or restored job."""
-        self.jobs[job.job_id] = job
-        if not job.is_live:
-            return
-        if job.spec.is_timed:
-            self._timed.add(job.job_id)
-        for step in job.open_due_occurrences(wall):
-            self._ready[step] = None
-        for steps in job.occurrences.values():
-            for step in steps:
-                if not step.is_done and all(steps[n].is_done for n in step.spec.after):
-                    self._ready[step] = None
-
-    def cancel(self, job_id, now):
-        """Cancels a job; remembers the cancel if the job is not known yet."""
-        job = self.jobs.get(job_id)
-        if job is None:
-            self._cancelled.add(job_id)
-        elif job.is_live:
-            self._end_job(job, JobState.CANCELLED, now)
-
-    def waiting_jobs(self, queue_name):
-        """Returns how many jobs of a queue have started nothing."""
-        return sum(
-            job.queue == queue_name
-            and job.is_live
-            and not job.has_begun
-            and not job.spec.is_timed
-            for job in self.jobs.values()
-        )
-
-    def forget_ended(self, now):
-        """Forgets jobs that ended long ago."""
-        for job_id, job in list(self.jobs.items()):
-            if job.ended_at is None or now - job.ended_at < self._status_s:
-                continue
-            if any(task.is_active for task in job.tasks()):
-                continue
-            del self.jobs[job_id]
-            self.dropped.append(job_id)
-
-    def _end_job(self, job, state, now):
-        job.state = state
-        job.ended_at = now
-        self._timed.discard(job.job_id)
-        self.dirty.add(job.job_id)
-        for task in job.tasks():
-            if task.is_active:
-                task.is_stopping = True
-            self._ready.pop(task.step, None)
-        self._report("job ended", job=job.job_id, queue=job.queue, state=state.value)
-
-    # Workers
-
-    def set_workers(self, entries, now):
-        """Takes over the registry's entries of this pool.
-
-        Args:
-            entries: ``WorkerEntry`` by id.
-            now: Boot time in seconds.
-
-        Returns:
-            Workers that are new.
-        """
-        added = []
-        for worker_id, entry in entries.items():
-            worker = self.workers.get(worker_id)
-            if worker is None:
-                worker = self.workers[worker_id] = WorkerView(entry)
-                added.append(worker)
-                self._adopt_tasks(worker)
-            elif worker.entry != entry:
-                worker.resize(entry)
-            worker.is_listed = True
-            if entry.is_draining:
-                self._evacuate(worker)
-        for worker_id, worker in list(self.workers.items()):
-            if worker_id not in entries:
-                worker.is_listed = False
-                if not worker.tasks:
-                    del self.workers[worker_id]
-        return added
-
-    def _adopt_tasks(self, worker):
-        for job in self.jobs.values():
-            for task in job.tasks():
-                if task.is_active and task.worker_id == worker.worker_id:
-                    worker.reserve(task)
-
-    def _evacuate(self, worker):
-        """Restarts lasting tasks of a draining worker elsewhere."""
-        for task in worker.tasks.values():
-            if task.spec.is_lasting and not task.is_stopping:
-                task.is_stopping = True
-
-    def apply_report(self, worker, report, sent_at, now):
-        """Applies what a worker said of its runs.
-
-        Args:
-            worker: ``WorkerView`` that answered.
-            report: ``WorkerReport``.
-            sent_at: Boot time when the call was sent.
-            now: Boot time when the answer was read.
-
-        Returns:
-            Number of the last end in the report; it may be noted once the dirty
-            jobs are durable.
-        """
-        if worker.born and report.born and worker.born != report.born:
-            self._lose_incarnation(worker)
-        worker.born = report.born or worker.born
-        worker.set_clock(report.clock_s, now)
-        last = worker.noted
-        for end in report.ended:
-            if end.number > worker.noted:
-                self._apply_end(worker, end, now)
-            last = max(last, end.number)
-        seen = {(row.task, row.run): row for row in report.running}
-        for task in list(worker.tasks.values()):
-            row = seen.pop((task.name, task.run), None)
-            if row is not None:
-                self._confirm(worker, task, row, now)
-            elif self._has_vanished(task, sent_at):
-                self._release(task)
-        self._strays += [StopOrder(name, run, worker) for name, run in seen]
-        return last
-
-    def _confirm(self, worker, task, row, now):
-        if task.state is not TaskState.RUNNING:
-            task.state = TaskState.RUNNING
-            task.confirmed_at = now
-            task.progressed_at = now
-        if health.note_progress(task, row, now) and not task.is_stopping:
-            self._stop_stalled(worker, task, now)
-        task.percent = row.percent
-        task.load = row.load
-        task.checkpoint = row.checkpoint or task.checkpoint
-
-    def _stop_stalled(self, worker, task, now):
-        """Stops a run that stands still, so that the task runs elsewhere."""
-        if task.spec.is_lasting and self._away(task.step) >= task.spec.may_miss:
-            return
-        task.is_stopping = True
-        self._report("run stalled", task=task.name, worker=worker.worker_id)
-        if health.note_failure(worker, self.workers.values(), now):
-            self._report("worker avoided", worker=worker.worker_id)
-
-    def _has_vanished(self, task, sent_at):
-        if task.state is TaskState.RUNNING:
-            return task.confirmed_at < sent_at
-        if task.state is not TaskState.UNSURE:
-            return False
-        if task.token < self.token:
-            # The new token keeps the former owner's orders out.
-            return True
-        return task.stop_answered_at is not None and task.stop_answered_at < sent_at
-
-    def _apply_end(self, worker, end, now):
-        task = worker.tasks.get(end.task)
-        if task is None or task.run != end.run:
-            self._apply_unexpected_end(end, now)
-            return
-        task.checkpoint = end.checkpoint or task.checkpoint
-        if end.kind is EndKind.DONE and task.confirmed_at is not None:
-            self._learn_run_time(worker, task, now)
-        self._settle(task, worker, end.kind, now)
-
-    def _learn_run_time(self, worker, task, now):
-        queue, declared_s = task.job.queue, task.spec.estimate_s
-        measured_s = now - task.confirmed_at
-        expected_s = self.run_times.estimate(queue, declared_s)
-        self.run_times.observe(queue, declared_s, measured_s)
-        ratio = measured_s / max(expected_s, 1e-3)
-        if health.note_run_time(worker, ratio, self.workers.values(), now):
-            self._report("worker avoided", worker=worker.worker_id, is_slow=True)
-
-    def _apply_unexpected_end(self, end, now):
-        """Takes note of a run that was given up and was done all the same."""
-        if end.kind is not EndKind.DONE:
-            return
-        job = self.jobs.get(end.task.partition(".")[0])
-        if job is None or not job.is_live:
-            return
-        task = next((task for task in job.tasks() if task.name == end.task), None)
-        if task is not None and task.state is TaskState.WAITING:
-            self._finish(task, now)
-
-    def _settle(self, task, worker, kind, now):
-        was_stopping = task.is_stopping
-        self._release(task)
-        if kind is EndKind.DONE and not task.spec.is_lasting:
-            health.note_success(worker)
-            self._finish(task, now)
-        elif kind is EndKind.FAILED or kind is EndKind.DONE:
-            self._report(
-                "run failed", task=task.name, run=task.run, worker=worker.worker_id
-            )
-            if health.note_failure(worker, self.workers.values(), now):
-                self._report("worker avoided", worker=worker.worker_id)
-            task.failures += 1
-            queue = self._find_queue(task.job.queue)
-            limit = queue.attempts if queue else 1
-            if task.failures >= limit and not task.spec.is_lasting and task.job.is_live:
-                self._end_job(task.job, JobState.FAILED, now)
-        elif not was_stopping:
-            self._report(
-                "run ended early",
-                task=task.name,
-                run=task.run,
-                worker=worker.worker_id,
-                kind=kind.value,
-            )
-
-    def _finish(self, task, now):
-        if task.state is TaskState.DONE:
-            return
-        tasks = task.step.tasks if task.spec.is_gang else (task,)
-        step, job = task.step, task.job
-        for member in tasks:
-            if member.state is TaskState.DONE:
-                continue
-            if member.is_active:
-                self._free(member)
-            member.state = TaskState.DONE
-            step.left -= 1
-        self.dirty.add(job.job_id)
-        if not job.is_live or not step.is_done:
-            return
-        self._ready.pop(step, None)
-        for later in job.steps_after(step):
-            self._ready[later] = None
-        steps = job.occurrences[step.occurrence]
-        if all(other.is_done for other in steps):
-            if job.close_occurrence(step.occurrence):
-                self._end_job(job, JobState.COMPLETED, now)
-
-    def _free(self, task):
-        worker = self.workers.get(task.worker_id)
-        if worker is not None:
-            worker.free(task)
-        task.release()
-
-    def _release(self, task):
-        self._free(task)
-        self.dirty.add(task.job.job_id)
-        if task.job.is_live:
-            self._ready[task.step] = None
-
-    def _lose_incarnation(self, worker):
-        """Releases the runs of an incarnation that is gone."""
-        worker.forget_incarnation()
-        for task in list(worker.tasks.values()):
-            # An unanswered order may still reach the new incarnation.
-            if task.state is TaskState.RUNNING or task.token < self.token:
-                self._release(task)
-            else:
-                task.state = TaskState.UNSURE
-
-    def lose_worker(self, worker):
-        """Releases all runs of a worker that has surely ended."""
-        worker.is_listed = False
-        for task in list(worker.tasks.values()):
-            self._release(task)
-        self.workers.pop(worker.worker_id, None)
-
-    def expire_leases(self, now):
-        """Releases the runs whose leases have surely run out."""
-        for worker in list(self.workers.values()):
-            if worker.silent_since is None and worker.has_clock:
-                continue
-            if now < self.former_leases_until:
-                continue
-            if worker.has_clock and not worker.lease_has_lapsed(now):
-                continue
-            for task in list(worker.tasks.values()):
-                self._report(
-                    "lease lapsed",
-                    task=task.name,
-                    run=task.run,
-                    worker=worker.worker_id,
-                )
-                self._release(task)
-            if not worker.is_listed:
-                self.workers.pop(worker.worker_id, None)
-        self._release_unlisted(now)
-
-    def _release_unlisted(self, now):
-        """Releases tasks of former owners' workers that never showed up."""
-        if now < self.former_leases_until or self.former_leases_until == 0.0:
-            return
-        for job in self.jobs.values():
-            for task in job.tasks():
-                if task.is_active and task.worker_id not in self.workers:
-                    task.release()
-                    self.dirty.add(job.job_id)
-                    if job.is_live:
-                        self._ready[task.step] = None
-        self.former_leases_until = 0.0
+class PoolState(WorkerBook):
+    """Decides what a pool's workers are ordered; see ``JobBook`` for its arguments."""
 
     # What the fleet planner asks
 
@@ -411,15 +50,6 @@
                     # The task itself is at work until it is stopped.
                     task.is_stopping = self._away(task.step) < task.spec.may_miss
 
-    def _away(self, step):
-        """Returns how many tasks of a lasting step are not at work."""
-        away = 0
-        for task in step.tasks:
-            worker = self.workers.get(task.worker_id)
-            is_heard = worker is not None and worker.silent_since is None
-            away += not (is_heard and task.is_at_work)
-        return away
-
     def _expire_withholding(self, now):
         if now > self._withheld_until:
             for worker in self.workers.values():
@@ -465,32 +95,17 @@
             arrived=self._arrived,
         )
 
-    def _backlog(self, wall):
-        """Returns the unfinished work of urgent and of late jobs, core-seconds."""
-        urgent_work = late_work = 0.0
-        for job in self.jobs.values():
-            queue = self._find_queue(job.queue)
-            if not job.is_live or queue is None:
-                continue
-            work = self._unfinished_work(job)
-            if work and is_late(job, queue, self.run_times, wall):
-                late_work += work
-            else:
-                urgent_work += work
-        return urgent_work, late_work
-
-    def _work_of(self, queue, step):
-        """Returns the core-seconds of a task of a step that ends, else 0."""
-        if step.is_lasting:
+    def refuse_for_s(self, queue_name, now, wall):
+        """Returns for how long new jobs of a queue are refused; 0 to accept them."""
+        queue = self._find_queue(queue_name)
+        if queue is None:
             return 0.0
-        return step.cpu / 1000 * self.run_times.estimate(queue, step.estimate_s)
-
-    def _unfinished_work(self, job):
-        return sum(
-            step.left * self._work_of(job.queue, step.spec)
-            for steps in job.occurrences.values()
-            for step in steps
+        cores = sum(
+            worker.entry.cpu / 1000
+            for worker in self.workers.values()
+            if is_usable(worker, now)
         )
+        return refuse_for_s(queue, sum(self._backlog(wall)), cores, self.run_times)
 
     # Orders
 
