--- a/basilwind/cli/commands/entry.py
+++ b/basilwind/cli/commands/entry.py
@@ -23,8 +23,10 @@
     writer = log_to_descriptor(context.stdout.fileno())
     log("started", host=settings.name, zone=settings.zone)
     gc.freeze()
-    anyio.run(_serve, settings, writer, backend_options={"use_uvloop": True})
+    anyio.run(
+        _serve, settings, settings_file, writer, backend_options={"use_uvloop": True}
+    )
 
 
-async def _serve(settings, writer):
-    await EntryHost(settings, lambda: writer.dropped_total).run()
+async def _serve(settings, settings_file, writer):
+    await EntryHost(settings, settings_file, lambda: writer.dropped_total).run()
--- a/basilwind/entry/host.py
+++ b/basilwind/entry/host.py
@@ -16,6 +16,7 @@
 from basilwind.entry.peers import PeerApp, PeerCalls
 from basilwind.entry.planner import Planner
 from basilwind.entry.registry import WorkerRegistry
+from basilwind.entry.reload import SettingsWatch
 from basilwind.entry.services import Services
 from basilwind.errors import ProducerFenced
 from basilwind.logs import log
@@ -35,10 +36,11 @@
 
     Args:
         settings: ``HostSettings``.
+        settings_file: Path of their file, which may change.
         dropped_lines: Returns how many log lines were left out.
     """
 
-    def __init__(self, settings, dropped_lines=lambda: 0):
+    def __init__(self, settings, settings_file, dropped_lines=lambda: 0):
         super().__init__()
         self._settings = settings
         self._is_stopping = False
@@ -72,7 +74,9 @@
         self.on_start(self._worker_transport.start)
         for server in self._servers:
             self.add_service(server.serve_until_stopped)
+        watch = SettingsWatch(settings_file, settings, self._on_settings)
         for service in (
+            watch.run,
             self._shared.configuration.run,
             self._shared.registry.run,
             self._shared.duties.follow,
@@ -122,6 +126,14 @@
             duties_changed=self._on_fenced,
         )
 
+    def _on_settings(self, settings):
+        """Takes over what may change while the daemon runs."""
+        self._settings = settings
+        self._shared.settings = settings
+        self._shared.store.set_address(settings.store_address)
+        self._shared.machine_calls.set_address(settings.machines_address)
+        self._shared.advice_calls.set_address(settings.advice_address)
+
     def _report(self, event, **fields):
         self._metrics.count_event(event)
         log(event, **fields)
--- a/basilwind/platform/advice.py
+++ b/basilwind/platform/advice.py
@@ -40,6 +40,10 @@
         self._transport = transport
         self._url = f"http://{address}/advise"
 
+    def set_address(self, address):
+        """Uses another address from now on."""
+        self._url = f"http://{address}/advise"
+
     async def ask(self, step, workers):
         """Asks which of some workers may run a step.
 
--- a/basilwind/platform/machines.py
+++ b/basilwind/platform/machines.py
@@ -92,6 +92,10 @@
         self._transport = transport
         self._base = f"http://{address}"
 
+    def set_address(self, address):
+        """Uses another address from now on."""
+        self._base = f"http://{address}"
+
     async def list(self):
         """Returns all machines, a list of ``Machine``.
 
--- a/basilwind/platform/store.py
+++ b/basilwind/platform/store.py
@@ -110,6 +110,10 @@
         self._base = f"http://{address}"
         self._on_call = on_call
 
+    def set_address(self, address):
+        """Uses another address from now on."""
+        self._base = f"http://{address}"
+
     async def append(
         self, topic, records, at=None, producer=None, timeout_s=APPEND_TIMEOUT_S
     ):
--- /dev/null
+++ b/tests/entry/test_reload.py
@@ -0,0 +1,53 @@
+import json
+import tempfile
+import unittest
+from pathlib import Path
+
+from basilwind.entry.reload import SettingsWatch
+from basilwind.errors import SettingsError
+from basilwind.platform.host_settings import decode_host_settings
+
+DOCUMENT = {
+    "nodeName": "edge-a-1",
+    "ip": "127.0.0.1",
+    "zone": "a",
+    "listenAddrs": {"front": "127.0.0.1:1", "readyAddr": "127.0.0.1:2"},
+    "internalPorts": [3, 9],
+    "platform": {"address": "127.0.0.1:4"},
+    "unknown": {"field": 1},
+}
+
+
+class TestSettingsWatch(unittest.TestCase):
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.file = Path(folder.name) / "local.json"
+        self.changes = []
+        self._write(DOCUMENT)
+        settings = decode_host_settings(self.file.read_bytes())
+        self.watch = SettingsWatch(self.file, settings, self.changes.append)
+
+    def _write(self, document):
+        self.file.write_text(json.dumps(document))
+
+    def test_unchanged_file_changes_nothing(self):
+        self.watch.check()
+        self.assertEqual(self.changes, [])
+
+    def test_changed_address_is_taken_over_once(self):
+        self._write(DOCUMENT | {"platform": {"address": "127.0.0.1:5"}})
+        self.watch.check()
+        self.watch.check()
+        (settings,) = self.changes
+        self.assertEqual(settings.store_address, "127.0.0.1:5")
+
+    def test_broken_file_keeps_the_old_settings(self):
+        self.file.write_text('{"nodeName": 1')
+        self.watch.check()
+        self.assertEqual(self.changes, [])
+
+    def test_missing_field_is_named(self):
+        broken = {key: DOCUMENT[key] for key in DOCUMENT if key != "zone"}
+        with self.assertRaisesRegex(SettingsError, "zone"):
+            decode_host_settings(json.dumps(broken).encode())
