Tell owners of workers read first; prove daemons as processes; explain jobs

Cause: the registry told its owners of the first reading before its position was set, so an owner that loaded faster had no workers until an entry changed. Found by the new process tests, where entries change only with heartbeats; ruled out: lost answers, the intake's long poll, the workers' calls.

--- a/basilwind/cli/definition.py
+++ b/basilwind/cli/definition.py
@@ -84,6 +84,16 @@
     return _run("entry", context, settings_file=settings_file)
 
 
+@cli.command()
+@click.argument("job_id")
+@click.argument("files", nargs=-1, type=click.Path(exists=True, dir_okay=False))
+@JSON_LINES
+@click.pass_obj
+def explain(context, job_id, files, as_json):
+    """Explain what became of a job, from log files or standard input."""
+    return _run("explain", context, job_id=job_id, files=files, as_json=as_json)
+
+
 @cli.command()
 @click.argument("paths", nargs=-1, required=True, type=click.Path(exists=True))
 @click.pass_obj
--- a/basilwind/entry/follower.py
+++ b/basilwind/entry/follower.py
@@ -83,8 +83,9 @@
     async def _step(self):
         if self._position is None:
             records, position = await self._store.newest(self._topic)
-            self._reset(records)
+            # Set first: whoever is told of the records may ask for the position.
             self._position = position
+            self._reset(records)
         else:
             records = await self._store.read(self._topic, self._position, WAIT_S)
             if records:
--- /dev/null
+++ b/tests/entry/test_follower.py
@@ -0,0 +1,70 @@
+import unittest
+
+import anyio
+
+from basilwind.entry.follower import KeyedFollower
+from basilwind.errors import RetentionGap, StoreRefused
+from basilwind.platform.store import KeyedRecord
+
+
+class FakeStore:
+    """Answers reads from a script; then waits for ever."""
+
+    def __init__(self, *answers):
+        self._answers = list(answers)
+
+    async def newest(self, topic):
+        return await self._next()
+
+    async def read(self, topic, start, wait_s=0.0):
+        return await self._next()
+
+    async def _next(self):
+        if not self._answers:
+            await anyio.sleep_forever()
+        answer = self._answers.pop(0)
+        if isinstance(answer, Exception):
+            raise answer
+        return answer
+
+
+class TestKeyedFollower(unittest.TestCase):
+    def _follow(self, *answers):
+        self.events, self.positions = [], []
+        follower = KeyedFollower(
+            FakeStore(*answers),
+            "keyed.x",
+            lambda records: self._note("apply", follower, records),
+            lambda records: self._note("reset", follower, records),
+            lambda: 0.0,
+        )
+
+        async def main():
+            with anyio.move_on_after(0.5):
+                await follower.run()
+
+        anyio.run(main)
+        return follower
+
+    def _note(self, kind, follower, records):
+        self.events.append((kind, [record.key for record in records]))
+        self.positions.append(follower.position)
+
+    def test_position_is_known_to_whoever_is_told_of_the_first_records(self):
+        # Two daemons on one machine: a new owner was told of the registry while
+        # its position was unknown, and had no workers until an entry changed.
+        self._follow(([KeyedRecord(4, "a", b"1")], 7))
+        self.assertEqual(self.events, [("reset", ["a"])])
+        self.assertEqual(self.positions, [7])
+
+    def test_forgotten_history_is_read_anew(self):
+        self._follow(([], 3), RetentionGap(9), ([KeyedRecord(8, "a", b"1")], 9))
+        self.assertEqual(self.events[-1], ("reset", ["a"]))
+        self.assertEqual(self.positions[-1], 9)
+
+    def test_failed_read_is_repeated(self):
+        follower = self._follow(
+            ([], 3), StoreRefused("away"), [KeyedRecord(3, "b", b"1")]
+        )
+        self.assertEqual(self.events[-1], ("apply", ["b"]))
+        self.assertEqual(follower.position, 4)
--- /dev/null
+++ b/tests/processes/test_entry_host.py
@@ -0,0 +1,301 @@
+"""Real daemons as processes against the stand-in of the users' platform."""
+
+import json
+import os
+import signal
+import socket
+import sys
+import tempfile
+import time
+import unittest
+from collections import Counter
+from pathlib import Path
+
+import aiohttp
+import anyio
+
+from basilwind.standin.fleet import FleetPlatform, FleetQueue
+
+ROOT = Path(__file__).resolve().parents[2]
+QUEUES = (FleetQueue("q-a", "/a/", "pool-a"), FleetQueue("q-b", "/b/", "pool-b"))
+PATIENCE_S = 40.0  # a guard against a hang, not a bound on the system
+DAEMON_PORTS = 10
+
+
+def free_ports(count):
+    """Returns the first of some consecutive ports that are free now."""
+    for start in range(20000 + os.getpid() % 10000, 60000, count):
+        sockets = []
+        try:
+            for port in range(start, start + count):
+                probe = socket.socket()
+                sockets.append(probe)
+                probe.bind(("127.0.0.1", port))
+            return start
+        except OSError:
+            continue
+        finally:
+            for probe in sockets:
+                probe.close()
+    raise OSError("no free ports")
+
+
+class Fleet:
+    """A platform stand-in with daemons, and a client's calls."""
+
+    def __init__(self, daemons=2):
+        port = free_ports(10 + DAEMON_PORTS * daemons)
+        self.platform = FleetPlatform(port, QUEUES)
+        first = self.platform.last_port
+        self.ports = [first + DAEMON_PORTS * n for n in range(daemons)]
+        self.processes = {}
+        self._folder = tempfile.TemporaryDirectory()
+
+    async def start(self, number):
+        file = Path(self._folder.name) / f"{number}.json"
+        settings = self.platform.settings_of(number, self.ports[number])
+        file.write_text(json.dumps(settings))
+        with open(Path(self._folder.name) / f"{number}.log", "ab") as log:
+            self.processes[number] = await anyio.open_process(
+                [sys.executable, "-m", "basilwind", "entry", "--settings", str(file)],
+                stdin=None,
+                stdout=log,
+                stderr=log,
+                cwd=ROOT,
+            )
+
+    async def stop(self):
+        for process in self.processes.values():
+            if process.returncode is None:
+                process.kill()
+            await process.aclose()
+        self._folder.cleanup()
+
+    async def call(self, method, number, path, body=None):
+        """Returns the status and the decoded body, or None without an answer."""
+        url = f"http://127.0.0.1:{self.ports[number]}{path}"
+        timeout = aiohttp.ClientTimeout(total=4.0)
+        try:
+            async with (
+                aiohttp.ClientSession(timeout=timeout) as session,
+                session.request(
+                    method, url, json=body, headers={"Host": "fleet.example"}
+                ) as response,
+            ):
+                return response.status, await response.json(content_type=None)
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return None
+
+    async def until(self, check):
+        """Repeats a check until it holds."""
+        with anyio.fail_after(PATIENCE_S):
+            while not await check():
+                await anyio.sleep(0.1)
+
+    async def ready(self, number):
+        async def check():
+            answer = await self.call("GET", number, "/a/")
+            return answer is not None and answer[0] == 200
+
+        await self.until(check)
+
+    async def submit(self, job_id, number, queue="a", **step):
+        """Submits a job until it is accepted, at changing daemons."""
+        spec = json.dumps({"work_s": step.pop("work_s", 0.1)})
+        values = {"count": 2, "cpu": 1000, "memMb": 100, "estimateMs": 100} | step
+        body = {"spec": spec, "steps": [values, values | {"after": [0]}]}
+        if values.get("longRunning"):
+            body["steps"].pop()
+
+        async def check():
+            nonlocal number
+            answer = await self.call("POST", number, f"/{queue}/{job_id}", body)
+            number = (number + 1) % len(self.ports)
+            return answer is not None and answer[0] == 200
+
+        await self.until(check)
+
+    async def completed(self, job_id, queue="a"):
+        async def check():
+            for number in range(len(self.ports)):
+                answer = await self.call("GET", number, f"/{queue}/{job_id}")
+                if answer and answer[0] == 410:
+                    raise AssertionError(f"{job_id} was forgotten")
+                if answer and answer[1] == {"state": "completed"}:
+                    return True
+            return False
+
+        await self.until(check)
+
+
+class TestEntryHost(unittest.TestCase):
+    def _run(self, scenario, daemons=2):
+        async def main():
+            fleet = Fleet(daemons)
+            try:
+                async with anyio.create_task_group() as tasks:
+                    await tasks.start(fleet.platform.run)
+                    for number in range(daemons):
+                        await fleet.start(number)
+                    await fleet.ready(0)
+                    await scenario(fleet)
+                    tasks.cancel_scope.cancel()
+            finally:
+                await fleet.stop()
+
+        anyio.run(main)
+
+    def _check_once(self, fleet, jobs):
+        """Each task of jobs that met no fault was started exactly once."""
+        starts = Counter(
+            start.task
+            for start in fleet.platform.ledger
+            if start.task.split(".")[0] in jobs
+        )
+        self.assertEqual(set(starts.values()), {1})
+
+    def test_jobs_of_two_pools_are_done_once(self):
+        async def scenario(fleet):
+            jobs = [f"{n:016x}" for n in range(8)]
+            for number, job_id in enumerate(jobs):
+                await fleet.submit(job_id, number % 2, "ab"[number % 2])
+                # A late repeat stays the same job.
+                await fleet.submit(job_id, 0, "ab"[number % 2])
+            for number, job_id in enumerate(jobs):
+                await fleet.completed(job_id, "ab"[number % 2])
+            self._check_once(fleet, jobs)
+            status, _ = await fleet.call("GET", 0, "/a/" + "f" * 16)
+            self.assertEqual(status, 410)
+            status, _ = await fleet.call("GET", 0, "/unknown/")
+            self.assertEqual(status, 404)
+            status, answer = await fleet.call("POST", 0, "/a/" + "e" * 16, {"steps": 1})
+            self.assertEqual(status, 400)
+            self.assertIn("steps", answer["error"])
+
+        self._run(scenario)
+
+    def test_killed_daemon_s_pools_go_on_and_no_done_task_runs_again(self):
+        async def scenario(fleet):
+            jobs = [f"{n:016x}" for n in range(6)]
+            for job_id in jobs:
+                await fleet.submit(job_id, 1, work_s=0.5)
+            fleet.processes[0].send_signal(signal.SIGKILL)
+            for job_id in jobs:
+                await fleet.completed(job_id)
+            await fleet.start(0)
+            await fleet.ready(0)
+            await fleet.submit("a" * 16, 0)
+            await fleet.completed("a" * 16)
+            self._check_overlaps(fleet)
+
+        self._run(scenario)
+
+    def _check_overlaps(self, fleet):
+        """No task was started while another run of it could be at work."""
+        by_task = {}
+        for start in fleet.platform.ledger:
+            by_task.setdefault(start.task, []).append(start)
+        for task, starts in by_task.items():
+            self.assertEqual(len({start.run for start in starts}), len(starts), task)
+
+    def test_store_outage_lets_running_work_go_on_and_refuses_truthfully(self):
+        async def scenario(fleet):
+            await fleet.submit("1" * 16, 0, work_s=2.0)
+            await anyio.sleep(0.5)
+            fleet.platform.store.is_down = True
+            body = {"spec": "", "steps": [{"count": 1, "cpu": 1000, "memMb": 10}]}
+            status, _ = await fleet.call("POST", 0, "/a/" + "2" * 16, body)
+            self.assertEqual(status, 503)
+            await anyio.sleep(2.0)
+            fleet.platform.store.is_down = False
+            await fleet.completed("1" * 16)
+            # What was refused never ran.
+            tasks = {start.task.split(".")[0] for start in fleet.platform.ledger}
+            self.assertNotIn("2" * 16, tasks)
+            lapsed = Counter(s.task for s in fleet.platform.ledger if s.run > 1)
+            self.assertEqual(lapsed, {})
+
+        self._run(scenario)
+
+    def test_lost_answers_of_the_store_store_each_job_once(self):
+        async def scenario(fleet):
+            fleet.platform.store.lose_answers = 3
+            await fleet.submit("3" * 16, 0)
+            await fleet.completed("3" * 16)
+            self._check_once(fleet, ["3" * 16])
+
+        self._run(scenario)
+
+    def test_forgotten_history_loses_nothing(self):
+        async def scenario(fleet):
+            await fleet.submit("4" * 16, 0, work_s=1.0)
+            for topic in ("keyed.op", "keyed.servers", "keyed.intake.pool-a"):
+                fleet.platform.store.forget(topic)
+            await fleet.submit("5" * 16, 1)
+            await fleet.completed("4" * 16)
+            await fleet.completed("5" * 16)
+            self._check_once(fleet, ["4" * 16, "5" * 16])
+
+        self._run(scenario)
+
+    def test_cancelled_lasting_job_ends_on_its_worker(self):
+        async def scenario(fleet):
+            job_id = "6" * 16
+            await fleet.submit(job_id, 0, work_s=-1.0, longRunning=True)
+            workers = fleet.platform.workers.values()
+
+            def running():
+                return sum(name.startswith(job_id) for w in workers for name in w.runs)
+
+            async def is_running():
+                return running() == 2
+
+            async def is_gone():
+                return running() == 0
+
+            await fleet.until(is_running)
+            status, _ = await fleet.call("DELETE", 1, f"/a/{job_id}")
+            self.assertEqual(status, 200)
+            await fleet.until(is_gone)
+            status, answer = await fleet.call("GET", 0, f"/a/{job_id}")
+            self.assertEqual((status, answer["state"]), (200, "cancelled"))
+
+        self._run(scenario)
+
+    def test_silent_worker_s_lasting_task_moves_after_its_lease(self):
+        async def scenario(fleet):
+            job_id = "7" * 16
+            await fleet.submit(job_id, 0, work_s=-1.0, count=1, longRunning=True)
+
+            async def has_started():
+                return any(s.task.startswith(job_id) for s in fleet.platform.ledger)
+
+            await fleet.until(has_started)
+            first = fleet.platform.ledger[-1]
+            fleet.platform.workers[first.worker_id].is_silent = True
+
+            async def has_moved():
+                last = fleet.platform.ledger[-1]
+                return last.task.startswith(job_id) and last.run > first.run
+
+            began = time.monotonic()
+            await fleet.until(has_moved)
+            # Its lease of 4.5 s had to run out first.
+            self.assertGreater(time.monotonic() - began, 2.0)
+            self.assertEqual(fleet.platform.workers[first.worker_id].runs, {})
+
+        self._run(scenario)
+
+    def test_stopping_daemon_hands_over_and_cuts_nothing_off(self):
+        async def scenario(fleet):
+            await fleet.submit("8" * 16, 0, work_s=1.5)
+            fleet.processes[0].send_signal(signal.SIGTERM)
+            # The daemon that stops still takes what comes to it.
+            await fleet.submit("9" * 16, 0)
+            await fleet.completed("8" * 16)
+            await fleet.completed("9" * 16)
+            with anyio.fail_after(PATIENCE_S):
+                self.assertEqual(await fleet.processes[0].wait(), 0)
+            self._check_once(fleet, ["8" * 16, "9" * 16])
+
+        self._run(scenario)
--- /dev/null
+++ b/tests/test_logs.py
@@ -0,0 +1,66 @@
+import json
+import os
+import unittest
+
+from basilwind.logs import LINES_PER_S, LineWriter
+
+
+class TestLineWriter(unittest.TestCase):
+    def setUp(self):
+        self.reader, writer = os.pipe()
+        self.addCleanup(os.close, self.reader)
+        self.addCleanup(os.close, writer)
+        os.set_blocking(self.reader, False)
+        self.now = 0.0
+        self.writer = LineWriter(writer, lambda: self.now)
+
+    def _read_bytes(self):
+        data = b""
+        while True:
+            try:
+                data += os.read(self.reader, 1 << 20)
+            except BlockingIOError:
+                return data
+
+    def _read(self):
+        return [json.loads(line) for line in self._read_bytes().splitlines()]
+
+    def test_lines_over_the_budget_are_counted_and_said_once(self):
+        for number in range(LINES_PER_S + 50):
+            self.writer({"message_type": "job submitted", "n": number})
+        self.now = 1.0
+        self.writer({"message_type": "job submitted"})
+        lines = self._read()
+        self.assertEqual(len(lines), LINES_PER_S + 2)
+        self.assertEqual(lines[-2], {"message_type": "log lines left out", "lines": 50})
+
+    def test_failures_are_written_when_routine_lines_are_left_out(self):
+        for _ in range(LINES_PER_S + 1):
+            self.writer({"message_type": "job submitted"})
+        self.writer({"message_type": "run failed"})
+        self.assertEqual(self._read()[-1]["message_type"], "run failed")
+
+    def test_full_pipe_never_blocks_and_is_counted(self):
+        text = "x" * 10_000
+        for second in range(200):
+            self.now = float(second)
+            self.writer({"message_type": "duty lost", "text": text})
+        self.assertGreater(self.writer.dropped_total, 0)
+        data = b""
+        while chunk := self._read_bytes():
+            # Reading makes room for what was buffered.
+            data += chunk
+            self.writer.flush()
+        self.now = 300.0
+        self.writer({"message_type": "duty lost"})
+        data += self._read_bytes()
+        lines = [json.loads(line) for line in data.splitlines()]
+        self.assertEqual(lines[-1], {"message_type": "duty lost"})
+        said = sum(line.get("lines", 0) for line in lines)
+        self.assertEqual(said, self.writer.dropped_total)
+
+    def test_reader_that_is_gone_does_no_harm(self):
+        reader, writer = os.pipe()
+        os.close(reader)
+        self.addCleanup(os.close, writer)
+        LineWriter(writer, lambda: 0.0)({"message_type": "stopping"})
