--- a/basilwind/standin/fleet.py
+++ b/basilwind/standin/fleet.py
@@ -45,6 +45,7 @@
         store: ``FleetStore``.
         workers: ``FleetWorker`` by id.
         ledger: Every ``Start`` that a worker carried out.
+        ends: Every ``End`` of a run.
     """
 
     port: int
@@ -53,6 +54,7 @@
     store: FleetStore = field(default_factory=FleetStore)
     workers: dict[str, FleetWorker] = field(default_factory=dict)
     ledger: list = field(default_factory=list)
+    ends: list = field(default_factory=list)
     version: int = 0
 
     def __post_init__(self):
@@ -66,6 +68,7 @@
                 f"127.0.0.1:{self.port + 2 + number}",
                 f"r{number % 2}",
                 self.ledger,
+                self.ends,
             )
             self.workers[worker.worker_id] = worker
         self.configure()
--- a/basilwind/standin/fleet_worker.py
+++ b/basilwind/standin/fleet_worker.py
@@ -38,6 +38,23 @@
     worker_id: str
 
 
+@dataclass(frozen=True)
+class End:
+    """A run that ended, for the checks of tests.
+
+    Attributes:
+        at: Steady time.
+        task: Name of the task.
+        run: Number of the run.
+        how: How it ended.
+    """
+
+    at: float
+    task: str
+    run: int
+    how: str
+
+
 class FleetWorker:
     """A worker; its tasks run as long as the job's text says.
 
@@ -47,18 +64,20 @@
         address: HOST:PORT for orders.
         rack: Rack of its machine.
         ledger: List to which each ``Start`` is added.
+        ends: List to which each ``End`` is added.
 
     Attributes:
         is_silent: Whether calls get no answer.
         delay_next_s: Delay of the next order, which is then not answered.
     """
 
-    def __init__(self, worker_id, pool, address, rack, ledger):
+    def __init__(self, worker_id, pool, address, rack, ledger, ends):
         self.worker_id = worker_id
         self.pool = pool
         self.address = address
         self.rack = rack
         self.ledger = ledger
+        self.ends = ends
         self.is_silent = False
         self.delay_next_s = 0.0
         self.cpu, self.memory = 16000, 64000
@@ -169,6 +188,7 @@
     def _end(self, name, how):
         run = self.runs.pop(name)
         self._rejected[name] = max(run.number, self._rejected.get(name, 0))
+        self.ends.append(End(time.monotonic(), name, run.number, how))
         self._count += 1
         self._ended.append([self._count, name, run.number, how, ""])
         changed, self._changed = self._changed, anyio.Event()
--- /dev/null
+++ b/extras/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak of real daemons under faults."""
--- /dev/null
+++ b/extras/soak/__main__.py
@@ -0,0 +1,125 @@
+"""Runs the soak: ``python -m extras.soak --seeds 1-50``."""
+
+import random
+import sys
+
+import anyio
+import click
+
+from extras.entry_fleet import Fleet
+from extras.soak.checks import find_broken
+from extras.soak.faults import inject, make_schedule
+
+JOB_PAUSE_S = 0.25  # a few jobs are under way at every fault
+SETTLE_S = 60.0  # every lease and silence is over long before
+ACCEPTED = (200, 201, 202)
+REFUSED = (429, 503)
+
+
+class Soak:
+    """One seed: callers, faults and checks.
+
+    Args:
+        seed: Fixes the schedule of faults and jobs.
+        faults: Number of faults.
+        daemons: Number of daemons.
+    """
+
+    def __init__(self, seed, faults, daemons):
+        self._schedule = make_schedule(seed, faults)
+        self._source = random.Random(seed + 1)
+        self._fleet = Fleet(daemons)
+        self._seed = seed
+        self._outcomes = {}
+        self._is_over = False
+
+    async def run(self):
+        """Plays the seed.
+
+        Returns:
+            Broken promises, in words.
+        """
+        fleet = self._fleet
+        try:
+            async with anyio.create_task_group() as tasks:
+                await tasks.start(fleet.platform.run)
+                for number in range(len(fleet.ports)):
+                    await fleet.start(number)
+                await fleet.ready(0)
+                async with anyio.create_task_group() as players:
+                    players.start_soon(self._submit_jobs)
+                    await self._play(players)
+                broken = await self._settle()
+                tasks.cancel_scope.cancel()
+            return broken + find_broken(fleet.platform, self._outcomes)
+        finally:
+            await fleet.stop()
+
+    async def _play(self, players):
+        for fault in self._schedule:
+            await anyio.sleep(fault.after_s)
+            players.start_soon(inject, self._fleet, fault)
+        self._is_over = True
+
+    async def _submit_jobs(self):
+        number = 0
+        while not self._is_over:
+            number += 1
+            job_id = f"{self._seed:08x}{number:08x}"
+            await self._submit(job_id, "ab"[number % 2])
+            await anyio.sleep(JOB_PAUSE_S)
+
+    async def _submit(self, job_id, queue):
+        step = {"count": 2, "cpu": 1000, "memMb": 100, "estimateMs": 200}
+        work_s = self._source.choice((0.05, 0.2, 0.8))
+        body = {
+            "spec": f'{{"work_s": {work_s}}}',
+            "steps": [step, step | {"after": [0]}],
+        }
+        daemon = self._source.randrange(len(self._fleet.ports))
+        answer = await self._fleet.call("POST", daemon, f"/{queue}/{job_id}", body)
+        status = answer[0] if answer else 0
+        if status in ACCEPTED:
+            self._outcomes[job_id] = "accepted"
+        else:
+            self._outcomes[job_id] = "refused" if status in REFUSED else "unknown"
+
+    async def _settle(self):
+        """Waits until every accepted job is completed."""
+        accepted = [job for job, how in self._outcomes.items() if how == "accepted"]
+        broken = []
+        with anyio.move_on_after(SETTLE_S) as scope:
+            for job_id in accepted:
+                try:
+                    await self._fleet.completed(job_id, "ab"[int(job_id[8:], 16) % 2])
+                except (AssertionError, TimeoutError) as error:
+                    broken.append(
+                        f"accepted job {job_id}: {error or 'never completed'}"
+                    )
+        if scope.cancelled_caught:
+            broken.append(f"accepted jobs were not completed within {SETTLE_S:g} s")
+        return broken
+
+
+def parse_seeds(text):
+    """Returns the seeds of a text such as ``3`` or ``1-50``."""
+    first, _, last = text.partition("-")
+    return range(int(first), int(last or first) + 1)
+
+
+@click.command()
+@click.option("--seeds", default="1-3", show_default=True, help="A seed or a range.")
+@click.option("--faults", default=10, show_default=True, help="Faults of each seed.")
+@click.option("--daemons", default=3, show_default=True, help="Number of daemons.")
+def main(seeds, faults, daemons):
+    """Play seeds and report each broken promise."""
+    failed = 0
+    for seed in parse_seeds(seeds):
+        broken = anyio.run(Soak(seed, faults, daemons).run)
+        failed += bool(broken)
+        click.echo(f"seed {seed}: {'; '.join(broken) or 'nothing broken'}")
+    sys.exit(1 if failed else 0)
+
+
+if __name__ == "__main__":
+    main()
