--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 EXAMPLE ?= cordillera
 
-.PHONY: help install test lint format demo play bench generate clean
+.PHONY: help install test lint format demo play bench soak generate clean
 
 help:
 	@echo "make demo [EXAMPLE=cordillera|kivimagi]  run the whole system on loopback"
@@ -12,6 +12,7 @@
 	@echo "make test                                run all tests"
 	@echo "make lint | format                       check or fix formatting"
 	@echo "make bench                               run every measurement"
+	@echo "make soak                                play 50 seeds of faults"
 	@echo "make generate                            regenerate the settings models"
 
 $(VENV)/.installed: requirements.txt requirements-dev.txt pyproject.toml
@@ -42,6 +43,9 @@
 bench: install
 	$(BIN)/python -m bench
 
+soak: install
+	$(BIN)/python -m extras.soak --seeds 1-50 --logs soak-logs
+
 generate: install
 	PYTHON=$(BIN)/python extras/generate_settings.sh
 
--- a/extras/entry_fleet.py
+++ b/extras/entry_fleet.py
@@ -37,22 +37,29 @@
 
 
 class Fleet:
-    """A platform stand-in with daemons, and a client's calls."""
+    """A platform stand-in with daemons, and a client's calls.
 
-    def __init__(self, daemons=2):
+    Args:
+        daemons: Number of daemons.
+        log_folder: Where their logs are kept; nowhere if None.
+    """
+
+    def __init__(self, daemons=2, log_folder=None):
         port = free_ports(10 + DAEMON_PORTS * daemons)
         self.platform = FleetPlatform(port, QUEUES)
         first = self.platform.last_port
         self.ports = [first + DAEMON_PORTS * n for n in range(daemons)]
         self.processes = {}
+        self.restarting = set()
         self._folder = tempfile.TemporaryDirectory()
+        self._log_folder = Path(log_folder or self._folder.name)
 
     async def start(self, number):
         """Starts a daemon as a process."""
         file = Path(self._folder.name) / f"{number}.json"
         settings = self.platform.settings_of(number, self.ports[number])
         file.write_text(json.dumps(settings))
-        with open(Path(self._folder.name) / f"{number}.log", "ab") as log:
+        with open(self._log_folder / f"{number}.log", "ab") as log:
             self.processes[number] = await anyio.open_process(
                 [sys.executable, "-m", "basilwind", "entry", "--settings", str(file)],
                 stdin=None,
--- a/extras/soak/__main__.py
+++ b/extras/soak/__main__.py
@@ -2,6 +2,7 @@
 
 import random
 import sys
+from pathlib import Path
 
 import anyio
 import click
@@ -23,12 +24,13 @@
         seed: Fixes the schedule of faults and jobs.
         faults: Number of faults.
         daemons: Number of daemons.
+        log_folder: Where the daemons' logs are kept; nowhere if None.
     """
 
-    def __init__(self, seed, faults, daemons):
+    def __init__(self, seed, faults, daemons, log_folder=None):
         self._schedule = make_schedule(seed, faults)
         self._source = random.Random(seed + 1)
-        self._fleet = Fleet(daemons)
+        self._fleet = Fleet(daemons, log_folder)
         self._seed = seed
         self._outcomes = {}
         self._is_over = False
@@ -111,11 +113,15 @@
 @click.option("--seeds", default="1-3", show_default=True, help="A seed or a range.")
 @click.option("--faults", default=10, show_default=True, help="Faults of each seed.")
 @click.option("--daemons", default=3, show_default=True, help="Number of daemons.")
-def main(seeds, faults, daemons):
+@click.option("--logs", type=click.Path(file_okay=False), help="Keep logs there.")
+def main(seeds, faults, daemons, logs):
     """Play seeds and report each broken promise."""
     failed = 0
     for seed in parse_seeds(seeds):
-        broken = anyio.run(Soak(seed, faults, daemons).run)
+        folder = Path(logs) / str(seed) if logs else None
+        if folder:
+            folder.mkdir(parents=True, exist_ok=True)
+        broken = anyio.run(Soak(seed, faults, daemons, folder).run)
         failed += bool(broken)
         click.echo(f"seed {seed}: {'; '.join(broken) or 'nothing broken'}")
     sys.exit(1 if failed else 0)
--- a/extras/soak/faults.py
+++ b/extras/soak/faults.py
@@ -82,13 +82,16 @@
 
 async def _restart(fleet, number, fault):
     process = fleet.processes[number]
-    if process.returncode is not None:
+    if process.returncode is not None or number in fleet.restarting:
+        # Another fault is restarting it; two processes can't share its ports.
         return
+    fleet.restarting.add(number)
     is_kill = fault.kind == "kill"
     process.send_signal(signal.SIGKILL if is_kill else signal.SIGTERM)
     await process.wait()
     await anyio.sleep(fault.for_s if is_kill else 0.0)
     await fleet.start(number)
+    fleet.restarting.discard(number)
 
 
 async def _pause(fleet, number, fault):
