Join twins: asking an owner again, noting a failure, releasing a task

Cause: the reread found the retry loop of states and counts, the note of a spoiled run, and the release of a task each standing twice, and a branch for an error that the intake never raises. Change: one piece each; the branch is gone. Behaviour stays.

--- a/basilwind/entry/front.py
+++ b/basilwind/entry/front.py
@@ -16,7 +16,6 @@
     NotOwner,
     NotStarted,
     RequestInvalid,
-    StoreUnanswered,
 )
 from basilwind.platform.jobs import decode_job
 from basilwind.scheduling.admission import retry_after_s
@@ -133,23 +132,27 @@
                 await storing
             except NotStarted as error:
                 return _unavailable(str(error))
-            except StoreUnanswered:
-                return _error(504, "the platform's store did not answer")
             return json_response({})
         return _error(504, "the platform's store did not answer in time")
 
     async def _state(self, queue, job_id, deadline):
+        async def ask():
+            state = await self._find_state(queue, job_id)
+            if state is None:
+                return _error(410, "no such job")
+            return json_response({"state": state.value})
+
+        return await self._ask_until(deadline, ask)
+
+    async def _ask_until(self, deadline, ask):
+        """Repeats a question while the pool has no owner that answers."""
         while True:
             try:
-                state = await self._find_state(queue, job_id)
+                return await ask()
             except NotOwner as error:
                 if self._services.clock() + ASK_RETRY_S > deadline:
                     return _unavailable(str(error))
                 await anyio.sleep(ASK_RETRY_S)
-                continue
-            if state is None:
-                return _error(410, "no such job")
-            return json_response({"state": state.value})
 
     async def _find_state(self, queue, job_id):
         state = await self._peers.job_state(queue.pool, job_id)
@@ -165,16 +168,12 @@
         return None
 
     async def _count_waiting(self, queue, deadline):
-        while True:
-            try:
-                answer = await self._ask_queue(queue)
-            except NotOwner as error:
-                if self._services.clock() + ASK_RETRY_S > deadline:
-                    return _unavailable(str(error))
-                await anyio.sleep(ASK_RETRY_S)
-                continue
+        async def ask():
+            answer = await self._ask_queue(queue)
             return json_response({"waiting": answer.waiting})
 
+        return await self._ask_until(deadline, ask)
+
     async def _ask_queue(self, queue):
         """Returns what the owner last said of a queue; asks again after a moment."""
         known = self._queues.get(queue.name)
--- a/basilwind/entry/intake.py
+++ b/basilwind/entry/intake.py
@@ -61,7 +61,6 @@
 
         Raises:
             NotStarted: It was not stored and never will be.
-            StoreUnanswered: It may be stored, even later.
         """
         await self._store_record(encode_keyed(job_id, record))
 
--- a/basilwind/scheduling/worker_book.py
+++ b/basilwind/scheduling/worker_book.py
@@ -101,6 +101,9 @@
             return
         task.is_stopping = True
         self._report("run stalled", task=task.name, worker=worker.worker_id)
+        self._note_failure(worker, now)
+
+    def _note_failure(self, worker, now):
         if health.note_failure(worker, self.workers.values(), now):
             self._report("worker avoided", worker=worker.worker_id)
 
@@ -154,8 +157,7 @@
             self._report(
                 "run failed", task=task.name, run=task.run, worker=worker.worker_id
             )
-            if health.note_failure(worker, self.workers.values(), now):
-                self._report("worker avoided", worker=worker.worker_id)
+            self._note_failure(worker, now)
             task.failures += 1
             queue = self._find_queue(task.job.queue)
             limit = queue.attempts if queue else 1
@@ -216,10 +218,7 @@
         for job in self.jobs.values():
             for task in job.tasks():
                 if task.is_active and task.worker_id not in self.workers:
-                    task.release()
-                    self.dirty.add(job.job_id)
-                    if job.is_live:
-                        self._ready[task.step] = None
+                    self._release(task)
         self.former_leases_until = 0.0
 
     def _away(self, step):
