--- a/basilwind/entry/owner.py
+++ b/basilwind/entry/owner.py
@@ -332,16 +332,19 @@
 
     async def _hold_once(self, worker, sent_at):
         expires_s = None
-        if worker.has_clock and self._may_extend(sent_at):
-            expires_s = worker.lease_end(LEASE_S, sent_at)
+        if self._may_extend(sent_at):
+            expires_s = worker.extension(LEASE_S, sent_at)
         report = await self._calls.hold(
             worker.entry.address,
             worker.worker_id,
             self.token,
             worker.noted,
             expires_s,
-            HOLD_WAIT_S if worker.has_clock else 0.0,
+            HOLD_WAIT_S if expires_s is not None else 0.0,
         )
+        if self._state.workers.get(worker.worker_id) is not worker:
+            # The worker left and was listed anew meanwhile, with another view.
+            return
         was_silent = worker.silent_since is not None
         last = self._state.apply_report(worker, report, sent_at, self._clock())
         if was_silent:
--- a/basilwind/entry/registry.py
+++ b/basilwind/entry/registry.py
@@ -65,6 +65,8 @@
             if worker_id not in present:
                 self._remove(worker_id)
         self._apply(records)
+        # An owner that is new since the last reading has to be told in any case.
+        self._on_change()
 
     def _apply(self, records):
         has_changed = False
--- a/basilwind/scheduling/pool.py
+++ b/basilwind/scheduling/pool.py
@@ -545,7 +545,7 @@
         self._report(
             "step placed",
             step=step.name,
-            runs={order.task.index: order.run for order in orders},
+            runs=[[order.task.index, order.run] for order in orders],
             workers=sorted({order.worker.worker_id for order in orders}),
         )
         job.has_begun = True
--- a/basilwind/scheduling/workers.py
+++ b/basilwind/scheduling/workers.py
@@ -126,6 +126,16 @@
         self._expires_s = max(self._expires_s, expires_s)
         return expires_s
 
+    def extension(self, lease_s, now):
+        """Returns the lease end that the next hold should ask for, or None.
+
+        A silent worker gets no extensions: each one that may have arrived would
+        put off the time at which its leases have surely run out.
+        """
+        if self._clock_s is None or self.silent_since is not None:
+            return None
+        return self.lease_end(lease_s, now)
+
     def lease_has_lapsed(self, now):
         """Tells whether every lease given here has surely run out."""
         if self._clock_s is None:
--- a/tests/scheduling/test_pool.py
+++ b/tests/scheduling/test_pool.py
@@ -133,6 +133,23 @@
         (task,) = model.state.jobs["large"].tasks()
         self.assertIs(task.state, TaskState.RUNNING)
 
+    def test_runs_of_a_silent_worker_are_given_up_once_their_lease_is_over(self):
+        # fleetbench cordillera-flota scale-1 --seed 86363298: each unanswered hold
+        # put the end of the lease off, and a lasting task stayed down for 30 s.
+        model = self._model(workers=2)
+        model.submit("job", make_job(count=1, is_lasting=True))
+        model.hold()
+        model.schedule()
+        model.hold()
+        (task,) = model.state.jobs["job"].tasks()
+        model.workers[task.worker_id].is_reachable = False
+        for _ in range(12):
+            model.hold()
+            model.pass_time(0.5)
+            model.schedule()
+        self.assertEqual(task.run, 2)
+        self.assertIs(task.state, TaskState.RUNNING)
+
     def test_job_fails_after_its_attempts_and_stops_the_rest(self):
         model = self._model()
         model.submit("job", make_job(count=1))
