--- /dev/null
+++ b/tests/platform/test_workers.py
@@ -0,0 +1,63 @@
+import unittest
+
+import anyio
+
+from basilwind.errors import ProducerFenced, WorkerReplaced
+from basilwind.platform.workers import WorkerCalls
+from basilwind.scheduling.reports import EndKind, StartOutcome
+
+
+class FakeTransport:
+    def __init__(self, status, body=b"{}"):
+        self._answer = status, body
+
+    async def call(self, method, url, timeout_s, body=None, headers=None):
+        return self._answer
+
+
+class TestWorkerCalls(unittest.TestCase):
+    def _call(self, name, status, body, *arguments):
+        calls = WorkerCalls(FakeTransport(status, body))
+        return anyio.run(getattr(calls, name), "host:1", "i-1", *arguments)
+
+    def _stop(self, status, body=b'{"clockMs":1}'):
+        return self._call("stop", status, body, "j.0.0.0", 1, 7)
+
+    def test_stop_that_was_carried_out_before_counts_as_taken(self):
+        # fleetbench kivimagi-inv deploy/days/cut-workers.toml --vary --seed
+        # 345227925535: the first stop's answer was lost, and tasks waited for ever.
+        self.assertTrue(self._stop(200))
+        self.assertTrue(self._stop(409, b'{"clockMs":1,"reason":"old"}'))
+
+    def test_stop_under_a_lower_token_is_not_taken(self):
+        self.assertFalse(self._stop(409, b'{"clockMs":1,"reason":"fence"}'))
+        self.assertFalse(self._stop(503))
+
+    def test_start_answers_are_told_apart(self):
+        arguments = ("j.0.0.0", 1, "", 9.0, 7, "", "")
+        for status, body, outcome in (
+            (200, b'{"clockMs":1500}', StartOutcome.STARTED),
+            (409, b'{"clockMs":1500,"reason":"room"}', StartOutcome.NO_ROOM),
+            (409, b'{"clockMs":1500,"reason":"fence"}', StartOutcome.FENCED),
+            (409, b'{"clockMs":1500,"reason":"new"}', StartOutcome.REFUSED),
+            (503, b"", StartOutcome.UNHEALTHY),
+            (421, b"", StartOutcome.WRONG_INCARNATION),
+        ):
+            answer, clock_s = self._call("start", status, body, *arguments)
+            self.assertIs(answer, outcome)
+            self.assertEqual(clock_s, 1.5 if status in (200, 409) else None)
+
+    def test_hold_decodes_both_lists_and_tells_refusals_apart(self):
+        body = (
+            b'{"clockMs":2000,"born":5,"running":[["t",2,"c",41,300]],'
+            b'"ended":[[58,"u",1,"done",""],[59,"v",1,"odd",""]]}'
+        )
+        report = self._call("hold", 200, body, 7, 0, None, 0.0)
+        self.assertEqual(report.clock_s, 2.0)
+        self.assertEqual(report.running[0].percent, 41)
+        kinds = [end.kind for end in report.ended]
+        self.assertEqual(kinds, [EndKind.DONE, EndKind.FAILED])
+        with self.assertRaises(ProducerFenced):
+            self._call("hold", 409, b"{}", 7, 0, None, 0.0)
+        with self.assertRaises(WorkerReplaced):
+            self._call("hold", 421, b"", 7, 0, None, 0.0)
