--- a/basilwind/platform/workers.py
+++ b/basilwind/platform/workers.py
@@ -134,22 +134,17 @@
     async def stop(self, address, worker_id, task, run, token):
         """Orders a worker to stop a run, or to reject it if it comes later.
 
-        A worker that has stopped the run before, on an order whose answer was lost,
-        says that the order is old: the run is stopped all the same.
-
         Returns:
-            Whether the run is ended or never starts.
+            Whether the worker took the order.
 
         Raises:
             CallRefused: The worker could not be reached.
             CallUnanswered: No answer came.
         """
         order = {"task": task, "run": run, "fencingToken": token}
-        status, body = await self._post(
+        status, _ = await self._post(
             address, worker_id, "/run-stop", order, STOP_TIMEOUT_S
         )
-        if status == 409:
-            return _REASONS.get(_ANSWER.decode(body).reason) is StartOutcome.OLD
         return status == 200
 
     async def pace(self, address, worker_id, task, run, percent, token):
--- a/basilwind/scheduling/pool.py
+++ b/basilwind/scheduling/pool.py
@@ -274,7 +274,11 @@
     def apply_stop_answer(self, order, now):
         """Notes that a worker took a stop: the run is ended or never starts."""
         task = order.worker.tasks.get(order.task_name)
-        if task is not None and task.run == order.run:
+        if task is None or task.run != order.run:
+            return
+        # Only the first answer counts: holds last longer than the pause between
+        # stops, so a later one would always follow the newest hold.
+        if task.stop_answered_at is None:
             task.stop_answered_at = now
 
     def stop_orders(self, now):
@@ -286,6 +290,7 @@
             for task in worker.tasks.values():
                 is_doubtful = (
                     task.state is TaskState.UNSURE
+                    and task.stop_answered_at is None
                     and task.token == self.token
                     and now - task.ordered_at > UNSURE_S
                 )
--- a/basilwind/scheduling/worker_book.py
+++ b/basilwind/scheduling/worker_book.py
@@ -179,6 +179,7 @@
                 self._release(task)
             else:
                 task.state = TaskState.UNSURE
+                task.stop_answered_at = None
 
     def lose_worker(self, worker):
         """Releases all runs of a worker that has surely ended."""
--- a/tests/scheduling/test_pool.py
+++ b/tests/scheduling/test_pool.py
@@ -91,6 +91,26 @@
         model.settle()
         model.check_settled()
 
+    def test_stops_repeated_during_a_long_hold_do_not_put_the_release_off(self):
+        # fleetbench kivimagi-inv deploy/days/cut-workers.toml --vary --seed
+        # 345227925535: each hold was older than the newest answer to a stop.
+        model = self._model(workers=1)
+        model.submit("job", make_job(count=1))
+        model.hold()
+        model.schedule(lambda: "late")
+        view, worker = model.state.workers["w0"], model.workers["w0"]
+        for _ in range(3):
+            sent_at = model.now
+            for _ in range(2):
+                model.now += 0.75
+                for order in model.state.stop_orders(model.now):
+                    worker.stop(order.task_name, order.run, model.state.token)
+                    model.state.apply_stop_answer(order, model.now)
+            report = worker.hold(1, 0, None, {}, model.now)
+            model.state.apply_report(view, report, sent_at, model.now)
+        (task,) = model.all_tasks()[:1]
+        self.assertIs(task.state, TaskState.WAITING)
+
     def test_one_task_at_a_time_is_evacuated_and_a_lost_one_counts(self):
         # fleetbench cordillera-flota scale-1: AVAIL, two of a step were away.
         model = self._model()
