Store submissions in the project's own form

Cause: the intake kept the caller's body, so the owner decoded the platform's message a second time, after the front had done so to check it. Ruled out: keeping both (larger records). The front's decoded job is stored, defaults left out. Conclusion: names of the wire end at the adapter.

--- a/basilwind/entry/front.py
+++ b/basilwind/entry/front.py
@@ -97,13 +97,11 @@
 
     async def _submit(self, queue, job_id, request, deadline):
         try:
-            decode_job(request.body)
+            spec = decode_job(request.body)
         except RequestInvalid as error:
             return _error(400, str(error))
         record = msgspec.json.encode(
-            SubmissionRecord(
-                queue.name, self._services.wall(), msgspec.Raw(request.body)
-            )
+            SubmissionRecord(queue.name, self._services.wall(), spec)
         )
         if len(record) + 64 > self._services.settings.store_record_bytes:
             return _error(413, "the job is larger than the store's records")
--- a/basilwind/entry/owner.py
+++ b/basilwind/entry/owner.py
@@ -12,13 +12,11 @@
     CallUnanswered,
     PlatformError,
     ProducerFenced,
-    RequestInvalid,
     RetentionGap,
     WorkerCallFailed,
     WorkerReplaced,
 )
 from basilwind.logs import log
-from basilwind.platform.jobs import decode_job
 from basilwind.scheduling.jobs import Job, JobState
 from basilwind.scheduling.pool import PoolState
 from basilwind.scheduling.records import (
@@ -183,11 +181,12 @@
             return None
         try:
             submission = decode_submission(record.value)
-            spec = decode_job(bytes(submission.body))
-        except (msgspec.DecodeError, RequestInvalid) as error:
+        except msgspec.DecodeError as error:
             self._report("submission damaged", job=record.key, error=str(error))
             return None
-        return Job(record.key, submission.queue, spec, submission.accepted_at)
+        return Job(
+            record.key, submission.queue, submission.spec, submission.accepted_at
+        )
 
     def _apply_cancel(self, record):
         if record.key.startswith(CANCEL_PREFIX) and record.value:
--- a/basilwind/scheduling/records.py
+++ b/basilwind/scheduling/records.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from basilwind.scheduling.jobs import JobState, TaskState
+from basilwind.scheduling.specs import JobSpec
 
 
 class TaskRecord(msgspec.Struct, array_like=True):
@@ -51,12 +52,12 @@
     Attributes:
         queue: Name of the queue.
         accepted_at: Unix seconds.
-        body: The job as the caller sent it.
+        spec: What the job asks for.
     """
 
     queue: str
     accepted_at: float
-    body: msgspec.Raw
+    spec: JobSpec
 
 
 _JOB_RECORDS = msgspec.json.Decoder(JobRecord)
--- a/basilwind/scheduling/specs.py
+++ b/basilwind/scheduling/specs.py
@@ -1,10 +1,9 @@
 """What a job asks for."""
 
-from dataclasses import dataclass
+import msgspec
 
 
-@dataclass(frozen=True, slots=True)
-class StepSpec:
+class StepSpec(msgspec.Struct, frozen=True, omit_defaults=True):
     """A step of a job: equal tasks.
 
     Attributes:
@@ -53,8 +52,7 @@
         return 0 if self.is_filler else self.cpu
 
 
-@dataclass(frozen=True, slots=True)
-class JobSpec:
+class JobSpec(msgspec.Struct, frozen=True, omit_defaults=True):
     """A submitted job.
 
     Attributes:
