Plan machines by what waits and what runs, not by all unfinished work

Ruled out: moves that were refused (all were accepted), a lack of machines (184 for 75). Change: a pool needs a fifth more than its running tasks use, and what drains the waiting ones; rates are jobs a second of a mean job's work; a turn counts once arrivals were high for 1 s.

--- a/basilwind/scheduling/capacity.py
+++ b/basilwind/scheduling/capacity.py
@@ -2,9 +2,10 @@
 
 Load pattern: demand comes in turns. Each queue asks several times its mean for
 some seconds, more than its pool holds, and next to nothing in between. A move
-takes seconds, so machines are fetched by what the work at hand will need when
-they arrive, and before a turn that the last ones foretell; idle machines cost
-money every second and go back to the spare pool.
+takes seconds, so machines are fetched by what waits, by what will have come when
+they arrive, and before a turn that the last ones foretell. Work that runs keeps
+the machines it has and no more: what a pool holds beyond that is missing where
+the next turn begins, and idle machines cost money every second.
 """
 
 import math
@@ -13,6 +14,7 @@
 import msgspec
 
 DRAIN_S = 1.1  # slack of a mean job: 0.6 s and 0.6 of its chain of 1 s
+HEADROOM = 1.2  # jobs in flight in a turn vary by a tenth; two deviations
 FETCH_S = 1.9  # a move of 1.5 s, a planner's turn and the worker's first entry
 SURE_FLOOR = 2  # machines left in a pool whose next turn is foretold
 UNSURE_FLOOR_SHARE = 0.5  # of an even share of all machines, before turns are known
@@ -20,6 +22,7 @@
 IDLE_S = 0.8  # work between two steps of a job leaves machines idle for a moment
 LATE_DRAIN_S = 4.0  # late jobs are worth little, for up to 5 s more
 RATE_S = 0.5  # a turn's first half second tells it from single jobs
+SUSTAINED_S = 1.0  # two jobs at once look like a turn for 0.9 s
 TURN_SHARE = 0.35  # of the highest rate seen; turns ask 4 times the mean
 TURN_MACHINES = 3  # less than that is a single large job
 TAKE_MARGIN = 1  # machines by which shares may be off before work is interrupted
@@ -50,23 +53,30 @@
     Attributes:
         pool: Name of the pool.
         workers: Its usable and withheld workers.
-        urgent_work: Unfinished work of jobs that can make their objective,
-            core-seconds.
-        late_work: Unfinished work of late jobs, core-seconds.
+        urgent_work: Work of tasks that wait for a worker, of jobs that can make
+            their objective, core-seconds.
+        late_work: The same of late jobs.
+        urgent_cpu: Thousandths of a core that tasks of jobs that can make their
+            objective have on workers; lasting tasks are not counted.
+        late_cpu: The same of late jobs.
         lasting_cpu: Thousandths of a core that lasting tasks need.
         lasting_memory: Megabytes that lasting tasks need.
         lasting_waiting: Lasting tasks that found no room.
         arrived: Work of all jobs taken in so far, core-seconds.
+        arrived_jobs: Their number.
     """
 
     pool: str
     workers: list[WorkerLoad]
     urgent_work: float
     late_work: float
+    urgent_cpu: int
+    late_cpu: int
     lasting_cpu: int
     lasting_memory: int
     lasting_waiting: int
     arrived: float
+    arrived_jobs: int
 
 
 @dataclass
@@ -74,20 +84,22 @@
     """What the planner has learned of a pool's demand.
 
     Attributes:
-        rate: Recent arrivals, cores.
+        rate: Recent arrivals, cores: jobs a second, of a mean job's work each,
+            since single jobs differ by a factor of ten.
         peak: Highest rate of a turn.
         starts: When turns began; boot time.
         idle_since: Since when a worker has been empty, by id.
-        is_in_turn: Whether arrivals are near their highest.
     """
 
     rate: float = 0.0
     peak: float = 0.0
     starts: list[float] = field(default_factory=list)
     idle_since: dict[str, float] = field(default_factory=dict)
-    is_in_turn: bool = False
-    _arrived: float = 0.0
+    _jobs_rate: float = 0.0
+    _jobs: int = 0
     _seen_at: float = 0.0
+    _high_since: float | None = None
+    _is_in_turn: bool = False
 
     def observe(self, report, turn_rate, now):
         """Learns from a report.
@@ -97,22 +109,35 @@
             turn_rate: Least rate of a turn, cores.
             now: Boot time in seconds.
         """
-        if self._seen_at and report.arrived >= self._arrived:
+        if self._seen_at and report.arrived_jobs >= self._jobs:
             span = max(1e-3, now - self._seen_at)
-            rate = (report.arrived - self._arrived) / span
+            rate = (report.arrived_jobs - self._jobs) / span
             weight = 1 - math.exp(-span / RATE_S)
-            self.rate += weight * (rate - self.rate)
-        self._arrived, self._seen_at = report.arrived, now
-        self.peak = max(self.peak, self.rate)
-        is_in_turn = self.rate > turn_rate
-        if is_in_turn and not self.is_in_turn:
-            self.starts.append(now)
-        self.is_in_turn = is_in_turn
+            self._jobs_rate += weight * (rate - self._jobs_rate)
+        self._jobs, self._seen_at = report.arrived_jobs, now
+        work_of_job = report.arrived / max(1, report.arrived_jobs)
+        self.rate = self._jobs_rate * work_of_job
+        self._note_turn(self.rate > turn_rate, now)
         idle = {load.worker_id for load in report.workers if not load.tasks}
         self.idle_since = {
             worker_id: self.idle_since.get(worker_id, now) for worker_id in idle
         }
 
+    def _note_turn(self, is_high, now):
+        """Takes a turn for begun once arrivals have been high for some time."""
+        if not is_high:
+            self._high_since = None
+            self._is_in_turn = False
+            return
+        if self._high_since is None:
+            self._high_since = now
+        if now - self._high_since < SUSTAINED_S:
+            return
+        self.peak = max(self.peak, self.rate)
+        if not self._is_in_turn:
+            self._is_in_turn = True
+            self.starts.append(self._high_since)
+
 
 @dataclass(frozen=True, slots=True)
 class Move:
@@ -239,12 +264,14 @@
         cores = sum(load.cpu for load in report.workers) / 1000
         lasting = report.lasting_cpu / 1000
         growth = max(0.0, trend.rate - (cores - lasting)) * FETCH_S
-        urgent = (report.urgent_work + growth) / DRAIN_S
-        if trend.is_in_turn or self._is_foretold(report.pool, now):
+        running = HEADROOM * report.urgent_cpu / 1000
+        urgent = running + (report.urgent_work + growth) / DRAIN_S
+        if self._is_foretold(report.pool, now):
             urgent = max(urgent, self._expected_peak(trend))
         to_last = self._machines_to_last(report)
         urgent = max((urgent + lasting) * 1000 / self._machine_cpu, to_last)
-        late = report.late_work / LATE_DRAIN_S * 1000 / self._machine_cpu
+        late = report.late_work / LATE_DRAIN_S + report.late_cpu / 1000
+        late *= 1000 / self._machine_cpu
         self._needs[report.pool] = urgent
         return math.ceil(urgent), math.ceil(urgent + late)
 
@@ -258,6 +285,10 @@
         """Returns the machines that each pool needed when last seen."""
         return {pool: round(need, 1) for pool, need in self._needs.items()}
 
+    def starts_of(self, pool):
+        """Returns when a pool's turns began; boot time."""
+        return list(self._trends[pool].starts)
+
     @property
     def is_short(self):
         """Whether all pools together needed more machines than there are."""
--- a/basilwind/scheduling/job_book.py
+++ b/basilwind/scheduling/job_book.py
@@ -2,7 +2,6 @@
 
 from basilwind.scheduling.estimates import RunTimes
 from basilwind.scheduling.jobs import Job, JobState, TaskState
-from basilwind.scheduling.ordering import is_late
 
 
 class JobBook:
@@ -32,6 +31,7 @@
         self._report = report
         self._withheld_until = 0.0
         self._arrived = 0.0
+        self._arrived_jobs = 0
         self._ready = {}
         self._cancelled = set()
         self._timed = set()
@@ -45,7 +45,10 @@
             return
         job = Job(job_id, queue_name, spec, accepted_at)
         self.add_job(job, wall)
-        self._arrived += self._unfinished_work(job)
+        work = self._unfinished_work(job)
+        if work:
+            self._arrived += work
+            self._arrived_jobs += 1
         if job_id in self._cancelled:
             self._cancelled.discard(job_id)
             self._end_job(job, JobState.CANCELLED, now)
@@ -138,19 +141,11 @@
         if task.job.is_live:
             self._ready[task.step] = None
 
-    def _backlog(self, wall):
-        """Returns the unfinished work of urgent and of late jobs, core-seconds."""
-        urgent_work = late_work = 0.0
-        for job in self.jobs.values():
-            queue = self._find_queue(job.queue)
-            if not job.is_live or queue is None:
-                continue
-            work = self._unfinished_work(job)
-            if work and is_late(job, queue, self.run_times, wall):
-                late_work += work
-            else:
-                urgent_work += work
-        return urgent_work, late_work
+    def _backlog(self):
+        """Returns the unfinished work of all jobs, core-seconds."""
+        return sum(
+            self._unfinished_work(job) for job in self.jobs.values() if job.is_live
+        )
 
     def _work_of(self, queue, step):
         """Returns the core-seconds of a task of a step that ends, else 0."""
--- a/basilwind/scheduling/pool.py
+++ b/basilwind/scheduling/pool.py
@@ -4,11 +4,13 @@
 caller makes them durable before it acts on them.
 """
 
+from dataclasses import dataclass
+
 from basilwind.scheduling import health
 from basilwind.scheduling.admission import refuse_for_s
 from basilwind.scheduling.capacity import PoolReport, WorkerLoad
 from basilwind.scheduling.jobs import JobState, TaskState
-from basilwind.scheduling.ordering import rank_step
+from basilwind.scheduling.ordering import is_late, rank_step
 from basilwind.scheduling.orders import StartOrder, StopOrder
 from basilwind.scheduling.pacing import pace_worker
 from basilwind.scheduling.placement import (
@@ -29,6 +31,19 @@
 BACKLOG_AGE_S = 0.2  # every daemon asks twice a second for each queue
 
 
+@dataclass(slots=True)
+class Demand:
+    """What a group of jobs asks of a pool now; lasting tasks are not counted.
+
+    Attributes:
+        waiting_work: Work of tasks that wait for a worker, core-seconds.
+        running_cpu: Thousandths of a core that their tasks have on workers.
+    """
+
+    waiting_work: float = 0.0
+    running_cpu: int = 0
+
+
 class PoolState(WorkerBook):
     """Decides what a pool's workers are ordered; see ``JobBook`` for its arguments."""
 
@@ -58,7 +73,7 @@
 
     def pool_report(self, now, wall):
         """Returns the ``PoolReport`` for the planner."""
-        urgent_work, late_work = self._backlog(wall)
+        urgent, late = self._demand(wall)
         lasting = [
             task
             for job in self.jobs.values()
@@ -83,8 +98,10 @@
                 and worker.avoid_until <= now
                 and worker.silent_since is None
             ],
-            urgent_work=urgent_work,
-            late_work=late_work,
+            urgent_work=urgent.waiting_work,
+            late_work=late.waiting_work,
+            urgent_cpu=urgent.running_cpu,
+            late_cpu=late.running_cpu,
             lasting_cpu=sum(task.spec.reserved_cpu for task in lasting),
             lasting_memory=sum(task.spec.memory for task in lasting),
             lasting_waiting=sum(
@@ -94,8 +111,29 @@
                 if task.step.short_since is not None
             ),
             arrived=self._arrived,
+            arrived_jobs=self._arrived_jobs,
         )
 
+    def _demand(self, wall):
+        """Returns the ``Demand`` of jobs that can make their objective, and of
+        late ones."""
+        urgent, late = Demand(), Demand()
+        for rank, step in self._ranked(wall):
+            demand = late if rank.is_late else urgent
+            work = self._work_of(step.job.queue, step.spec)
+            demand.waiting_work += len(step.waiting()) * work
+        for worker in self.workers.values():
+            for task in worker.tasks.values():
+                if not task.spec.is_lasting:
+                    is_behind = self._is_late(task.job, wall)
+                    demand = late if is_behind else urgent
+                    demand.running_cpu += task.spec.reserved_cpu
+        return urgent, late
+
+    def _is_late(self, job, wall):
+        queue = self._find_queue(job.queue)
+        return queue is not None and is_late(job, queue, self.run_times, wall)
+
     def refuse_for_s(self, queue_name, now, wall):
         """Returns for how long new jobs of a queue are refused; 0 to accept them."""
         queue = self._find_queue(queue_name)
@@ -108,7 +146,7 @@
         )
         if now - self._backlog_at > BACKLOG_AGE_S:
             self._backlog_at = now
-            self._known_backlog = sum(self._backlog(wall))
+            self._known_backlog = self._backlog()
         return refuse_for_s(queue, self._known_backlog, cores, self.run_times)
 
     # Orders
@@ -127,7 +165,7 @@
         self._expire_withholding(now)
         workers = [worker for worker in self.workers.values() if is_usable(worker, now)]
         orders, shortages = [], []
-        for step in self._ranked(wall):
+        for _, step in self._ranked(wall):
             if any(shortage.covers(step.spec) for shortage in shortages):
                 continue
             if step.spec.is_gang and not gang_is_whole(step):
@@ -153,6 +191,7 @@
                 self._ready[step] = None
 
     def _ranked(self, wall):
+        """Returns pairs of ``Rank`` and waiting step, the most urgent first."""
         ranked = []
         for step in list(self._ready):
             if not any(task.state is TaskState.WAITING for task in step.tasks):
@@ -165,7 +204,7 @@
                 step.tickets = {}
             ranked.append((rank_step(step, queue, self.run_times, wall), step))
         ranked.sort(key=lambda row: row[0])
-        return [step for _, step in ranked]
+        return ranked
 
     def _start_orders(self, step, placed, now):
         if not placed:
@@ -204,7 +243,7 @@
         if not any(step.tickets is not None for step in self._ready):
             return None
         workers = [worker for worker in self.workers.values() if is_usable(worker, now)]
-        for step in self._ranked(wall):
+        for _, step in self._ranked(wall):
             if step.tickets is None:
                 continue
             worker_ids = workers_to_ask(step, workers, now)
