Begin new jobs newest first while more waits than can be begun in time

By least slack each job comes to its turn when it can only just make it, and run times spread by half. Ruled out: a wider start margin (trial: what is put off then is late all the same). Change: while the waiting work of jobs that can make it is more than 0.3 s of all workers, new jobs go newest first.

--- a/basilwind/scheduling/ordering.py
+++ b/basilwind/scheduling/ordering.py
@@ -8,6 +8,11 @@
 a new job that could only just make it counts as late, because run times are
 known to within a factor of two at best.
 
+While more waits than the pool can begin in time, the least slack would bring every
+job to its turn when it can only just make it, and most then miss. New jobs go
+newest first for that time: those that are begun make it, and the others are late
+in either order.
+
 Hundreds of steps wait then, and each answer of a worker looks at all of them, so
 a step keeps its outlook, and only comparisons with the time of day remain.
 """
@@ -15,6 +20,7 @@
 from dataclasses import dataclass
 
 START_MARGIN = 0.2  # of the chain: run times spread by half, over several tasks
+OVERLOAD_S = 0.3  # work of all workers that may wait; a mean job's slack is 1.1 s
 OUTLOOK_AGE_S = 1.0  # learned run times drift over seconds
 
 
@@ -42,7 +48,8 @@
         priority: Priority of the queue.
         is_late: Whether the objective is out of reach.
         is_new: Whether none of its tasks was started.
-        urgency: Slack in seconds, or the time of acceptance of a late job.
+        urgency: Slack in seconds, negated for a new job in an overload, or the time
+            of acceptance of a late job.
     """
 
     is_short: bool
@@ -52,7 +59,18 @@
     urgency: float
 
 
-def rank_step(step, queue, run_times, wall):
+def is_overloaded(waiting_work, cores):
+    """Tells whether more waits than can be begun in time.
+
+    Args:
+        waiting_work: Work of waiting tasks of jobs that can make their objective,
+            core-seconds.
+        cores: Cores of the pool's usable workers.
+    """
+    return waiting_work > OVERLOAD_S * cores
+
+
+def rank_step(step, queue, run_times, wall, is_newest_first=False):
     """Ranks a step that waits.
 
     Args:
@@ -60,6 +78,7 @@
         queue: ``Queue`` of its job.
         run_times: ``RunTimes``.
         wall: Unix time in seconds.
+        is_newest_first: Whether new jobs go newest first.
 
     Returns:
         ``Rank``.
@@ -75,7 +94,8 @@
     is_new = not job.has_begun
     if slack < (START_MARGIN * outlook.whole_s if is_new else 0.0):
         return Rank(True, queue.priority, True, False, _begin(job, step.occurrence))
-    return Rank(True, queue.priority, False, is_new, slack)
+    urgency = -slack if is_new and is_newest_first else slack
+    return Rank(True, queue.priority, False, is_new, urgency)
 
 
 def is_late(job, queue, run_times, wall):
--- a/basilwind/scheduling/pool.py
+++ b/basilwind/scheduling/pool.py
@@ -10,7 +10,7 @@
 from basilwind.scheduling.admission import refuse_for_s
 from basilwind.scheduling.capacity import PoolReport, WorkerLoad
 from basilwind.scheduling.jobs import JobState, TaskState
-from basilwind.scheduling.ordering import is_late, rank_step
+from basilwind.scheduling.ordering import is_late, is_overloaded, rank_step
 from basilwind.scheduling.orders import StartOrder, StopOrder
 from basilwind.scheduling.pacing import pace_worker
 from basilwind.scheduling.placement import (
@@ -164,6 +164,8 @@
         self._open_due(wall)
         self._expire_withholding(now)
         workers = [worker for worker in self.workers.values() if is_usable(worker, now)]
+        cores = sum(worker.entry.cpu for worker in workers) / 1000
+        self._is_overloaded = is_overloaded(self._urgent_waiting, cores)
         orders, shortages = [], []
         for _, step in self._ranked(wall):
             if any(shortage.covers(step.spec) for shortage in shortages):
@@ -193,8 +195,10 @@
     def _ranked(self, wall):
         """Returns pairs of ``Rank`` and waiting step, the most urgent first."""
         ranked = []
+        self._urgent_waiting = 0.0
         for step in list(self._ready):
-            if not any(task.state is TaskState.WAITING for task in step.tasks):
+            waiting = len(step.waiting())
+            if not waiting:
                 del self._ready[step]
                 continue
             queue = self._find_queue(step.job.queue)
@@ -202,7 +206,11 @@
                 continue
             if queue.has_advice and step.tickets is None:
                 step.tickets = {}
-            ranked.append((rank_step(step, queue, self.run_times, wall), step))
+            rank = rank_step(step, queue, self.run_times, wall, self._is_overloaded)
+            ranked.append((rank, step))
+            if not rank.is_late:
+                work = self._work_of(step.job.queue, step.spec)
+                self._urgent_waiting += waiting * work
         ranked.sort(key=lambda row: row[0])
         return ranked
 
