Refuse only jobs that never ran; drop cancels with their jobs

A repeat of a job that was accepted, or whose first append still had no answer, was refused (429 or 503) while the first attempt ran. Cancel records stayed in the intake for ever. Ruled out: asking the owner before each append (a call more a job). Change: a refusal is turned into the acceptance that it repeats if the owner has the job; the intake doesn't withdraw what it has in doubt itself; a forgotten job takes its cancel along.

--- a/basilwind/entry/front.py
+++ b/basilwind/entry/front.py
@@ -28,6 +28,7 @@
 RETRY_AFTER_S = 1  # an owner or the store returns within seconds
 QUEUE_AGE_S = 0.5  # a queue's count may be 2 s old
 ADMISSION_S = 0.1  # an owner answers in 2 ms; none is waited for
+REFUSALS = (429, 503)  # both say that the job was not accepted and never runs
 
 
 class Front:
@@ -105,16 +106,28 @@
         )
         if len(record) + 64 > self._services.settings.store_record_bytes:
             return _error(413, "the job is larger than the store's records")
-        refusal = await self._refusal(queue, job_id)
-        if refusal is not None:
-            return refusal
-        intake = self._intake_of(queue.pool)
-        response = await self._settle(intake.submit(job_id, record), deadline)
+        response = await self._refusal(queue, job_id)
+        if response is None:
+            intake = self._intake_of(queue.pool)
+            response = await self._settle(intake.submit(job_id, record), deadline)
+        if response.status in REFUSALS and await self._is_accepted(queue, job_id):
+            # A repeat of a job that runs or has run; a refusal would say otherwise.
+            response = json_response({})
         self._services.report(
             "job submitted", job=job_id, queue=queue.name, status=response.status
         )
         return response
 
+    async def _is_accepted(self, queue, job_id):
+        """Tells whether the owner has the job from an earlier attempt."""
+        with anyio.move_on_after(ADMISSION_S):
+            try:
+                return await self._find_state(queue, job_id) is not None
+            except NotOwner:
+                # Nobody can tell; the caller's repeat is judged again.
+                return False
+        return False
+
     async def _cancel(self, queue, job_id, deadline):
         intake = self._intake_of(queue.pool)
         response = await self._settle(intake.cancel(job_id), deadline)
--- a/basilwind/entry/intake.py
+++ b/basilwind/entry/intake.py
@@ -20,6 +20,7 @@
     """A record that waits for its append.
 
     Attributes:
+        key: Key of the record.
         record: The framed record.
         done: Set once the outcome is settled.
         is_sent: Whether it was sent, so that it may take effect.
@@ -27,8 +28,9 @@
         is_withdrawn: Whether its caller was refused before it was sent.
     """
 
-    def __init__(self, record):
-        self.record = record
+    def __init__(self, key, value):
+        self.key = key
+        self.record = encode_keyed(key, value)
         self.done = anyio.Event()
         self.is_sent = False
         self.is_stored = False
@@ -50,6 +52,8 @@
         self._producer = producer
         self._sequence = 0
         self._entries = []
+        # Keys whose append has no answer yet, so that it may have taken effect.
+        self._in_doubt = frozenset()
         self._signal = Signal()
 
     async def submit(self, job_id, record):
@@ -60,22 +64,23 @@
             record: Encoded ``SubmissionRecord``.
 
         Raises:
-            NotStarted: It was not stored and never will be.
+            NotStarted: It was not stored and never will be, nor was the same
+                submission before, as far as this daemon has sent it.
         """
-        await self._store_record(encode_keyed(job_id, record))
+        await self._store_record(job_id, record)
 
     async def cancel(self, job_id):
         """Stores a cancel; raises like ``submit``."""
-        await self._store_record(encode_keyed(CANCEL_PREFIX + job_id, b"1"))
+        await self._store_record(CANCEL_PREFIX + job_id, b"1")
 
-    async def _store_record(self, record):
-        entry = _Entry(record)
+    async def _store_record(self, key, value):
+        entry = _Entry(key, value)
         self._entries.append(entry)
         self._signal.set()
         with anyio.move_on_after(REFUSE_AFTER_S):
             await entry.done.wait()
         if not entry.done.is_set():
-            if not entry.is_sent:
+            if not entry.is_sent and key not in self._in_doubt:
                 entry.is_withdrawn = True
                 raise NotStarted("the platform's store is away")
             await entry.done.wait()
@@ -99,6 +104,7 @@
         for entry in batch:
             entry.is_sent = True
         is_doubtful = False
+        self._in_doubt = frozenset(entry.key for entry in batch)
         while True:
             try:
                 await self._store.append(
@@ -110,6 +116,7 @@
             except StoreRefused:
                 # Only an append that was never in doubt may be taken back.
                 if not is_doubtful:
+                    self._in_doubt = frozenset()
                     self._sequence -= 1
                     self._requeue(batch)
                     await anyio.sleep(RETRY_S)
@@ -117,6 +124,7 @@
                 await anyio.sleep(RETRY_S)
             else:
                 break
+        self._in_doubt = frozenset()
         for entry in batch:
             entry.is_stored = True
             entry.done.set()
--- a/basilwind/entry/journal.py
+++ b/basilwind/entry/journal.py
@@ -2,6 +2,7 @@
 
 import anyio
 
+from basilwind.entry.intake import CANCEL_PREFIX
 from basilwind.entry.signals import Signal
 from basilwind.errors import StoreRefused, StoreUnanswered
 from basilwind.platform.store import Producer, encode_keyed
@@ -90,7 +91,11 @@
             await self._drop_submissions(dropped)
 
     async def _drop_submissions(self, job_ids):
-        records = [encode_keyed(job_id, b"") for job_id in job_ids]
+        records = [
+            encode_keyed(key, b"")
+            for job_id in job_ids
+            for key in (job_id, CANCEL_PREFIX + job_id)
+        ]
         try:
             await self._store.append(self._intake_topic, records)
         except (StoreRefused, StoreUnanswered):
