Spread a wave over its time while a turn needs machines

Ruled out: waiting until a fleet is short (the spare machines are what the turn lacks a second later). Change: a wave takes its own pace as soon as demand needs a quarter of all machines, not only when it needs more than there are. Its machines are done at three quarters of the time, as before.

--- a/basilwind/entry/planner.py
+++ b/basilwind/entry/planner.py
@@ -191,7 +191,7 @@
             now - came_at,
             wave.deadline_s,
             self._services.settings.upkeep_s,
-            self._plan is not None and self._plan.is_short,
+            self._plan is not None and self._plan.is_busy,
         )
         chosen = choose_upkeep(
             candidates,
--- a/basilwind/scheduling/capacity.py
+++ b/basilwind/scheduling/capacity.py
@@ -26,6 +26,7 @@
 TURN_SHARE = 0.35  # of the highest rate seen; turns ask 4 times the mean
 TURN_MACHINES = 3  # less than that is a single large job
 TAKE_MARGIN = 1  # machines by which shares may be off before work is interrupted
+BUSY_SHARE = 0.25  # a turn alone takes a third of all machines
 FORETELL_S = 1.5  # how long a foretold turn may be late
 
 
@@ -252,6 +253,7 @@
         self._trends = {}
         self._needs = {}
         self._is_short = False
+        self._machines = 0
 
     def _observe(self, report, now):
         """Learns from a report; returns the urgent need and all need, machines."""
@@ -290,9 +292,9 @@
         return list(self._trends[pool].starts)
 
     @property
-    def is_short(self):
-        """Whether all pools together needed more machines than there are."""
-        return self._is_short
+    def is_busy(self):
+        """Whether a turn takes so many machines that the next one needs the rest."""
+        return sum(self._needs.values()) > BUSY_SHARE * self._machines
 
     def is_pool_short(self, report):
         """Tells whether a pool had fewer machines than it needed when last seen."""
@@ -325,6 +327,7 @@
         needs = {report.pool: self._observe(report, now) for report in reports}
         machines = spare + sum(incoming.values())
         machines += sum(len(report.workers) for report in reports)
+        self._machines = machines
         have = {
             report.pool: len(report.workers) + incoming.get(report.pool, 0)
             for report in reports
--- a/basilwind/scheduling/upkeep.py
+++ b/basilwind/scheduling/upkeep.py
@@ -34,7 +34,7 @@
     is_pool_short: bool
 
 
-def places_at_once(at_once, left, elapsed_s, deadline_s, upkeep_s, is_fleet_short):
+def places_at_once(at_once, left, elapsed_s, deadline_s, upkeep_s, is_fleet_busy):
     """Returns how many machines of a wave may be down now.
 
     Args:
@@ -43,10 +43,10 @@
         elapsed_s: Time since the wave was announced.
         deadline_s: Time given for it.
         upkeep_s: Duration of one upkeep.
-        is_fleet_short: Whether demand needs every machine; the wave then takes
-            only the pace that it needs to be in time.
+        is_fleet_busy: Whether the next turn may need every machine; the wave then
+            takes only the pace that it needs to be in time.
     """
-    if not is_fleet_short:
+    if not is_fleet_busy:
         return at_once
     time_left_s = MARGIN * deadline_s - elapsed_s
     if time_left_s <= 0:
