Record everything before duties are handed over

Ruled out: not waiting at all (a former owner may have died with unrecorded starts). The tests now show the ends of the daemons' logs when they fail.

--- a/basilwind/entry/duties.py
+++ b/basilwind/entry/duties.py
@@ -97,6 +97,10 @@
             self._book.forget(duty)
             self._on_change()
 
+    def is_handed_over(self, duty):
+        """Tells whether the former holder recorded all and gave the duty back."""
+        return duty in self._book.handed_over
+
     async def follow(self):
         """Follows the claims of all daemons."""
         await self._follower.run()
--- a/basilwind/entry/host.py
+++ b/basilwind/entry/host.py
@@ -199,6 +199,7 @@
                     token,
                     self._shared,
                     self._shared.duties.former_of(POOL_PREFIX + pool),
+                    self._shared.duties.is_handed_over(POOL_PREFIX + pool),
                 )
                 self._owners[pool] = owner
                 self.tasks.start_soon(self._run_owner, pool, owner)
@@ -289,7 +290,14 @@
     async def _hand_over(self):
         log("stopping", host=self._settings.name)
         self._is_stopping = True
-        self.tasks.start_soon(self._shared.duties.release)
+        self._shared.outage.stop()
+        self.tasks.start_soon(self._release_duties)
+
+    async def _release_duties(self):
+        """Gives the duties back; a successor finds every start in the journal."""
+        for owner in list(self._owners.values()):
+            await owner.flush()
+        await self._shared.duties.release()
 
     async def _stop_serving(self):
         await anyio.sleep(LEAVE_AFTER_S)
--- a/basilwind/entry/outage.py
+++ b/basilwind/entry/outage.py
@@ -26,12 +26,18 @@
         self._ask = ask
         self._clock = clock
         self._confirmed_at = None
+        self._is_stopped = False
+
+    def stop(self):
+        """Confirms no outage any more: what follows has to be recorded."""
+        self._is_stopped = True
 
     @property
     def is_confirmed(self):
         """Whether nobody reaches the store, as far as others have said just now."""
         return (
             self._confirmed_at is not None
+            and not self._is_stopped
             and self._store_watch.is_in_doubt
             and self._clock() - self._confirmed_at < CONFIRMED_S
         )
--- a/basilwind/entry/owner.py
+++ b/basilwind/entry/owner.py
@@ -44,11 +44,13 @@
         token: Fencing token.
         services: ``Services`` that all duties of the daemon share.
         former: ``Claim`` of a former owner that may extend leases still, or None.
+        is_handed_over: Whether the former owner recorded all that it started.
     """
 
-    def __init__(self, pool, token, services, former=None):
+    def __init__(self, pool, token, services, former=None, is_handed_over=False):
         self._services = services
         self._former = former
+        self._is_handed_over = is_handed_over
         self._store = services.store
         self._calls = services.worker_calls
         self._clock = services.clock
@@ -112,6 +114,10 @@
             await self._journal.durable()
         return job.state
 
+    async def flush(self):
+        """Waits until all that was decided here is durable."""
+        await self._journal.durable()
+
     def wake(self):
         """Looks for work to place soon."""
         self._wake.set()
@@ -142,7 +148,7 @@
             former_s += UNCONFIRMED_S
         self._state.former_leases_until = now + former_s
         watch = self._services.store_watch
-        if watch.was_away_lately:
+        if watch.was_away_lately and not self._is_handed_over:
             self._state.unrecorded_until = now + former_s
             self._state.registry_settles_at = watch.doubt_ended_at + RETURN_S
         self._is_loaded = True
--- a/basilwind/scheduling/ownership.py
+++ b/basilwind/scheduling/ownership.py
@@ -76,6 +76,7 @@
         heard_at: When a heartbeat of a holder was last read; boot time.
         former: Claim that the newest one replaced, by duty, where its holder may be
             at work still.
+        handed_over: Duties that the former holder gave back, or that had none.
     """
 
     me: str
@@ -83,6 +84,7 @@
     claims: dict[str, Claim] = field(default_factory=dict)
     heard_at: dict[str, float] = field(default_factory=dict)
     former: dict[str, Claim] = field(default_factory=dict)
+    handed_over: set[str] = field(default_factory=set)
     _free_since: dict[str, float] = field(default_factory=dict)
 
     def apply_claim(self, duty, claim, now):
@@ -96,6 +98,10 @@
             self.former[duty] = known
         elif claim.holder:
             self.former.pop(duty, None)
+        if claim.holder and (known is None or not known.holder):
+            self.handed_over.add(duty)
+        elif claim.holder:
+            self.handed_over.discard(duty)
         self.claims[duty] = claim
         self._free_since.pop(duty, None)
         self.heard_at.setdefault(claim.holder, now)
--- a/extras/entry_fleet.py
+++ b/extras/entry_fleet.py
@@ -80,6 +80,23 @@
         """Returns the status and the decoded body, or None without an answer."""
         return await self._fetch(method, self.ports[number], path, body)
 
+    async def answers(self, number):
+        """Waits until a daemon answers anything."""
+
+        async def check():
+            return await self._fetch("GET", self.ports[number] + 1, "/ready")
+
+        await self.until(check)
+
+    def last_lines(self, count=15):
+        """Returns the ends of the daemons' logs."""
+        parts = []
+        for number, process in self.processes.items():
+            lines = (self._log_folder / f"{number}.log").read_text().splitlines()
+            parts.append(f"daemon {number}, exit code {process.returncode}:")
+            parts += lines[-count:]
+        return "\n".join(parts)
+
     async def is_ready(self, number):
         """Tells whether a daemon reports itself ready."""
         answer = await self._fetch("GET", self.ports[number] + 1, "/ready")
--- a/tests/entry/test_outage.py
+++ b/tests/entry/test_outage.py
@@ -46,3 +46,8 @@
         watch = self._watch(b=2.0)
         self.store_watch.note_answer()
         self.assertFalse(watch.is_confirmed)
+
+    def test_daemon_that_stops_records_everything(self):
+        watch = self._watch(b=2.0)
+        watch.stop()
+        self.assertFalse(watch.is_confirmed)
--- a/tests/processes/test_entry_host.py
+++ b/tests/processes/test_entry_host.py
@@ -12,17 +12,24 @@
 
 
 class TestEntryHost(unittest.TestCase):
-    def _run(self, scenario, daemons=2):
+    def _run(self, scenario, daemons=2, is_store_down_first=False):
         async def main():
             fleet = Fleet(daemons)
             try:
                 async with anyio.create_task_group() as tasks:
                     await tasks.start(fleet.platform.run)
+                    fleet.platform.store.is_down = is_store_down_first
                     for number in range(daemons):
                         await fleet.start(number)
+                    for number in range(daemons):
+                        await fleet.answers(number)
+                    fleet.platform.store.is_down = False
                     await fleet.ready(0)
                     await scenario(fleet)
                     tasks.cancel_scope.cancel()
+            except BaseException as error:
+                error.add_note(fleet.last_lines())
+                raise
             finally:
                 await fleet.stop()
 
@@ -247,4 +254,5 @@
             self.assertEqual(len(second), 4)
             self._check_once(fleet, ["e" * 15 + "a", "e" * 15 + "b"])
 
-        self._run(scenario)
+        # Both daemons learn of the duties at the same time and share them.
+        self._run(scenario, is_store_down_first=True)
