--- a/basilwind/scheduling/pool.py
+++ b/basilwind/scheduling/pool.py
@@ -127,8 +127,7 @@
         )
 
     def _demand(self, wall):
-        """Returns the ``Demand`` of jobs that can make their objective, and of
-        late ones."""
+        """Returns the ``Demand`` of jobs that can be in time, and of late ones."""
         urgent, late = Demand(), Demand()
         for rank, step in self._ranked(wall):
             demand = late if rank.is_late else urgent
