Run owners and planner by one class; claim less often without the store

Cause: host.py ran owners and the planner by two like sets of functions; in an outage each daemon tried to claim a free duty ten times a second. Change: entry/holdings.py runs the work of any duty; a failed claim is tried again after 0.3 s.

--- a/basilwind/entry/duties.py
+++ b/basilwind/entry/duties.py
@@ -18,6 +18,7 @@
 _CLAIM_PREFIX = "claim/"
 _RELEASE_PREFIX = "release/"
 CHECK_S = 0.1  # a tenth of the time in which a duty changes hands
+CLAIM_RETRY_S = 0.3  # a store that is away returns after seconds
 PAUSE_S = 0.25  # bounds the reads that heartbeats of all holders cause
 HEARTBEAT_WAIT_S = 0.6  # heartbeats come each half second; a dead connection stands out
 RELEASE_RETRY_S = 0.1  # a stopping daemon has seconds, and others wait for it
@@ -179,6 +180,7 @@
         except PlatformError as error:
             # A claim that took effect all the same is found by following.
             log("claim failed", duty=duty, error=str(error))
+            await anyio.sleep(CLAIM_RETRY_S)
             return
         self._set_claim(duty, claim)
 
--- a/basilwind/entry/host.py
+++ b/basilwind/entry/host.py
@@ -11,6 +11,7 @@
 from basilwind.entry.configuration import ConfigurationWatch
 from basilwind.entry.duties import FLEET_DUTY, POOL_PREFIX, Duties
 from basilwind.entry.front import Front
+from basilwind.entry.holdings import Holdings
 from basilwind.entry.intake import Intake
 from basilwind.entry.metrics import EntryMetrics
 from basilwind.entry.outage import OutageWatch
@@ -21,7 +22,6 @@
 from basilwind.entry.reload import SettingsWatch
 from basilwind.entry.services import Services
 from basilwind.entry.store_watch import StoreWatch
-from basilwind.errors import ProducerFenced
 from basilwind.logs import log
 from basilwind.platform.advice import AdviceCalls
 from basilwind.platform.machines import MachineCalls
@@ -47,13 +47,11 @@
         super().__init__()
         self._settings = settings
         self._is_stopping = False
-        self._owners = {}
-        self._scopes = {}
         self._intakes = {}
         self._store_watch = StoreWatch(boot_time)
-        self._metrics = EntryMetrics(lambda: self._owners.values(), dropped_lines)
+        self._metrics = EntryMetrics(self._owners, dropped_lines)
         self._shared = self._make_services(settings)
-        self._planner = None
+        self._holdings = Holdings(self._shared.duties, self._make_work)
         self._peers = PeerCalls(
             self._shared.transport, self._loaded_owner, self._owner_address
         )
@@ -124,7 +122,7 @@
             advice_calls=AdviceCalls(transport, settings.advice_address),
             configuration=ConfigurationWatch(store, boot_time, self._on_configuration),
             registry=WorkerRegistry(
-                store, boot_time, self._on_registry, lambda: bool(self._owners)
+                store, boot_time, self._on_registry, lambda: bool(self._owners())
             ),
             duties=Duties(
                 store,
@@ -161,7 +159,7 @@
     # Duties
 
     def _loaded_owner(self, pool):
-        owner = self._owners.get(pool)
+        owner = self._holdings.find(POOL_PREFIX + pool)
         return owner if owner is not None and owner.is_loaded else None
 
     def _owner_address(self, pool):
@@ -176,88 +174,37 @@
         self._shared.duties.want(
             [POOL_PREFIX + pool.name for pool in pools] + [FLEET_DUTY]
         )
-        for owner in self._owners.values():
+        for owner in self._owners():
             owner.wake()
 
     def _on_registry(self):
-        for owner in self._owners.values():
+        for owner in self._owners():
             owner.refresh_workers()
 
     def _on_duties(self):
-        held = {
-            duty[len(POOL_PREFIX) :]: token
-            for duty, token in self._shared.duties.mine().items()
-            if duty.startswith(POOL_PREFIX)
-        }
-        for pool, owner in list(self._owners.items()):
-            if held.get(pool) != owner.token:
-                self._drop_owner(pool, owner)
-        for pool, token in held.items():
-            if pool not in self._owners and self.tasks is not None:
-                owner = PoolOwner(
-                    pool,
-                    token,
-                    self._shared,
-                    self._shared.duties.former_of(POOL_PREFIX + pool),
-                    self._shared.duties.is_handed_over(POOL_PREFIX + pool),
-                )
-                self._owners[pool] = owner
-                self.tasks.start_soon(self._run_owner, pool, owner)
+        if self.tasks is not None:
+            self._holdings.follow(self.tasks)
 
-        self._follow_fleet_duty()
-
-    def _follow_fleet_duty(self):
-        token = self._shared.duties.mine().get(FLEET_DUTY)
-        planner = self._planner
-        if planner is not None and planner.token != token:
-            self._planner = None
-            scope = self._scopes.pop(planner, None)
-            if scope is not None:
-                scope.cancel()
-        if token is not None and self._planner is None and self.tasks is not None:
+    def _make_work(self, duty, token):
+        """Returns the ``PoolOwner`` or ``Planner`` of a duty, or None."""
+        duties = self._shared.duties
+        if duty == FLEET_DUTY:
             if not self._settings.machines_address:
-                return
-            self._planner = Planner(
-                token,
-                self._shared,
-                self._peers,
-                self._shared.duties.former_of(FLEET_DUTY),
-            )
-            self.tasks.start_soon(self._run_planner, self._planner)
-
-    async def _run_planner(self, planner):
-        with anyio.CancelScope() as scope:
-            self._scopes[planner] = scope
-            if self._planner is not planner:
-                return
-            try:
-                await planner.run()
-            except* ProducerFenced as error:
-                log("planner fenced", token=planner.token, error=str(error))
-                if self._planner is planner:
-                    self._shared.duties.abandon(FLEET_DUTY)
-
-    def _drop_owner(self, pool, owner):
-        del self._owners[pool]
-        scope = self._scopes.pop(owner, None)
-        if scope is not None:
-            scope.cancel()
+                return None
+            return Planner(token, self._shared, self._peers, duties.former_of(duty))
+        return PoolOwner(
+            duty.removeprefix(POOL_PREFIX),
+            token,
+            self._shared,
+            duties.former_of(duty),
+            duties.is_handed_over(duty),
+        )
 
-    async def _run_owner(self, pool, owner):
-        with anyio.CancelScope() as scope:
-            self._scopes[owner] = scope
-            if self._owners.get(pool) is not owner:
-                return
-            try:
-                await owner.run()
-            except* ProducerFenced as error:
-                log("owner fenced", pool=pool, token=owner.token, error=str(error))
-                self._on_fenced(pool, owner.token)
+    def _owners(self):
+        return self._holdings.with_prefix(POOL_PREFIX)
 
     def _on_fenced(self, pool, token):
-        duty = POOL_PREFIX + pool
-        if self._shared.duties.mine().get(duty) == token:
-            self._shared.duties.abandon(duty)
+        self._holdings.note_fenced(POOL_PREFIX + pool, token)
 
     def _intake_of(self, pool):
         intake = self._intakes.get(pool)
@@ -295,7 +242,7 @@
 
     async def _release_duties(self):
         """Gives the duties back; a successor finds every start in the journal."""
-        for owner in list(self._owners.values()):
+        for owner in self._owners():
             await owner.flush()
         await self._shared.duties.release()
 
