Use one fenced append and one take-over read for owners and planner

Ruled out: a base class of owner and planner (they share nothing else). Change: entry/fenced.py, takeover.read_newest and Planner._empty_workers serve all. Behaviour as before, retry pauses included; a planner that waits for the store logs the take-over's line instead of its own.

--- a/basilwind/entry/journal.py
+++ b/basilwind/entry/journal.py
@@ -2,13 +2,14 @@
 
 import anyio
 
+from basilwind.entry.fenced import FencedTopic
 from basilwind.entry.intake import CANCEL_PREFIX
 from basilwind.entry.signals import Signal
 from basilwind.errors import StoreRefused, StoreUnanswered
-from basilwind.platform.store import Producer, encode_keyed
+from basilwind.platform.store import encode_keyed
 from basilwind.scheduling.records import encode_job
 
-PRODUCER = "owner"  # fences are kept by producer name, so all owners share one
+PRODUCER = "owner"  # all owners share it
 GATHER_S = 0.02  # calls are priced; an append takes 10 ms by itself
 RETRY_S = 0.15  # a busy store turns calls away for some tenths of a second
 MAX_CALL_BYTES = 1_000_000  # below the store's limit of 2 MB a call
@@ -31,10 +32,11 @@
     def __init__(self, store, state, intake_topic):
         self._store = store
         self._state = state
-        self._topic = journal_topic(state.name)
+        self._topic = FencedTopic(
+            store, journal_topic(state.name), PRODUCER, state.token, RETRY_S
+        )
         self._intake_topic = intake_topic
         self._signal = Signal()
-        self._sequence = 0
         self._taken = 0
         self._written = 0
         self._written_event = anyio.Event()
@@ -45,7 +47,7 @@
         Raises:
             ProducerFenced: A later owner has raised it already.
         """
-        await self._append([])
+        await self._topic.append([])
 
     def wake(self):
         """Writes what is dirty soon."""
@@ -94,7 +96,7 @@
         ]
         records += [encode_keyed(job_id, b"") for job_id in dropped]
         for chunk in _chunks(records):
-            await self._append(chunk)
+            await self._topic.append(chunk)
         self._written = self._taken
         event, self._written_event = self._written_event, anyio.Event()
         event.set()
@@ -113,17 +115,6 @@
             # A submission left behind is dropped with the next owner's start.
             return
 
-    async def _append(self, records):
-        self._sequence += 1
-        producer = Producer(PRODUCER, self._state.token, self._sequence)
-        while True:
-            try:
-                await self._store.append(self._topic, records, producer=producer)
-                return
-            except (StoreRefused, StoreUnanswered):
-                # Repeating under the same sequence settles a lost answer.
-                await anyio.sleep(RETRY_S)
-
 
 def _chunks(records):
     chunk, size = [], 0
--- a/basilwind/entry/planner.py
+++ b/basilwind/entry/planner.py
@@ -3,11 +3,12 @@
 import anyio
 import msgspec
 
+from basilwind.entry.fenced import FencedTopic
 from basilwind.entry.follower import RETRY_S
+from basilwind.entry.takeover import read_newest
 from basilwind.errors import (
     CallUnanswered,
     NotOwner,
-    PlatformError,
     PlatformUnavailable,
     ProducerFenced,
     StoreRefused,
@@ -16,12 +17,12 @@
 from basilwind.logs import log
 from basilwind.platform.documents import STATUS_TOPIC, encode_wave_status
 from basilwind.platform.machines import MachineState, OrderOutcome
-from basilwind.platform.store import Producer, encode_keyed
+from basilwind.platform.store import encode_keyed
 from basilwind.scheduling.capacity import CapacityPlan
 from basilwind.scheduling.upkeep import Candidate, choose_upkeep, places_at_once
 
 TOPIC = "keyed.fleet"
-PRODUCER = "planner"  # fences are kept by producer name, so all planners share one
+PRODUCER = "planner"  # all planners share it
 TICK_S = 0.2  # a move takes 1.5 s; each tick costs a call of the platform
 ARRIVAL_S = 1.0  # from a move's end until its worker is known to the owner
 SETTLE_MARGIN_S = 0.2  # an order of the former holder may be on its way
@@ -44,9 +45,9 @@
         self._former = former
         self._machines = services.machine_calls
         self._store = services.store
+        self._topic = FencedTopic(services.store, TOPIC, PRODUCER, token, RETRY_S)
         self._clock = services.clock
         self._plan = None
-        self._sequence = 0
         # Machines by wave whose upkeep the platform has accepted.
         self._served = {}
         self._completed = set()
@@ -67,7 +68,7 @@
         Raises:
             ProducerFenced: A later planner has taken over.
         """
-        await self._append([])
+        await self._topic.append([])
         await self._load()
         await self._outwait_former()
         while True:
@@ -91,13 +92,7 @@
         await anyio.sleep(lease_s + SETTLE_MARGIN_S)
 
     async def _load(self):
-        while True:
-            try:
-                records, _ = await self._store.newest(TOPIC)
-                break
-            except PlatformError as error:
-                log("planning waits", error=str(error))
-                await anyio.sleep(RETRY_S)
+        records, _ = await read_newest(self._store, TOPIC)
         for record in records:
             try:
                 machines, is_completed = msgspec.json.decode(
@@ -147,6 +142,16 @@
                 tasks.start_soon(ask, pool, worker_ids)
         return reports
 
+    async def _empty_workers(self, wanted):
+        """Asks owners to empty workers; returns the ids of those without tasks."""
+        reports = await self._withhold_all(wanted)
+        return {
+            load.worker_id
+            for report in reports.values()
+            for load in report.workers
+            if not load.tasks
+        }
+
     def _forget_orders(self, machines, now):
         """Forgets orders whose machines must have arrived."""
         names = {machine.name for machine in machines}
@@ -223,13 +228,7 @@
             if candidate.worker_id:
                 pool = self._emptying.setdefault(candidate.pool, set())
                 pool.add(candidate.worker_id)
-        reports = await self._withhold_all(self._emptying)
-        empty = {
-            load.worker_id
-            for report in reports.values()
-            for load in report.workers
-            if not load.tasks
-        }
+        empty = await self._empty_workers(self._emptying)
         has_new = False
         for candidate in chosen:
             if candidate.worker_id and candidate.worker_id not in empty:
@@ -267,7 +266,7 @@
 
     async def _store_wave(self, number, served, is_completed):
         value = msgspec.json.encode((sorted(served), is_completed))
-        await self._append([encode_keyed(str(number), value)])
+        await self._topic.append([encode_keyed(str(number), value)])
         if not is_completed:
             key, status = encode_wave_status(number, False)
             await self._store.append(STATUS_TOPIC, [encode_keyed(key, status)])
@@ -343,13 +342,7 @@
             if move.worker_id:
                 by_pool.setdefault(move.source, set()).add(move.worker_id)
         self._withheld = by_pool
-        reports = await self._withhold_all(by_pool)
-        return {
-            load.worker_id
-            for report in reports.values()
-            for load in report.workers
-            if not load.tasks
-        }
+        return await self._empty_workers(by_pool)
 
     async def _move(self, machine, target):
         try:
@@ -374,13 +367,3 @@
     def _heed(self, outcome):
         if outcome is OrderOutcome.FENCED:
             raise ProducerFenced("a later planner gives orders for machines")
-
-    async def _append(self, records):
-        self._sequence += 1
-        producer = Producer(PRODUCER, self._token, self._sequence)
-        while True:
-            try:
-                await self._store.append(TOPIC, records, producer=producer)
-                return
-            except (StoreRefused, StoreUnanswered):
-                await anyio.sleep(RETRY_S)
