Guard calls that must be answered in one place of the adapter

Cause: advice and list of machines each turned a refused, unanswered or failed call into PlatformUnavailable; three clients spelled the JSON header and their address twice. Ruled out: the guard inside Transport.call (orders tell refused from unanswered). Change: transport.require_answer and JSON_HEADERS; constructors use set_address.

--- a/basilwind/platform/advice.py
+++ b/basilwind/platform/advice.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from basilwind.errors import CallRefused, CallUnanswered, PlatformUnavailable
+from basilwind.platform.transport import JSON_HEADERS, require_answer
 
 MAX_WORKERS = 100
 CALL_TIMEOUT_S = 3.0  # calls of one daemon take turns; decisions take up to 1 s
@@ -38,7 +38,7 @@
 
     def __init__(self, transport, address):
         self._transport = transport
-        self._url = f"http://{address}/advise"
+        self.set_address(address)
 
     def set_address(self, address):
         """Uses another address from now on."""
@@ -58,14 +58,9 @@
             PlatformUnavailable: The service did not answer or is busy.
         """
         body = msgspec.json.encode({"step": step, "workers": workers})
-        headers = {"Content-Type": "application/json"}
-        try:
-            status, answer = await self._transport.call(
-                "POST", self._url, CALL_TIMEOUT_S, body, headers
-            )
-        except (CallRefused, CallUnanswered) as error:
-            raise PlatformUnavailable(str(error)) from error
-        if status != 200:
-            raise PlatformUnavailable(f"advice for {step}: status {status}")
+        answer = await require_answer(
+            self._transport.call("POST", self._url, CALL_TIMEOUT_S, body, JSON_HEADERS),
+            f"advice for {step}",
+        )
         decoded = msgspec.json.decode(answer, type=_Answer)
         return Advice(dict(decoded.good), decoded.validity_ms / 1000)
--- a/basilwind/platform/machines.py
+++ b/basilwind/platform/machines.py
@@ -6,7 +6,8 @@
 
 import msgspec
 
-from basilwind.errors import CallRefused, CallUnanswered, PlatformUnavailable
+from basilwind.errors import CallRefused
+from basilwind.platform.transport import JSON_HEADERS, require_answer
 
 CALL_TIMEOUT_S = 2.0  # an answer takes a few ms, 50 times that on a slow day
 
@@ -90,7 +91,7 @@
 
     def __init__(self, transport, address):
         self._transport = transport
-        self._base = f"http://{address}"
+        self.set_address(address)
 
     def set_address(self, address):
         """Uses another address from now on."""
@@ -105,14 +106,10 @@
         machines, token = [], None
         while True:
             path = "/machines" + (f"?pageToken={quote(token)}" if token else "")
-            try:
-                status, body = await self._transport.call(
-                    "GET", self._base + path, CALL_TIMEOUT_S
-                )
-            except (CallRefused, CallUnanswered) as error:
-                raise PlatformUnavailable(str(error)) from error
-            if status != 200:
-                raise PlatformUnavailable(f"list of machines: status {status}")
+            body = await require_answer(
+                self._transport.call("GET", self._base + path, CALL_TIMEOUT_S),
+                "list of machines",
+            )
             page = msgspec.json.decode(body, type=_Page)
             machines += [
                 Machine(
@@ -156,8 +153,7 @@
         return await self._order("/machine-upkeep", body, holder, token)
 
     async def _order(self, path, body, holder, token):
-        headers = {
-            "Content-Type": "application/json",
+        headers = JSON_HEADERS | {
             "X-Duty-Holder": holder,
             "X-Fencing-Token": str(token),
         }
--- a/basilwind/platform/store.py
+++ b/basilwind/platform/store.py
@@ -109,7 +109,7 @@
 
     def __init__(self, transport, address, on_call):
         self._transport = transport
-        self._base = f"http://{address}"
+        self.set_address(address)
         self._on_call = on_call
 
     def set_address(self, address):
--- a/basilwind/platform/transport.py
+++ b/basilwind/platform/transport.py
@@ -3,13 +3,35 @@
 import aiohttp
 import anyio
 
-from basilwind.errors import CallRefused, CallUnanswered
+from basilwind.errors import CallRefused, CallUnanswered, PlatformUnavailable
 
 MAX_CONNECTIONS = 64  # long polls of all topics, with appends and calls of peers
 MAX_WORKER_CONNECTIONS = 10  # of the 64 that a worker takes from all daemons
 KEEPALIVE_S = 12.0  # below the 15 s after which idle connections are closed
 
 
+JSON_HEADERS = {"Content-Type": "application/json"}
+
+
+async def require_answer(calling, what):
+    """Returns the body of a call's answer.
+
+    Args:
+        calling: Awaitable of status and body, such as ``Transport.call`` returns.
+        what: What was asked for, for error messages.
+
+    Raises:
+        PlatformUnavailable: No answer came, or one with another status than 200.
+    """
+    try:
+        status, body = await calling
+    except (CallRefused, CallUnanswered) as error:
+        raise PlatformUnavailable(str(error)) from error
+    if status != 200:
+        raise PlatformUnavailable(f"{what}: status {status}")
+    return body
+
+
 class Transport:
     """Pooled connections to any number of addresses.
 
--- a/basilwind/platform/workers.py
+++ b/basilwind/platform/workers.py
@@ -8,6 +8,7 @@
     WorkerCallFailed,
     WorkerReplaced,
 )
+from basilwind.platform.transport import JSON_HEADERS
 from basilwind.scheduling.reports import (
     EndedTask,
     EndKind,
@@ -210,5 +211,5 @@
             f"http://{address}{path}",
             timeout_s,
             msgspec.json.encode(order),
-            {"Content-Type": "application/json", "X-Expect-Instance": worker_id},
+            JSON_HEADERS | {"X-Expect-Instance": worker_id},
         )
