Drop two fields that nothing reads

Cause: WorkerView.contacted_at and StepRun.rack were written and never read. Ruled out: fields of the wire's types, whose decoding also tells damaged records. Change: both are gone.

--- a/basilwind/scheduling/jobs.py
+++ b/basilwind/scheduling/jobs.py
@@ -147,7 +147,6 @@
         tickets: ``Ticket`` of the placement policy by worker id; None if the queue
             has no policy.
         denied: Workers that the policy does not allow.
-        rack: Rack that the step was started on, if it needs one; else empty.
         short_since: Since when its tasks have found no room, or None.
         kept_worker: Worker that is kept free for it, or None.
         outlook: Its ``Outlook`` when last estimated, or None.
@@ -163,7 +162,6 @@
         "left",
         "tickets",
         "denied",
-        "rack",
         "short_since",
         "kept_worker",
         "outlook",
@@ -179,7 +177,6 @@
         self.left = self.spec.count
         self.tickets = None
         self.denied = set()
-        self.rack = ""
         self.short_since = None
         self.kept_worker = None
         self.outlook = None
--- a/basilwind/scheduling/workers.py
+++ b/basilwind/scheduling/workers.py
@@ -19,7 +19,6 @@
             mark for it; or None.
         is_withheld: Whether the fleet planner wants it empty.
         is_listed: Whether the registry lists it.
-        contacted_at: When it last answered, or None; boot time.
         silent_since: When its first unanswered call was sent, or None.
         avoid_until: Until when it gets no work because of failures.
         penalty_s: Length of the next avoidance.
@@ -40,7 +39,6 @@
         "pending_note",
         "is_withheld",
         "is_listed",
-        "contacted_at",
         "silent_since",
         "avoid_until",
         "penalty_s",
@@ -64,7 +62,6 @@
         self.pending_note = None
         self.is_withheld = False
         self.is_listed = True
-        self.contacted_at = None
         self.silent_since = None
         self.avoid_until = 0.0
         self.penalty_s = 0.0
@@ -126,7 +123,6 @@
         """
         self._clock_s = clock_s
         self._clock_at = now
-        self.contacted_at = now
         self.silent_since = None
 
     def lease_end(self, lease_s, now):
