Sum up waiting work once a ranking, and filter usable workers in one place

Cause: a planner's report went over all waiting steps a second time, right after the ranking that had summed up the same; the filter of usable workers stood three times. Ruled out: keeping the sums between rankings (the report needs them of now). Change: the ranking sums up urgent and late work, and returns steps alone; PoolState._usable_workers.

--- a/basilwind/scheduling/job_book.py
+++ b/basilwind/scheduling/job_book.py
@@ -41,8 +41,9 @@
         self._cancelled = set()
         self._timed = set()
         self._strays = []
-        # Work of urgent waiting tasks at the last ranking, core-seconds.
+        # Work of waiting tasks at the last ranking, core-seconds.
         self._urgent_waiting = 0.0
+        self._late_waiting = 0.0
         self._is_overloaded = False
         self._known_backlog = 0.0
         self._backlog_at = 0.0
--- a/basilwind/scheduling/pool.py
+++ b/basilwind/scheduling/pool.py
@@ -128,11 +128,9 @@
 
     def _demand(self, wall):
         """Returns the ``Demand`` of jobs that can be in time, and of late ones."""
-        urgent, late = Demand(), Demand()
-        for rank, step in self._ranked(wall):
-            demand = late if rank.is_late else urgent
-            work = self._work_of(step.job.queue, step.spec)
-            demand.waiting_work += len(step.waiting()) * work
+        # Ranking sums up what waits.
+        self._ranked(wall)
+        urgent, late = Demand(self._urgent_waiting), Demand(self._late_waiting)
         for worker in self.workers.values():
             for task in worker.tasks.values():
                 if not task.spec.is_lasting:
@@ -150,11 +148,7 @@
         queue = self._find_queue(queue_name)
         if queue is None:
             return 0.0
-        cores = sum(
-            worker.entry.cpu / 1000
-            for worker in self.workers.values()
-            if is_usable(worker, now)
-        )
+        cores = sum(worker.entry.cpu for worker in self._usable_workers(now)) / 1000
         if now - self._backlog_at > BACKLOG_AGE_S:
             self._backlog_at = now
             self._known_backlog = self._backlog()
@@ -174,12 +168,12 @@
         """
         self._open_due(wall)
         self._expire_withholding(now)
-        workers = [worker for worker in self.workers.values() if is_usable(worker, now)]
+        workers = self._usable_workers(now)
         cores = sum(worker.entry.cpu for worker in workers) / 1000
         self._is_overloaded = is_overloaded(self._urgent_waiting, cores)
         orders, shortages = [], []
         is_guarded = self.has_unrecorded_runs(now)
-        for _, step in self._ranked(wall):
+        for step in self._ranked(wall):
             if is_guarded and step.job.job_id in self._restored:
                 continue
             if any(shortage.covers(step.spec) for shortage in shortages):
@@ -201,15 +195,18 @@
                 shortages.append(Shortage(step.spec.reserved_cpu, step.spec.memory))
         return orders
 
+    def _usable_workers(self, now):
+        return [worker for worker in self.workers.values() if is_usable(worker, now)]
+
     def _open_due(self, wall):
         for job_id in self._timed:
             for step in self.jobs[job_id].open_due_occurrences(wall):
                 self._ready[step] = None
 
     def _ranked(self, wall):
-        """Returns pairs of ``Rank`` and waiting step, the most urgent first."""
+        """Returns the waiting steps, the most urgent first."""
         ranked = []
-        self._urgent_waiting = 0.0
+        self._urgent_waiting = self._late_waiting = 0.0
         for step in list(self._ready):
             waiting = len(step.waiting())
             if not waiting:
@@ -222,11 +219,13 @@
                 step.tickets = {}
             rank = rank_step(step, queue, self.run_times, wall, self._is_overloaded)
             ranked.append((rank, step))
-            if not rank.is_late:
-                work = self._work_of(step.job.queue, step.spec)
-                self._urgent_waiting += waiting * work
+            work = waiting * self._work_of(step.job.queue, step.spec)
+            if rank.is_late:
+                self._late_waiting += work
+            else:
+                self._urgent_waiting += work
         ranked.sort(key=lambda row: row[0])
-        return ranked
+        return [step for _, step in ranked]
 
     def _start_orders(self, step, placed, now):
         if not placed:
@@ -264,8 +263,8 @@
         """
         if not any(step.tickets is not None for step in self._ready):
             return None
-        workers = [worker for worker in self.workers.values() if is_usable(worker, now)]
-        for _, step in self._ranked(wall):
+        workers = self._usable_workers(now)
+        for step in self._ranked(wall):
             if step.tickets is None:
                 continue
             worker_ids = workers_to_ask(step, workers, now)
