Give the holds of workers a module of their own

Ruled out: moving the orders out instead (they share more with the placing). Change: entry/holds.py; the code is moved, not changed.

--- a/basilwind/entry/owner.py
+++ b/basilwind/entry/owner.py
@@ -3,6 +3,7 @@
 import anyio
 
 from basilwind.entry.follower import RETRY_S
+from basilwind.entry.holds import UNCONFIRMED_S, WorkerHolds
 from basilwind.entry.intake import cancelled_job, decode_submitted_job, intake_topic
 from basilwind.entry.journal import JobJournal
 from basilwind.entry.registry import RETURN_S
@@ -12,24 +13,16 @@
     CallRefused,
     CallUnanswered,
     PlatformError,
-    ProducerFenced,
     RetentionGap,
-    WorkerCallFailed,
-    WorkerReplaced,
 )
 from basilwind.scheduling.jobs import JobState
 from basilwind.scheduling.pool import PoolState
 from basilwind.scheduling.reports import StartOutcome
 
 LEASE_S = 4.5  # a successor needs 1.7 s of silence and 1 s; a hold takes 1.5 s
-UNCONFIRMED_S = 3.5  # time without the store after which leases are not extended
 DRIFT_ALLOWANCE = 1.05  # workers' clocks may be 2% slow
-HOLD_WAIT_S = 1.5  # a lease survives two lost answers
-PACED_HOLD_WAIT_S = 0.5  # the span of the tail that serving tasks report
 POLICY_CHECK_S = 0.02  # steps become ready within milliseconds
 OUTAGE_CHECK_S = 0.1  # an outage is confirmed each 0.2 s
-NOTE_WAIT_S = 0.4  # a slow store takes 0.24 s; holds keep leases of 4.5 s alive
-REACH_RETRY_S = 0.3  # workers restart within seconds
 GATHER_S = 0.003  # jobs and ends come in bursts
 SCHEDULE_PAUSE = 3.0  # a quarter of the processor for placing; answers come first
 TICK_S = 0.25  # the shortest bound that ticks serve is 0.25 s for due times
@@ -65,6 +58,14 @@
         self._journal = JobJournal(services.store, self._state, intake_topic(pool))
         self._lease_s = min(LEASE_S, services.settings.max_lease_s)
         self._wake = Signal()
+        self._holds = WorkerHolds(
+            services,
+            self._state,
+            self._journal,
+            self._lease_s,
+            self._wake,
+            self._fenced,
+        )
         self._tasks = None
         self._intake_from = 0
         self._is_loaded = False
@@ -128,7 +129,7 @@
             return
         entries = self._services.registry.of_pool(self.pool)
         for worker in self._state.set_workers(entries, self._clock()):
-            self._tasks.start_soon(self._hold_worker, worker)
+            self._tasks.start_soon(self._holds.run, worker)
         self._wake.set()
 
     def _report(self, event, **fields):
@@ -220,7 +221,9 @@
         """Waits until the journal has what is dirty, or nobody could read it."""
         mark = self._journal.mark()
         while not self._journal.has_written(mark):
-            if self._services.outage.is_confirmed and self._may_extend(self._clock()):
+            if self._services.outage.is_confirmed and self._holds.may_extend(
+                self._clock()
+            ):
                 self._report("starts not recorded", reason="the store is away")
                 return
             with anyio.move_on_after(OUTAGE_CHECK_S):
@@ -309,87 +312,10 @@
         if is_taken:
             self._state.apply_stop_answer(order, self._clock())
 
-    # Holding workers
-
-    async def _hold_worker(self, worker):
-        while self._state.workers.get(worker.worker_id) is worker:
-            sent_at = self._clock()
-            try:
-                await self._hold_once(worker, sent_at)
-            except WorkerReplaced:
-                self._report("worker replaced", worker=worker.worker_id)
-                self._state.lose_worker(worker)
-                self._wake.set()
-            except CallRefused:
-                self._note_silence(worker, sent_at)
-                if worker.entry.is_draining and not worker.is_listed:
-                    self._state.lose_worker(worker)
-                    self._wake.set()
-                await anyio.sleep(REACH_RETRY_S)
-            except (CallUnanswered, WorkerCallFailed):
-                self._note_silence(worker, sent_at)
-                await anyio.sleep(REACH_RETRY_S / 10)
-            except ProducerFenced:
-                self._fenced(worker)
-                await anyio.sleep(REACH_RETRY_S)
-
-    def _note_silence(self, worker, sent_at):
-        if worker.silent_since is None:
-            worker.silent_since = sent_at
-            self._report("worker lost", worker=worker.worker_id)
-
     def _fenced(self, worker):
         self._report("order fenced", worker=worker.worker_id, token=self.token)
         self._services.duties_changed(self.pool, self.token)
 
-    async def _hold_once(self, worker, sent_at):
-        expires_s = None
-        if self._may_extend(sent_at):
-            expires_s = worker.extension(self._lease_s, sent_at)
-        report = await self._calls.hold(
-            worker.entry.address,
-            worker.worker_id,
-            self.token,
-            worker.noted,
-            expires_s,
-            self._hold_wait_s(worker) if expires_s is not None else 0.0,
-        )
-        if self._state.workers.get(worker.worker_id) is not worker:
-            # The worker left and was listed anew meanwhile, with another view.
-            return
-        was_silent = worker.silent_since is not None
-        last = self._state.apply_report(worker, report, sent_at, self._clock())
-        if was_silent:
-            self._report("worker regained", worker=worker.worker_id)
-        self._wake.set()
-        if last > worker.noted:
-            await self._note_ends(worker, last)
-
-    async def _note_ends(self, worker, last):
-        """Notes a worker's ends once they are durable.
-
-        While the store is away holds go on without it, so that no lease lapses.
-        """
-        if worker.pending_note is None:
-            worker.pending_note = (last, self._journal.mark())
-        pending = worker.pending_note
-        last, mark = pending
-        with anyio.move_on_after(NOTE_WAIT_S):
-            await self._journal.wait_for(mark)
-        # A new incarnation numbers its ends anew.
-        if worker.pending_note is pending and self._journal.has_written(mark):
-            worker.noted = last
-            worker.pending_note = None
-
-    def _hold_wait_s(self, worker):
-        """Returns how long a hold may wait: briefly where fillers are paced."""
-        has_fillers = any(task.spec.is_filler for task in worker.tasks.values())
-        return PACED_HOLD_WAIT_S if has_fillers else HOLD_WAIT_S
-
-    def _may_extend(self, now):
-        """Tells whether no successor can count on this owner's leases' end."""
-        return now - self._services.store_watch.answered_at < UNCONFIRMED_S
-
     # Housekeeping
 
     async def _tick(self):
