--- a/basilwind/entry/owner.py
+++ b/basilwind/entry/owner.py
@@ -414,9 +414,10 @@
     def withhold(self, worker_ids):
         """Keeps tasks off some workers, and only off those; returns a report."""
         now = self._clock()
-        self._state.withhold(worker_ids, now)
+        wall = self._wall()
+        self._state.withhold(worker_ids, now, wall)
         self._wake.set()
-        return self._state.pool_report(now, self._wall())
+        return self._state.pool_report(now, wall)
 
     def waiting(self, queue):
         """Returns how many accepted jobs of a queue have started nothing."""
--- a/basilwind/scheduling/pool.py
+++ b/basilwind/scheduling/pool.py
@@ -28,6 +28,7 @@
 STOP_RETRY_S = 0.7  # a stop takes up to 0.2 or 0.9 s in the site files
 WITHHOLD_S = 3.0  # the planner renews it each 0.4 s, a successor in 3 s
 UNSURE_S = 0.3  # time for a hold to show a run whose start got no answer
+PREEMPT_S = 0.5  # a stop takes 0.2 or 0.9 s in the site files
 BACKLOG_AGE_S = 0.2  # every daemon asks twice a second for each queue
 
 
@@ -49,22 +50,33 @@
 
     # What the fleet planner asks
 
-    def withhold(self, worker_ids, now):
-        """Keeps new tasks off some workers and moves lasting ones away."""
+    def withhold(self, worker_ids, now, wall):
+        """Keeps new tasks off some workers; moves lasting and late ones away."""
         wanted = frozenset(worker_ids)
         self._withheld_until = now + WITHHOLD_S
         for worker in self.workers.values():
             worker.is_withheld = worker.worker_id in wanted
-        self._empty_withheld()
+        self._empty_withheld(now, wall)
 
-    def _empty_withheld(self):
+    def _empty_withheld(self, now, wall):
         for worker in self.workers.values():
             if not worker.is_withheld:
                 continue
             for task in worker.tasks.values():
-                if task.spec.is_lasting and not task.is_stopping:
+                if task.is_stopping:
+                    continue
+                if task.spec.is_lasting:
                     # The task itself is at work until it is stopped.
                     task.is_stopping = self._away(task.step) < task.spec.may_miss
+                elif self._is_worth_preempting(task, now, wall):
+                    task.is_stopping = True
+
+    def _is_worth_preempting(self, task, now, wall):
+        """Tells whether a late task would hold a wanted machine up for long."""
+        if task.state is not TaskState.RUNNING or not self._is_late(task.job, wall):
+            return False
+        runs_s = self.run_times.estimate(task.job.queue, task.spec.estimate_s)
+        return task.confirmed_at + runs_s - now > PREEMPT_S
 
     def _expire_withholding(self, now):
         if now > self._withheld_until:
