--- a/basilwind/entry/duties.py
+++ b/basilwind/entry/duties.py
@@ -73,9 +73,13 @@
         """Returns a duty's newest ``Claim``, or None."""
         return self._book.claims.get(duty)
 
-    def is_handed_over(self, duty):
-        """Tells whether the former holder gave a duty back before it was claimed."""
-        return duty in self._book.handed_over
+    def former_of(self, duty):
+        """Returns the claim that the newest one replaced.
+
+        Returns:
+            ``Claim`` of a holder that may be at work still, or None.
+        """
+        return self._book.former.get(duty)
 
     def abandon(self, duty):
         """Drops a duty here after a refusal for a lower token."""
--- a/basilwind/entry/host.py
+++ b/basilwind/entry/host.py
@@ -66,7 +66,8 @@
             self._front_server,
             HttpServer(self._answer_ready, settings.ready_address),
             HttpServer(
-                PeerApp(self._loaded_owner), f"{settings.ip}:{settings.peer_port}"
+                PeerApp(self._loaded_owner, self._shared.incarnation),
+                f"{settings.ip}:{settings.peer_port}",
             ),
             HttpServer(self._metrics, f"{settings.ip}:{settings.last_port}"),
         ]
@@ -183,7 +184,7 @@
                     pool,
                     token,
                     self._shared,
-                    self._shared.duties.is_handed_over(POOL_PREFIX + pool),
+                    self._shared.duties.former_of(POOL_PREFIX + pool),
                 )
                 self._owners[pool] = owner
                 self.tasks.start_soon(self._run_owner, pool, owner)
@@ -205,7 +206,7 @@
                 token,
                 self._shared,
                 self._peers,
-                self._shared.duties.is_handed_over(FLEET_DUTY),
+                self._shared.duties.former_of(FLEET_DUTY),
             )
             self.tasks.start_soon(self._run_planner, self._planner)
 
--- a/basilwind/entry/owner.py
+++ b/basilwind/entry/owner.py
@@ -40,13 +40,12 @@
         pool: Name of the pool.
         token: Fencing token.
         services: ``Services`` that all duties of the daemon share.
-        is_handed_over: Whether the former owner gave the pool back itself, and
-            extends no leases any more.
+        former: ``Claim`` of a former owner that may extend leases still, or None.
     """
 
-    def __init__(self, pool, token, services, is_handed_over=False):
+    def __init__(self, pool, token, services, former=None):
         self._services = services
-        self._is_handed_over = is_handed_over
+        self._former = former
         self._store = services.store
         self._calls = services.worker_calls
         self._clock = services.clock
@@ -136,7 +135,7 @@
         )
         now = self._clock()
         former_s = self._lease_s * DRIFT_ALLOWANCE
-        if not self._is_handed_over:
+        if self._former is not None:
             former_s += UNCONFIRMED_S
         self._state.former_leases_until = now + former_s
         self._is_loaded = True
--- a/basilwind/entry/peers.py
+++ b/basilwind/entry/peers.py
@@ -4,11 +4,13 @@
 
 from basilwind.api.asgi import HttpResponse, json_response, read_request, send_response
 from basilwind.errors import CallRefused, CallUnanswered, NotOwner, RequestInvalid
+from basilwind.logs import log
 from basilwind.scheduling.capacity import PoolReport
 from basilwind.scheduling.jobs import JobState
 
 CALL_TIMEOUT_S = 1.0  # a third of the callers' deadline of 3 s
 PLANNER_TIMEOUT_S = 0.3  # an answer takes 2 ms, 24 ms between regions
+ALIVE_PATH = "/alive"
 NOT_OWNER = 421
 
 
@@ -35,10 +37,12 @@
 
     Args:
         owners: Returns the loaded ``PoolOwner`` of a pool, or None.
+        incarnation: Name of this daemon's life.
     """
 
-    def __init__(self, owners):
+    def __init__(self, owners, incarnation):
         self._owners = owners
+        self._incarnation = incarnation
 
     async def __call__(self, scope, receive, send):
         """Answers a request."""
@@ -52,6 +56,8 @@
         await send_response(send, response)
 
     async def _answer(self, request):
+        if request.path == ALIVE_PATH:
+            return json_response(self._incarnation)
         kind, pool, *rest = request.path.strip("/").split("/")
         owner = self._owners(pool)
         if owner is None:
@@ -137,6 +143,21 @@
         )
         return msgspec.json.decode(body, type=PoolReport)
 
+    async def is_alive(self, claim):
+        """Tells whether a holder of a duty answers, in the life that claimed it.
+
+        Args:
+            claim: Its ``Claim``.
+        """
+        try:
+            status, answer = await self._transport.call(
+                "GET", f"http://{claim.address}{ALIVE_PATH}", PLANNER_TIMEOUT_S
+            )
+        except (CallRefused, CallUnanswered) as error:
+            log("holder does not answer", holder=claim.holder, error=str(error))
+            return False
+        return status == 200 and msgspec.json.decode(answer) == claim.holder
+
     async def _call(
         self, pool, path, method="GET", body=None, timeout_s=CALL_TIMEOUT_S
     ):
--- a/basilwind/entry/planner.py
+++ b/basilwind/entry/planner.py
@@ -18,7 +18,6 @@
 from basilwind.platform.machines import MachineState, OrderOutcome
 from basilwind.platform.store import Producer, encode_keyed
 from basilwind.scheduling.capacity import CapacityPlan
-from basilwind.scheduling.ownership import HOLDER_SILENCE_S
 from basilwind.scheduling.upkeep import Candidate, choose_upkeep, places_at_once
 
 TOPIC = "keyed.fleet"
@@ -35,14 +34,14 @@
         token: Fencing token.
         services: ``Services``.
         peers: ``PeerCalls``.
-        is_handed_over: Whether the former holder gave the duty back itself.
+        former: ``Claim`` of a former holder that may be at work still, or None.
     """
 
-    def __init__(self, token, services, peers, is_handed_over=False):
+    def __init__(self, token, services, peers, former=None):
         self._token = token
         self._services = services
         self._peers = peers
-        self._is_handed_over = is_handed_over
+        self._former = former
         self._machines = services.machine_calls
         self._store = services.store
         self._clock = services.clock
@@ -70,10 +69,7 @@
         """
         await self._append([])
         await self._load()
-        if not self._is_handed_over:
-            # Two holders must not take turns on a machine within the lease.
-            lease_s = self._services.settings.duty_lease_s
-            await anyio.sleep(max(0.0, lease_s + SETTLE_MARGIN_S - HOLDER_SILENCE_S))
+        await self._outwait_former()
         while True:
             try:
                 await self._tick(self._clock())
@@ -81,6 +77,19 @@
                 log("planning waits", error=str(error))
             await anyio.sleep(TICK_S)
 
+    async def _outwait_former(self):
+        """Waits if the former holder may be at work: a slow one, not a dead one.
+
+        Two holders must not take turns on a machine within its lease. One that is
+        gone, cut off or frozen answers nobody, and its token is refused later.
+        """
+        former = self._former
+        if former is None or not await self._peers.is_alive(former):
+            return
+        lease_s = self._services.settings.duty_lease_s
+        log("planning waits", reason="the former planner is alive", lease_s=lease_s)
+        await anyio.sleep(lease_s + SETTLE_MARGIN_S)
+
     async def _load(self):
         while True:
             try:
--- a/basilwind/scheduling/ownership.py
+++ b/basilwind/scheduling/ownership.py
@@ -33,6 +33,16 @@
     token: int
 
 
+def may_be_at_work(former, claim):
+    """Tells whether a duty's former holder may be at work beside the new one.
+
+    It isn't if it gave the duty back, or if the new holder is a later life of it.
+    """
+    if not former.holder or not claim.holder:
+        return False
+    return former.holder.partition("#")[0] != claim.holder.partition("#")[0]
+
+
 @dataclass
 class DutyBook:
     """What a daemon knows of all duties.
@@ -44,14 +54,15 @@
     Attributes:
         claims: ``Claim`` by duty.
         heard_at: When a heartbeat of a holder was last read; boot time.
-        handed_over: Duties whose newest claim followed a hand-over, or is the first.
+        former: Claim that the newest one replaced, by duty, where its holder may be
+            at work still.
     """
 
     me: str
     host: str
     claims: dict[str, Claim] = field(default_factory=dict)
     heard_at: dict[str, float] = field(default_factory=dict)
-    handed_over: set[str] = field(default_factory=set)
+    former: dict[str, Claim] = field(default_factory=dict)
     _free_since: dict[str, float] = field(default_factory=dict)
 
     def apply_claim(self, duty, claim, now):
@@ -61,10 +72,10 @@
             claim.token < known.token or (claim.token == known.token and claim.holder)
         ):
             return
-        if claim.holder and (known is None or not known.holder):
-            self.handed_over.add(duty)
+        if known is not None and may_be_at_work(known, claim):
+            self.former[duty] = known
         elif claim.holder:
-            self.handed_over.discard(duty)
+            self.former.pop(duty, None)
         self.claims[duty] = claim
         self._free_since.pop(duty, None)
         self.heard_at.setdefault(claim.holder, now)
