--- a/basilwind/entry/host.py
+++ b/basilwind/entry/host.py
@@ -28,6 +28,7 @@
 
 READY_CHECK_S = 1.0  # the balancer takes a daemon out after two failed checks
 LEAVE_AFTER_S = 2.6  # two failed checks and a new connection in flight
+STORE_SILENCE_S = 1.2  # heartbeats bring an answer each half second
 STOP_MARGIN_S = 1.9  # closing connections and leaving the event loop on a slow host
 
 
@@ -256,10 +257,20 @@
 
     async def _answer_ready(self, scope, receive, send):
         await read_request(scope, receive)
-        is_ready = (
-            not self._is_stopping and self._shared.configuration.current is not None
+        await send_response(send, HttpResponse(200 if self._is_ready() else 503))
+
+    def _is_ready(self):
+        """Tells whether callers are served better here than by other daemons.
+
+        Without the store no job can be accepted; if that holds for all daemons, the
+        balancer uses them all the same.
+        """
+        silence_s = boot_time() - self._store_answered_at
+        return (
+            not self._is_stopping
+            and self._shared.configuration.current is not None
+            and silence_s < STORE_SILENCE_S
         )
-        await send_response(send, HttpResponse(200 if is_ready else 503))
 
     async def _hand_over(self):
         log("stopping", host=self._settings.name)
--- a/extras/entry_fleet.py
+++ b/extras/entry_fleet.py
@@ -78,7 +78,15 @@
 
     async def call(self, method, number, path, body=None):
         """Returns the status and the decoded body, or None without an answer."""
-        url = f"http://127.0.0.1:{self.ports[number]}{path}"
+        return await self._fetch(method, self.ports[number], path, body)
+
+    async def is_ready(self, number):
+        """Tells whether a daemon reports itself ready."""
+        answer = await self._fetch("GET", self.ports[number] + 1, "/ready")
+        return answer is not None and answer[0] == 200
+
+    async def _fetch(self, method, port, path, body=None):
+        url = f"http://127.0.0.1:{port}{path}"
         timeout = aiohttp.ClientTimeout(total=4.0)
         try:
             async with (
--- a/tests/processes/test_entry_host.py
+++ b/tests/processes/test_entry_host.py
@@ -181,3 +181,21 @@
             self._check_once(fleet, ["8" * 16, "9" * 16])
 
         self._run(scenario)
+
+    def test_daemon_without_the_store_leaves_callers_to_others(self):
+        # fleetbench cordillera-flota-grown trouble-2: in a zone that was cut off,
+        # daemons that could accept nothing stayed in rotation for 6 s.
+        async def scenario(fleet):
+            async def is_ready():
+                return await fleet.is_ready(0)
+
+            async def is_unready():
+                return not await fleet.is_ready(0)
+
+            await fleet.until(is_ready)
+            fleet.platform.store.is_down = True
+            await fleet.until(is_unready)
+            fleet.platform.store.is_down = False
+            await fleet.until(is_ready)
+
+        self._run(scenario, daemons=1)
