--- a/basilwind/entry/duties.py
+++ b/basilwind/entry/duties.py
@@ -19,6 +19,7 @@
 _RELEASE_PREFIX = "release/"
 CHECK_S = 0.1  # a tenth of the time in which a duty changes hands
 PAUSE_S = 0.25  # bounds the reads that heartbeats of all holders cause
+HEARTBEAT_WAIT_S = 0.6  # heartbeats come each half second; a dead connection stands out
 RELEASE_RETRY_S = 0.1  # a stopping daemon has seconds, and others wait for it
 
 
@@ -59,6 +60,7 @@
             self._apply_heartbeats,
             clock,
             PAUSE_S,
+            wait_s=HEARTBEAT_WAIT_S,
         )
 
     def want(self, duties):
--- a/basilwind/entry/follower.py
+++ b/basilwind/entry/follower.py
@@ -22,6 +22,7 @@
         clock: Returns boot time.
         pause_s: Pause between reads, which bounds their rate.
         is_wanted: Tells whether anybody needs the topic now.
+        wait_s: How long the store may wait for a record.
     """
 
     def __init__(
@@ -33,6 +34,7 @@
         clock,
         pause_s=0.0,
         is_wanted=lambda: True,
+        wait_s=WAIT_S,
     ):
         self._store = store
         self._topic = topic
@@ -41,6 +43,7 @@
         self._clock = clock
         self._pause_s = pause_s
         self._is_wanted = is_wanted
+        self._wait_s = wait_s
         self._position = None
         self._read_at = None
         self._failed_at = None
@@ -87,7 +90,7 @@
             self._position = position
             self._reset(records)
         else:
-            records = await self._store.read(self._topic, self._position, WAIT_S)
+            records = await self._store.read(self._topic, self._position, self._wait_s)
             if records:
                 self._position = records[-1].offset + 1
                 self._apply(records)
--- a/basilwind/entry/host.py
+++ b/basilwind/entry/host.py
@@ -1,6 +1,7 @@
 """The application of an entry host."""
 
 import uuid
+from functools import partial
 
 import anyio
 
@@ -18,6 +19,7 @@
 from basilwind.entry.registry import WorkerRegistry
 from basilwind.entry.reload import SettingsWatch
 from basilwind.entry.services import Services
+from basilwind.entry.store_watch import StoreWatch
 from basilwind.errors import ProducerFenced
 from basilwind.logs import log
 from basilwind.platform.advice import AdviceCalls
@@ -28,7 +30,6 @@
 
 READY_CHECK_S = 1.0  # the balancer takes a daemon out after two failed checks
 LEAVE_AFTER_S = 2.6  # two failed checks and a new connection in flight
-STORE_SILENCE_S = 1.2  # heartbeats bring an answer each half second
 STOP_MARGIN_S = 1.9  # closing connections and leaving the event loop on a slow host
 
 
@@ -48,7 +49,7 @@
         self._owners = {}
         self._scopes = {}
         self._intakes = {}
-        self._store_answered_at = boot_time()
+        self._store_watch = StoreWatch(boot_time)
         self._metrics = EntryMetrics(lambda: self._owners.values(), dropped_lines)
         self._shared = self._make_services(settings)
         self._planner = None
@@ -79,6 +80,7 @@
         watch = SettingsWatch(settings_file, settings, self._on_settings)
         for service in (
             watch.run,
+            partial(self._store_watch.run, self._shared.store),
             self._shared.configuration.run,
             self._shared.registry.run,
             self._shared.duties.follow,
@@ -124,7 +126,7 @@
             clock=boot_time,
             wall=wall_time,
             report=self._report,
-            store_answered_at=lambda: self._store_answered_at,
+            store_watch=self._store_watch,
             duties_changed=self._on_fenced,
         )
 
@@ -143,7 +145,7 @@
     def _note_store_call(self, name, is_answered):
         self._metrics.count_store_call(name, is_answered)
         if is_answered:
-            self._store_answered_at = boot_time()
+            self._store_watch.note_answer()
 
     # Duties
 
@@ -248,7 +250,9 @@
     def _intake_of(self, pool):
         intake = self._intakes.get(pool)
         if intake is None:
-            intake = Intake(self._shared.store, pool, self._shared.incarnation)
+            intake = Intake(
+                self._shared.store, pool, self._shared.incarnation, self._store_watch
+            )
             self._intakes[pool] = intake
             self.tasks.start_soon(intake.run)
         return intake
@@ -265,11 +269,10 @@
         Without the store no job can be accepted; if that holds for all daemons, the
         balancer uses them all the same.
         """
-        silence_s = boot_time() - self._store_answered_at
         return (
             not self._is_stopping
             and self._shared.configuration.current is not None
-            and silence_s < STORE_SILENCE_S
+            and not self._store_watch.is_away
         )
 
     async def _hand_over(self):
--- a/basilwind/entry/intake.py
+++ b/basilwind/entry/intake.py
@@ -71,12 +71,14 @@
         store: ``Store``.
         pool: Name of the pool.
         producer: Name of this daemon's incarnation, for repeats.
+        watch: ``StoreWatch``.
     """
 
-    def __init__(self, store, pool, producer):
+    def __init__(self, store, pool, producer, watch):
         self._store = store
         self._topic = intake_topic(pool)
         self._producer = producer
+        self._watch = watch
         self._sequence = 0
         self._entries = []
         # Keys whose append has no answer yet, so that it may have taken effect.
@@ -101,6 +103,8 @@
         await self._store_record(CANCEL_PREFIX + job_id, b"1")
 
     async def _store_record(self, key, value):
+        if self._watch.is_away and key not in self._in_doubt:
+            raise NotStarted("the platform's store is away")
         entry = _Entry(key, value)
         self._entries.append(entry)
         self._signal.set()
@@ -126,6 +130,9 @@
         batch = [entry for entry in taken if not entry.is_withdrawn]
         if not batch:
             return
+        if not await self._is_store_there():
+            self._requeue(batch)
+            return
         self._sequence += 1
         producer = Producer(self._producer, 1, self._sequence)
         for entry in batch:
@@ -156,6 +163,15 @@
             entry.is_stored = True
             entry.done.set()
 
+    async def _is_store_there(self):
+        """Tells whether the store answers, so that few appends end up in doubt."""
+        if not self._watch.is_in_doubt:
+            return True
+        await self._watch.check(self._store)
+        if self._watch.is_in_doubt:
+            await anyio.sleep(RETRY_S)
+        return not self._watch.is_in_doubt
+
     def _requeue(self, batch):
         for entry in batch:
             entry.is_sent = False
--- a/basilwind/entry/owner.py
+++ b/basilwind/entry/owner.py
@@ -350,7 +350,7 @@
 
     def _may_extend(self, now):
         """Tells whether no successor can count on this owner's leases' end."""
-        return now - self._services.store_answered_at() < UNCONFIRMED_S
+        return now - self._services.store_watch.answered_at < UNCONFIRMED_S
 
     # Housekeeping
 
--- a/basilwind/entry/services.py
+++ b/basilwind/entry/services.py
@@ -6,6 +6,7 @@
 from basilwind.entry.configuration import ConfigurationWatch
 from basilwind.entry.duties import Duties
 from basilwind.entry.registry import WorkerRegistry
+from basilwind.entry.store_watch import StoreWatch
 from basilwind.platform.advice import AdviceCalls
 from basilwind.platform.host_settings import HostSettings
 from basilwind.platform.machines import MachineCalls
@@ -32,7 +33,7 @@
         clock: Returns boot time.
         wall: Returns Unix time.
         report: Logs and counts an event.
-        store_answered_at: Returns when the store last answered; boot time.
+        store_watch: ``StoreWatch``.
         duties_changed: Called after an order of a duty was fenced, with the
             pool's name and the token.
     """
@@ -50,5 +51,5 @@
     clock: Callable[[], float]
     wall: Callable[[], float]
     report: Callable
-    store_answered_at: Callable[[], float]
+    store_watch: StoreWatch
     duties_changed: Callable
--- a/basilwind/platform/store.py
+++ b/basilwind/platform/store.py
@@ -18,6 +18,8 @@
 )
 
 APPEND_TIMEOUT_S = 0.8  # the slow store of the site files answers in 0.24 s
+PING_TIMEOUT_S = 0.5  # the slow store of the site files answers in 0.24 s
+PING_TOPIC = "keyed.ping"  # always empty
 READ_TIMEOUT_S = 1.5  # same, with room for a page of 1 MB
 _LENGTH = struct.Struct(">I")
 _OFFSETS = struct.Struct(">QQ")
@@ -183,6 +185,16 @@
             raise StoreRefused(f"read of {topic}: status {status}")
         return _decode_records(body, start)
 
+    async def ping(self):
+        """Asks for an answer, whatever it is.
+
+        Raises:
+            StoreRefused: The store could not be reached.
+            StoreUnanswered: No answer came.
+        """
+        path = f"/log-read?{urlencode({'topic': PING_TOPIC, 'part': 0, 'from': 0})}"
+        await self._call("ping", "GET", path, PING_TIMEOUT_S)
+
     async def newest(self, topic):
         """Reads the newest record of each key.
 
