--- a/basilwind/entry/journal.py
+++ b/basilwind/entry/journal.py
@@ -53,8 +53,19 @@
 
     async def durable(self):
         """Waits until everything that is dirty now is durable."""
-        target = self._taken + 1 if self._state.dirty else self._taken
-        while self._written < target:
+        await self.wait_for(self.mark())
+
+    def mark(self):
+        """Returns a mark of everything that is dirty now."""
+        return self._taken + 1 if self._state.dirty else self._taken
+
+    def has_written(self, mark):
+        """Tells whether everything up to a mark is durable."""
+        return self._written >= mark
+
+    async def wait_for(self, mark):
+        """Waits until everything up to a mark is durable."""
+        while not self.has_written(mark):
             self._signal.set()
             await self._written_event.wait()
 
--- a/basilwind/entry/owner.py
+++ b/basilwind/entry/owner.py
@@ -26,6 +26,7 @@
 HOLD_WAIT_S = 1.5  # a lease survives two lost answers
 PACED_HOLD_WAIT_S = 0.5  # the span of the tail that serving tasks report
 POLICY_CHECK_S = 0.02  # steps become ready within milliseconds
+NOTE_WAIT_S = 0.4  # a slow store takes 0.24 s; holds keep leases of 4.5 s alive
 REACH_RETRY_S = 0.3  # workers restart within seconds
 GATHER_S = 0.003  # jobs and ends come in bursts
 SCHEDULE_PAUSE = 3.0  # a quarter of the processor for placing; answers come first
@@ -340,8 +341,23 @@
             self._report("worker regained", worker=worker.worker_id)
         self._wake.set()
         if last > worker.noted:
-            await self._journal.durable()
+            await self._note_ends(worker, last)
+
+    async def _note_ends(self, worker, last):
+        """Notes a worker's ends once they are durable.
+
+        While the store is away holds go on without it, so that no lease lapses.
+        """
+        if worker.pending_note is None:
+            worker.pending_note = (last, self._journal.mark())
+        pending = worker.pending_note
+        last, mark = pending
+        with anyio.move_on_after(NOTE_WAIT_S):
+            await self._journal.wait_for(mark)
+        # A new incarnation numbers its ends anew.
+        if worker.pending_note is pending and self._journal.has_written(mark):
             worker.noted = last
+            worker.pending_note = None
 
     def _hold_wait_s(self, worker):
         """Returns how long a hold may wait: briefly where fillers are paced."""
--- a/basilwind/scheduling/worker_book.py
+++ b/basilwind/scheduling/worker_book.py
@@ -69,11 +69,11 @@
             self._lose_incarnation(worker)
         worker.born = report.born or worker.born
         worker.set_clock(report.clock_s, now)
-        last = worker.noted
         for end in report.ended:
-            if end.number > worker.noted:
+            # Ends are listed until they are noted, and reports may overtake others.
+            if end.number > worker.applied:
                 self._apply_end(worker, end, now)
-            last = max(last, end.number)
+        worker.applied = max([worker.applied, *(end.number for end in report.ended)])
         seen = {(row.task, row.run): row for row in report.running}
         for task in list(worker.tasks.values()):
             row = seen.pop((task.name, task.run), None)
@@ -82,7 +82,7 @@
             elif self._has_vanished(task, sent_at):
                 self._release(task)
         self._strays += [StopOrder(name, run, worker) for name, run in seen]
-        return last
+        return worker.applied
 
     def _confirm(self, worker, task, row, now):
         if task.state is not TaskState.RUNNING:
--- a/basilwind/scheduling/workers.py
+++ b/basilwind/scheduling/workers.py
@@ -13,7 +13,10 @@
         free_gpu: Accelerators that are not reserved.
         tasks: Tasks by name that have or may have a run here.
         born: Start of the incarnation that last answered, or 0.
+        applied: Number up to which its ends are applied here.
         noted: Number up to which its ends are durable.
+        pending_note: Number of an end that waits for the journal, and the journal's
+            mark for it; or None.
         is_withheld: Whether the fleet planner wants it empty.
         is_listed: Whether the registry lists it.
         contacted_at: When it last answered, or None; boot time.
@@ -32,7 +35,9 @@
         "free_gpu",
         "tasks",
         "born",
+        "applied",
         "noted",
+        "pending_note",
         "is_withheld",
         "is_listed",
         "contacted_at",
@@ -54,7 +59,9 @@
         self.free_gpu = entry.gpu
         self.tasks = {}
         self.born = 0
+        self.applied = 0
         self.noted = 0
+        self.pending_note = None
         self.is_withheld = False
         self.is_listed = True
         self.contacted_at = None
@@ -151,7 +158,9 @@
 
     def forget_incarnation(self):
         """Resets what belonged to a former incarnation."""
+        self.applied = 0
         self.noted = 0
+        self.pending_note = None
         self._clock_s = None
         self._clock_at = None
         self._expires_s = 0.0
--- a/tests/processes/test_entry_host.py
+++ b/tests/processes/test_entry_host.py
@@ -199,3 +199,26 @@
             await fleet.until(is_ready)
 
         self._run(scenario, daemons=1)
+
+    def test_leases_outlive_an_outage_in_which_tasks_end(self):
+        # fleetbench cordillera-flota-grown trouble-3: 63 runs lapsed in two outages
+        # of 4.3 s, since holds waited for the journal once a task had ended.
+        async def scenario(fleet):
+            for number in range(8):
+                await fleet.submit(f"{number:016x}", 0, count=1, work_s=0.7)
+            await fleet.submit("d" * 16, 0, work_s=-1.0, count=4, longRunning=True)
+
+            async def is_running():
+                return sum(s.task.startswith("d" * 16) for s in ledger) == 4
+
+            ledger = fleet.platform.ledger
+            await fleet.until(is_running)
+            fleet.platform.store.is_down = True
+            await anyio.sleep(5.2)
+            fleet.platform.store.is_down = False
+            for number in range(8):
+                await fleet.completed(f"{number:016x}")
+            lapsed = [end.task for end in fleet.platform.ends if end.how == "lapsed"]
+            self.assertEqual(lapsed, [])
+
+        self._run(scenario, daemons=1)
