--- a/basilwind/scheduling/ownership.py
+++ b/basilwind/scheduling/ownership.py
@@ -11,8 +11,10 @@
 
 HEARTBEAT_S = 0.5  # two may be missed before a holder counts as gone
 HOLDER_SILENCE_S = 1.7  # a successor is at work before 5 s leases run out
-LOAD_DELAY_S = 0.35  # for each duty held, so that idle daemons claim first
-WEAKNESS_DELAY_S = 0.2  # for each core that a machine lacks of the strongest
+LOAD_DELAY_S = 0.2  # for each duty held, so that idle daemons claim first
+MAX_LOAD_DELAY_S = 1.0  # for each duty held by a weak host
+WEAKNESS_DELAY_S = 0.2  # for each time that the strongest host is faster
+MAX_WEAKNESS_DELAY_S = 0.65  # after a strong host with three duties
 STRONGEST_CORES = 2.2  # fastest machine of the deployments
 UNKNOWN_HOLDER = "?"  # a later claim exists that was not read yet
 STAGGER_S = 0.2  # spreads daemons that are equal in all else
@@ -45,6 +47,22 @@
     return former.holder.partition("#")[0] != claim.holder.partition("#")[0]
 
 
+def claim_delay_s(strength, duties):
+    """Returns how long a daemon leaves a free duty to others.
+
+    Load pattern: hosts of two cores stand beside four times as many of half a core,
+    on which one pool in its turn takes all. A strong host with two duties does more
+    for a third one than a weak host that has none.
+
+    Args:
+        strength: Speed of the host, cores.
+        duties: How many duties the daemon holds.
+    """
+    times_slower = max(1.0, STRONGEST_CORES / strength)
+    weakness = min(MAX_WEAKNESS_DELAY_S, WEAKNESS_DELAY_S * (times_slower - 1))
+    return weakness + duties * min(MAX_LOAD_DELAY_S, LOAD_DELAY_S * times_slower)
+
+
 @dataclass
 class DutyBook:
     """What a daemon knows of all duties.
@@ -126,8 +144,7 @@
         Strong daemons with few duties claim first; the others find the duty
         taken when their delay is over.
         """
-        weakness = max(0.0, STRONGEST_CORES - strength)
-        delay = LOAD_DELAY_S * len(self.mine()) + WEAKNESS_DELAY_S * weakness
+        delay = claim_delay_s(strength, len(self.mine()))
         for duty in wanted:
             if not self.is_free(duty, store_well_since, now):
                 self._free_since.pop(duty, None)
--- a/tests/scheduling/test_ownership.py
+++ b/tests/scheduling/test_ownership.py
@@ -5,6 +5,7 @@
     LOAD_DELAY_S,
     Claim,
     DutyBook,
+    claim_delay_s,
 )
 
 WANTED = ["pool/a", "pool/b"]
@@ -64,3 +65,13 @@
         self.assertNotIn("fleet", self.book.former)
         self.book.apply_claim("fleet", Claim("third#1", "y", 3), 2.0)
         self.assertEqual(self.book.former["fleet"].holder, "other#2")
+
+    def test_strong_host_with_two_duties_goes_before_a_weak_one_with_none(self):
+        # fleetbench cordillera-flota-grown trouble-2: a host of half a core owned the
+        # pool in its turn and began half as many tasks as a strong one.
+        self.assertLess(claim_delay_s(2.15, 2), claim_delay_s(0.516, 0))
+        self.assertLess(claim_delay_s(0.516, 0), claim_delay_s(0.516, 1))
+
+    def test_weakest_hosts_are_not_kept_waiting_when_all_are_weak(self):
+        # fleetbench sweep: 300 hosts of 0.12 cores.
+        self.assertLess(claim_delay_s(0.12, 0), 1.0)
