--- a/basilwind/entry/intake.py
+++ b/basilwind/entry/intake.py
@@ -126,13 +126,12 @@
                 await self._append_waiting()
 
     async def _append_waiting(self):
-        taken, self._entries = self._entries, []
-        batch = [entry for entry in taken if not entry.is_withdrawn]
-        if not batch:
-            return
-        if not await self._is_store_there():
-            self._requeue(batch)
+        # Entries are withdrawn meanwhile, so nothing is taken before.
+        is_store_there = await self._is_store_there()
+        self._entries = [entry for entry in self._entries if not entry.is_withdrawn]
+        if not is_store_there or not self._entries:
             return
+        batch, self._entries = self._entries, []
         self._sequence += 1
         producer = Producer(self._producer, 1, self._sequence)
         for entry in batch:
--- a/tests/entry/test_intake.py
+++ b/tests/entry/test_intake.py
@@ -2,7 +2,7 @@
 
 import anyio
 
-from basilwind.entry.intake import RETRY_S, Intake
+from basilwind.entry.intake import REFUSE_AFTER_S, RETRY_S, Intake
 from basilwind.entry.store_watch import AWAY_S, StoreWatch
 from basilwind.errors import NotStarted, StoreRefused, StoreUnanswered
 from basilwind.scheduling.outages import DOUBT_S
@@ -91,3 +91,22 @@
                 await intake.submit("a" * 16, b"job")
 
         self._run(FakeStore(), play)
+
+    def test_submission_refused_while_the_store_is_asked_is_never_sent(self):
+        # fleetbench kivimagi-inv-grown hunt-0935-3: REFUSED, nine jobs ran after 503.
+        class ReturningStore(FakeStore):
+            async def ping(ping_store):
+                await anyio.sleep(REFUSE_AFTER_S + 0.2)
+                self.watch.note_answer()
+
+        async def play(intake):
+            self.now += DOUBT_S + 0.1
+            with self.assertRaises(NotStarted):
+                await intake.submit("a" * 16, b"job")
+            await intake.submit("b" * 16, b"job")
+
+        store = ReturningStore()
+        self._run(store, play)
+        sent = [record for records, _ in store.appends for record in records]
+        self.assertEqual(len(sent), 1)
+        self.assertIn(b"b" * 16, sent[0])
