Survive malformed answers and unexpected errors

Cause: a hold, a machine list, an order's refusal or a store page that does not parse raised msgspec's or Python's own errors. Nothing caught them, so they ended the owner's or planner's task group and with it the daemon: one malformed message of a worker took a whole process down, and again after each restart.

Ruled out: catching everything at each call, which would hide what a malformed answer means. A start with such an answer may have been carried out (CallUnanswered, so its run is stopped before the task runs elsewhere); a malformed hold changes nothing (WorkerCallFailed), since a run that is not read would be taken for an ended one.

Change: the adapter decodes each body in one place (decode_json) and raises errors of the package. Work of a duty that fails unexpectedly gives up its token and is claimed anew half a second later, restored from the store; services of the daemon are supervised. A restarted intake begins a new epoch.

--- a/basilwind/entry/daemon.py
+++ b/basilwind/entry/daemon.py
@@ -22,6 +22,7 @@
 from basilwind.entry.services import Services
 from basilwind.entry.settings_reloader import SettingsReloader
 from basilwind.entry.store_monitor import StoreMonitor
+from basilwind.entry.supervisor import supervise
 from basilwind.logs import log
 from basilwind.platform.advice import AdviceClient
 from basilwind.platform.machines import MachineClient
@@ -92,18 +93,22 @@
         for server in self._servers:
             self.add_service(server.serve_until_stopped)
         reloader = SettingsReloader(settings_file, settings, self._on_settings)
-        for service in (
-            reloader.run,
-            partial(self._store_monitor.run, self._shared_services.store),
-            self._shared_services.outage.run,
-            self._shared_services.configuration.run,
-            self._shared_services.registry.run,
-            self._shared_services.duties.follow_claims,
-            self._shared_services.duties.follow_heartbeats,
-            self._shared_services.duties.claim_free_duties,
-            self._shared_services.duties.send_heartbeats,
+        duties = self._shared_services.duties
+        for name, service in (
+            ("settings", reloader.run),
+            (
+                "store monitor",
+                partial(self._store_monitor.run, self._shared_services.store),
+            ),
+            ("outage detector", self._shared_services.outage.run),
+            ("configuration", self._shared_services.configuration.run),
+            ("registry", self._shared_services.registry.run),
+            ("claims", duties.follow_claims),
+            ("heartbeats", duties.follow_heartbeats),
+            ("claiming", duties.claim_free_duties),
+            ("own heartbeats", duties.send_heartbeats),
         ):
-            self.add_service(service)
+            self.add_service(supervise, name, service)
         self.on_stop(self._stop_serving)
         self.on_stop(self._begin_shutdown)
 
@@ -226,7 +231,7 @@
                 self._store_monitor,
             )
             self._intakes[pool] = intake
-            self.tasks.start_soon(intake.run)
+            self.tasks.start_soon(supervise, f"intake of pool {pool}", intake.run)
         return intake
 
     # Lifecycle
--- a/basilwind/entry/duties.py
+++ b/basilwind/entry/duties.py
@@ -97,11 +97,11 @@
         return self._table.previous_claims.get(duty)
 
     def mark_lost(self, duty):
-        """Gives up a duty after an operation was rejected for its outdated token."""
+        """Gives up a duty after its token was rejected or its work failed."""
         claim = self._table.claims.get(duty)
         if claim is not None and claim.holder == self._incarnation:
             log("duty lost", duty=duty, token=claim.token)
-            self._table.mark_lost(duty)
+            self._table.mark_lost(duty, self._clock())
             self._on_change()
 
     def is_handed_over(self, duty):
--- a/basilwind/entry/duty_runner.py
+++ b/basilwind/entry/duty_runner.py
@@ -1,5 +1,7 @@
 """Runs the work of each duty held here until its token is lost."""
 
+import traceback
+
 import anyio
 
 from basilwind.errors import ProducerFenced
@@ -71,3 +73,13 @@
             except* ProducerFenced as error:
                 log("duty fenced", duty=duty, token=work.token, error=str(error))
                 self.handle_fenced(duty, work.token)
+            except* Exception as error:
+                # The state of the work can't be trusted any more. Claiming the duty
+                # again restores it from the store under a new token.
+                log(
+                    "duty failed",
+                    duty=duty,
+                    token=work.token,
+                    error="".join(traceback.format_exception(error)),
+                )
+                self.handle_fenced(duty, work.token)
--- a/basilwind/entry/intake.py
+++ b/basilwind/entry/intake.py
@@ -83,6 +83,7 @@
         self._store = store
         self._topic = intake_topic(pool)
         self._producer = producer
+        self._epoch = 0
         self._store_monitor = store_monitor
         self._sequence = 0
         self._waiting = []
@@ -128,7 +129,13 @@
             raise NotStarted("the platform's store turned the record away")
 
     async def run(self):
-        """Appends waiting records until cancelled."""
+        """Appends waiting records until cancelled.
+
+        It may be run again after an unexpected error. The outcome of the last append is
+        then unknown, and a new epoch starts a new sequence.
+        """
+        self._epoch += 1
+        self._sequence = 0
         while True:
             await self._wake_event.wait()
             while self._waiting:
@@ -144,7 +151,7 @@
             return
         batch, self._waiting = self._waiting, []
         self._sequence += 1
-        producer = Producer(self._producer, 1, self._sequence)
+        producer = Producer(self._producer, self._epoch, self._sequence)
         for pending in batch:
             pending.is_sent = True
         has_unanswered_attempt = False
--- a/basilwind/entry/peers.py
+++ b/basilwind/entry/peers.py
@@ -5,6 +5,7 @@
 from basilwind.api.asgi import HttpResponse, json_response, read_request, send_response
 from basilwind.errors import CallRefused, CallUnanswered, NotOwner, RequestInvalid
 from basilwind.logs import log
+from basilwind.platform.transport import decode_json
 from basilwind.scheduling.capacity import PoolReport
 from basilwind.scheduling.jobs import JobState
 
@@ -17,7 +18,7 @@
 class JobResponse(msgspec.Struct):
     """State of a job; ``state`` is None if the owner has no such job."""
 
-    state: str | None
+    state: JobState | None
 
 
 class QueueResponse(msgspec.Struct):
@@ -82,7 +83,9 @@
         if kind == "queues" and rest:
             return json_response(queue_response(owner, rest[0]))
         if kind == "withhold":
-            worker_ids = msgspec.json.decode(request.body, type=list[str])
+            worker_ids = decode_json(
+                request.body, list[str], request.path, RequestInvalid
+            )
             return json_response(owner.withhold(worker_ids))
         raise RequestInvalid(f"no such call: {request.path}")
 
@@ -90,7 +93,7 @@
 async def job_response(owner, job_id):
     """Returns an owner's ``JobResponse`` for a job."""
     state = await owner.job_state(job_id)
-    return JobResponse(state.value if state else None)
+    return JobResponse(state)
 
 
 def queue_response(owner, queue):
@@ -122,8 +125,8 @@
         if owner is not None:
             return await owner.job_state(job_id)
         body = await self._call(pool, f"/jobs/{pool}/{job_id}")
-        state = msgspec.json.decode(body, type=JobResponse).state
-        return JobState(state) if state else None
+        answer = decode_json(body, JobResponse, f"state of job {job_id}", NotOwner)
+        return answer.state
 
     async def queue(self, pool, queue):
         """Returns the ``QueueResponse`` of a queue.
@@ -135,7 +138,7 @@
         if owner is not None:
             return queue_response(owner, queue)
         body = await self._call(pool, f"/queues/{pool}/{queue}")
-        return msgspec.json.decode(body, type=QueueResponse)
+        return decode_json(body, QueueResponse, f"queue {queue}", NotOwner)
 
     async def withhold(self, pool, worker_ids):
         """Has an owner keep new tasks off the given workers, and only off those.
@@ -156,7 +159,7 @@
             msgspec.json.encode(worker_ids),
             PLANNER_TIMEOUT_S,
         )
-        return msgspec.json.decode(body, type=PoolReport)
+        return decode_json(body, PoolReport, f"report of pool {pool}", NotOwner)
 
     async def is_alive(self, claim):
         """Returns whether the daemon that made a claim still responds.
--- a/basilwind/platform/advice.py
+++ b/basilwind/platform/advice.py
@@ -4,7 +4,8 @@
 
 import msgspec
 
-from basilwind.platform.transport import JSON_HEADERS, require_ok
+from basilwind.errors import PlatformUnavailable
+from basilwind.platform.transport import JSON_HEADERS, decode_json, require_ok
 
 MAX_WORKERS = 100
 # A decision takes up to 1 s, and the service handles one call of a daemon at a time.
@@ -64,5 +65,7 @@
             self._transport.call("POST", self._url, CALL_TIMEOUT_S, body, JSON_HEADERS),
             f"advice for {step}",
         )
-        decoded = msgspec.json.decode(answer, type=_Answer)
+        decoded = decode_json(
+            answer, _Answer, f"advice for {step}", PlatformUnavailable
+        )
         return Advice(dict(decoded.good), decoded.validity_ms / 1000)
--- a/basilwind/platform/machines.py
+++ b/basilwind/platform/machines.py
@@ -6,8 +6,8 @@
 
 import msgspec
 
-from basilwind.errors import CallRefused
-from basilwind.platform.transport import JSON_HEADERS, require_ok
+from basilwind.errors import CallRefused, CallUnanswered, PlatformUnavailable
+from basilwind.platform.transport import JSON_HEADERS, decode_json, require_ok
 
 CALL_TIMEOUT_S = 2.0  # an answer takes a few ms, 50 times that on a slow platform
 
@@ -117,20 +117,8 @@
                 self._transport.call("GET", self._base + path, CALL_TIMEOUT_S),
                 "machine list",
             )
-            page = msgspec.json.decode(body, type=_Page)
-            machines += [
-                Machine(
-                    name=entry.machine,
-                    pool=entry.pool,
-                    state=MachineState(entry.state),
-                    zone=entry.zone,
-                    labels=frozenset(entry.labels),
-                    cpu=entry.capacity.cpu,
-                    memory=entry.capacity.mem_mb,
-                    worker_id=entry.id or "",
-                )
-                for entry in page.machines
-            ]
+            page = decode_json(body, _Page, "machine list", PlatformUnavailable)
+            machines += [_decode_machine(entry) for entry in page.machines]
             token = page.next_token
             if not token:
                 return machines
@@ -189,5 +177,32 @@
         if status == 200:
             return OrderOutcome.DONE
         if status == 409:
-            return OrderOutcome(msgspec.json.decode(answer, type=_Refusal).reason)
+            return _decode_refusal(answer, f"{path} {body['machine']}")
         return OrderOutcome.INVALID if status == 400 else OrderOutcome.REJECTED
+
+
+def _decode_machine(entry):
+    try:
+        state = MachineState(entry.state)
+    except ValueError:
+        # A state of a later version of the service; such a machine gets no orders.
+        state = MachineState.DOWN
+    return Machine(
+        name=entry.machine,
+        pool=entry.pool,
+        state=state,
+        zone=entry.zone,
+        labels=frozenset(entry.labels),
+        cpu=entry.capacity.cpu,
+        memory=entry.capacity.mem_mb,
+        worker_id=entry.id or "",
+    )
+
+
+def _decode_refusal(answer, what):
+    reason = decode_json(answer, _Refusal, what, CallUnanswered).reason
+    try:
+        return OrderOutcome(reason)
+    except ValueError:
+        # A reason that is not known here still says that nothing was done.
+        return OrderOutcome.REJECTED
--- a/basilwind/platform/store.py
+++ b/basilwind/platform/store.py
@@ -5,6 +5,7 @@
 """
 
 import base64
+import binascii
 import struct
 from dataclasses import dataclass
 from urllib.parse import urlencode
@@ -20,6 +21,7 @@
     StoreRefused,
     StoreUnanswered,
 )
+from basilwind.platform.transport import decode_json
 
 APPEND_TIMEOUT_S = 0.8  # the slow store of the deployment files answers in 0.24 s
 PING_TIMEOUT_S = 0.5  # the slow store of the deployment files answers in 0.24 s
@@ -99,6 +101,14 @@
     )
 
 
+def _decode_latest(item):
+    try:
+        value = base64.b64decode(item.value, validate=True)
+    except binascii.Error as error:
+        raise StoreRefused(f"record {item.key!r} is not base64: {error}") from error
+    return KeyedRecord(item.offset, item.key, value)
+
+
 def _decode_records(data, start):
     records, position, offset = [], _OFFSETS.size, start
     while position + _LENGTH.size <= len(data):
@@ -168,14 +178,16 @@
             timeout_s,
             b"".join(records),
         )
-        if status in (409, 412):
-            answer = msgspec.json.decode(body, type=_AppendAnswer)
-            if status == 412:
-                raise StoreConflict(answer.end)
-            raise ProducerFenced(f"{topic}: {answer.reason or 'fenced'}")
-        if status != 200:
+        if status not in (200, 409, 412):
             raise StoreRefused(f"cannot append to topic {topic}: status {status}")
-        return msgspec.json.decode(body, type=_AppendAnswer).end
+        answer = decode_json(
+            body, _AppendAnswer, f"append to topic {topic}", StoreUnanswered
+        )
+        if status == 412:
+            raise StoreConflict(answer.end)
+        if status == 409:
+            raise ProducerFenced(f"{topic}: {answer.reason or 'fenced'}")
+        return answer.end
 
     async def read(self, topic, start, wait_s=0.0):
         """Reads records by long poll, from an offset on.
@@ -201,7 +213,8 @@
             "read", "GET", f"/log-read?{urlencode(query)}", READ_TIMEOUT_S + wait_s
         )
         if status == 410:
-            raise RetentionGap(msgspec.json.decode(body, type=_Expired).first)
+            expired = decode_json(body, _Expired, f"read of {topic}", StoreRefused)
+            raise RetentionGap(expired.first)
         if status == 404:
             return []
         if status != 200 or len(body) < _OFFSETS.size:
@@ -247,13 +260,12 @@
                 raise StoreRefused(
                     f"cannot read the latest records of topic {topic}: status {status}"
                 )
-            page = msgspec.json.decode(body, type=_LatestPage)
+            page = decode_json(
+                body, _LatestPage, f"latest records of topic {topic}", StoreRefused
+            )
             if follow_from is None:
                 follow_from = page.end
-            records += [
-                KeyedRecord(item.offset, item.key, base64.b64decode(item.value))
-                for item in page.items
-            ]
+            records += [_decode_latest(item) for item in page.items]
             if not page.has_more or not page.items:
                 return records, follow_from
             after = page.items[-1].key
--- a/basilwind/platform/workers.py
+++ b/basilwind/platform/workers.py
@@ -4,11 +4,12 @@
 
 from basilwind.errors import (
     CallRefused,
+    CallUnanswered,
     ProducerFenced,
     WorkerCallFailed,
     WorkerReplaced,
 )
-from basilwind.platform.transport import JSON_HEADERS
+from basilwind.platform.transport import JSON_HEADERS, decode_json
 from basilwind.scheduling.reports import (
     EndedRun,
     EndKind,
@@ -49,28 +50,46 @@
 
 class _HoldAnswer(msgspec.Struct, rename="camel"):
     clock_ms: float
+    # Rows of task, run, checkpoint, percent and load.
     running: list[list] = []
+    # Rows of sequence number, task, run, kind and checkpoint.
     ended: list[list] = []
     born: int = 0
 
 
-_START_ANSWER = msgspec.json.Decoder(_StartAnswer)
-_HOLD_ANSWER = msgspec.json.Decoder(_HoldAnswer)
-
-
 def _decode_running(row):
+    _check_types(row, str, int)
     return ReportedRun(
         task_name=row[0],
         run=row[1],
-        checkpoint=row[2] if len(row) > 2 else "",
-        progress_percent=row[3] if len(row) > 3 else 100,
-        load=row[4] if len(row) > 4 else -1,
+        checkpoint=_optional_field(row, 2, str, ""),
+        progress_percent=_optional_field(row, 3, (int, float), 100),
+        load=_optional_field(row, 4, (int, float), -1),
     )
 
 
 def _decode_ended(row):
+    _check_types(row, int, str, int, str)
     kind = _END_KINDS.get(row[3], EndKind.FAILED)
-    return EndedRun(row[0], row[1], row[2], kind, row[4] if len(row) > 4 else "")
+    return EndedRun(row[0], row[1], row[2], kind, _optional_field(row, 4, str, ""))
+
+
+def _check_types(row, *kinds):
+    """Checks the first fields of a row.
+
+    Raises:
+        TypeError: A field has another type than expected.
+        IndexError: A field is missing.
+    """
+    for index, kind in enumerate(kinds):
+        if not isinstance(row[index], kind):
+            raise TypeError(f"{row[index]!r} in {row!r}")
+
+
+def _optional_field(row, index, kind, default):
+    """Returns a field of a row, or ``default`` if it is missing or of another type."""
+    is_given = len(row) > index and isinstance(row[index], kind)
+    return row[index] if is_given else default
 
 
 class WorkerControlClient:
@@ -143,7 +162,7 @@
             return StartOutcome.UNHEALTHY, None
         if status not in (200, 409):
             return StartOutcome.REFUSED, None
-        answer = _START_ANSWER.decode(body)
+        answer = decode_json(body, _StartAnswer, f"start of {task}", CallUnanswered)
         if status == 200:
             return StartOutcome.STARTED, answer.clock_ms / 1000
         outcome = _START_OUTCOMES.get(answer.reason, StartOutcome.REFUSED)
@@ -242,13 +261,15 @@
             raise WorkerCallFailed(
                 f"worker {worker_id}: hold failed with status {status}"
             )
-        lists = _HOLD_ANSWER.decode(body)
-        return WorkerReport(
-            worker_clock_s=lists.clock_ms / 1000,
-            incarnation_started_ms=lists.born,
-            running=tuple(map(_decode_running, lists.running)),
-            ended=tuple(map(_decode_ended, lists.ended)),
-        )
+        what = f"hold of worker {worker_id}"
+        lists = decode_json(body, _HoldAnswer, what, WorkerCallFailed)
+        try:
+            running = tuple(map(_decode_running, lists.running))
+            ended = tuple(map(_decode_ended, lists.ended))
+        except (IndexError, TypeError) as error:
+            # Acting on a part of the report could restart runs that it lists.
+            raise WorkerCallFailed(f"{what}: malformed row: {error}") from error
+        return WorkerReport(lists.clock_ms / 1000, lists.born, running, ended)
 
     async def _post(self, address, worker_id, path, order, timeout_s):
         return await self._transport.call(
--- a/basilwind/scheduling/ownership.py
+++ b/basilwind/scheduling/ownership.py
@@ -15,6 +15,7 @@
 SLOW_HOST_DELAY_S = 0.2  # for each 100% by which the fastest host is faster
 MAX_SLOW_HOST_DELAY_S = 0.65  # a fast host with three duties still claims earlier
 FASTEST_HOST_CORES = 2.2  # fastest entry host of the deployments
+LOST_DUTY_DELAY_S = 0.5  # limits how often a persistent error repeats
 UNKNOWN_HOLDER = "?"  # a later claim exists that has not been read yet
 CLAIM_JITTER_S = 0.2  # spreads the claims of otherwise equal daemons
 
@@ -114,10 +115,15 @@
                 self.last_heartbeat_at[claim.holder], now
             )
 
-    def mark_lost(self, duty):
-        """Drops this daemon's claim after its token was refused as too low."""
+    def mark_lost(self, duty, now):
+        """Drops this daemon's claim; its token was refused or its work failed.
+
+        This daemon may claim the duty again later, under a new token, if nobody has
+        claimed it meanwhile.
+        """
         claim = self.claims[duty]
         self.claims[duty] = Claim(UNKNOWN_HOLDER, "", claim.token)
+        self._free_since[duty] = now + LOST_DUTY_DELAY_S
 
     def apply_heartbeat(self, holder, now):
         """Records a holder's heartbeat."""
--- a/tests/entry/test_duty_runner.py
+++ b/tests/entry/test_duty_runner.py
@@ -22,16 +22,16 @@
 
 
 class FakeWork:
-    """Work that runs until cancelled, or is fenced when it starts."""
+    """Work that runs until cancelled, or raises an error when it starts."""
 
-    def __init__(self, token, is_fenced=False):
+    def __init__(self, token, error=None):
         self.token = token
         self.is_running = False
-        self._is_fenced = is_fenced
+        self._error = error
 
     async def run(self):
-        if self._is_fenced:
-            raise ProducerFenced("a later token was used")
+        if self._error is not None:
+            raise self._error
         self.is_running = True
         try:
             await anyio.sleep_forever()
@@ -42,13 +42,13 @@
 class TestDutyRunner(unittest.TestCase):
     """Duties are won, lost, and won again with a later token."""
 
-    def _run(self, duties, scenario, is_fenced=False):
+    def _run(self, duties, scenario, error=None):
         self.created = []
 
         def create_work(duty, token):
             if duty == "none":
                 return None
-            self.created.append(FakeWork(token, is_fenced))
+            self.created.append(FakeWork(token, error))
             return self.created[-1]
 
         async def main():
@@ -90,7 +90,15 @@
             self.assertEqual(duties.lost, ["a"])
 
         duties = FakeDutyManager(a=1)
-        self._run(duties, scenario, is_fenced=True)
+        self._run(duties, scenario, ProducerFenced("a later token was used"))
+
+    def test_unexpected_error_gives_up_only_that_duty(self):
+        async def scenario(runner, tasks):
+            self.assertEqual(duties.lost, ["a"])
+            self.assertFalse(tasks.cancel_scope.cancel_called)
+
+        duties = FakeDutyManager(a=1)
+        self._run(duties, scenario, KeyError("unexpected"))
 
     def test_duty_without_work_runs_nothing(self):
         async def scenario(runner, tasks):
--- a/tests/entry/test_intake.py
+++ b/tests/entry/test_intake.py
@@ -4,6 +4,7 @@
 
 from basilwind.entry.intake import REFUSE_AFTER_S, RETRY_S, Intake
 from basilwind.entry.store_monitor import UNAVAILABLE_S, StoreMonitor
+from basilwind.entry.supervisor import supervise
 from basilwind.errors import NotStarted, StoreRefused, StoreUnanswered
 from basilwind.scheduling.outages import SUSPECT_AFTER_S
 
@@ -47,6 +48,22 @@
         (first, second) = store.appends
         self.assertEqual(first, second)
 
+    def test_run_after_unexpected_error_starts_a_new_sequence(self):
+        store = FakeStore(KeyError("unexpected"))
+
+        async def main():
+            intake = Intake(store, "pool", "daemon#1", self.monitor)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(supervise, "intake", intake.run)
+                with anyio.move_on_after(0.05):
+                    await intake.submit("a" * 16, b"job")
+                await intake.submit("b" * 16, b"job")
+                tasks.cancel_scope.cancel()
+
+        anyio.run(main)
+        producers = [(p.epoch, p.sequence) for _, p in store.appends]
+        self.assertEqual(producers, [(1, 1), (2, 1)])
+
     def test_refused_submission_is_not_sent_later(self):
         async def scenario(intake):
             with self.assertRaises(NotStarted):
--- a/tests/scheduling/test_ownership.py
+++ b/tests/scheduling/test_ownership.py
@@ -3,6 +3,7 @@
 from basilwind.scheduling.ownership import (
     DUTY_DELAY_S,
     HOLDER_SILENCE_S,
+    LOST_DUTY_DELAY_S,
     Claim,
     DutyTable,
     claim_delay_s,
@@ -39,6 +40,15 @@
         self.assertTrue(self.table.is_free("pool/a", 0.0, later))
         self.assertFalse(self.table.is_free("pool/a", later - 1.0, later))
 
+    def test_lost_duty_is_claimed_again_after_a_delay(self):
+        now = 10.0
+        self._claim("pool/a", "e1#1", 1, now)
+        self._claim("pool/b", "e2#1", 2, now)
+        self.table.mark_lost("pool/a", now)
+        self.assertEqual(self.table.held_duties(), {})
+        self.assertIsNone(self._to_claim(now + LOST_DUTY_DELAY_S / 2))
+        self.assertEqual(self._to_claim(now + LOST_DUTY_DELAY_S + 0.3), "pool/a")
+
     def test_own_previous_incarnation_is_gone_at_once(self):
         self._claim("pool/a", "e1#0", 1, now=10.0)
         self.assertTrue(self.table.is_free("pool/a", 10.0, 10.0))
