Let authority run out by the time of sending, and check it at each order

Cause: an answer of the store counted from when it was read. A daemon that was paused for seconds read waiting answers afterwards, took its duties for confirmed, and granted new leases. The planner sent moves on reports of any age: a worker that was empty before a pause, or in the view of an owner cut off from the store, might run a later owner's tasks.

Ruled out: relying on fencing. Workers and machines that the successor has not touched yet have seen no higher token.

Change: authority counts from when the latest answered call was sent. Starts and stops are sent only while leases may be extended (3.5 s). An owner that may have a successor (1.7 s without the store, unless an outage is confirmed) gives the planner no report and does not deny that a job exists. The planner orders only within 1 s of asking the owners and while no other can have claimed its duty.

--- a/basilwind/entry/daemon.py
+++ b/basilwind/entry/daemon.py
@@ -122,7 +122,9 @@
         incarnation = f"{settings.name}#{uuid.uuid4().hex[:8]}"
         transport = Transport()
         self._worker_transport = Transport(MAX_WORKER_CONNECTIONS)
-        store = StoreClient(transport, settings.store_address, self._on_store_call)
+        store = StoreClient(
+            transport, settings.store_address, self._on_store_call, boot_time
+        )
         return Services(
             settings=settings,
             incarnation=incarnation,
@@ -164,10 +166,10 @@
         self._metrics.count_event(event)
         log(event, **fields)
 
-    def _on_store_call(self, name, is_answered):
+    def _on_store_call(self, name, is_answered, sent_at):
         self._metrics.count_store_call(name, is_answered)
         if is_answered:
-            self._store_monitor.record_answer()
+            self._store_monitor.record_answer(sent_at)
 
     # Duties
 
--- a/basilwind/entry/owner.py
+++ b/basilwind/entry/owner.py
@@ -8,14 +8,16 @@
 from basilwind.entry.journal import JobJournal
 from basilwind.entry.registry import REAPPEAR_S
 from basilwind.entry.takeover import read_latest_records, restore_jobs
-from basilwind.entry.worker_leases import MAX_STORE_SILENCE_S, WorkerLeaseRenewer
+from basilwind.entry.worker_leases import WorkerLeaseRenewer
 from basilwind.errors import (
     CallRefused,
     CallUnanswered,
+    NotOwner,
     PlatformError,
     RetentionGap,
 )
 from basilwind.scheduling.jobs import JobState
+from basilwind.scheduling.ownership import MAX_STORE_SILENCE_S
 from basilwind.scheduling.pool import PoolState
 from basilwind.scheduling.reports import StartOutcome
 
@@ -111,9 +113,14 @@
             self.update_workers()
 
     async def job_state(self, job_id):
-        """Returns a job's durable ``JobState``, or None if there is no such job."""
+        """Returns a job's durable ``JobState``, or None if there is no such job.
+
+        Raises:
+            NotOwner: The job is unknown here, but a later owner may know it.
+        """
         job = self._state.jobs.get(job_id)
         if job is None:
+            self._require_no_successor(self._clock())
             return None
         if not job.is_live:
             await self._journal.flush()
@@ -136,6 +143,11 @@
             self._tasks.start_soon(self._leases.run, worker)
         self._schedule_event.set()
 
+    def _require_no_successor(self, now):
+        """Raises ``NotOwner`` if another daemon may have taken over the pool."""
+        if not self._services.is_sole_holder(now):
+            raise NotOwner(f"pool {self.pool!r} may have a later owner by now")
+
     def _report(self, event, **fields):
         self._services.report(event, pool=self.pool, **fields)
 
@@ -215,8 +227,9 @@
             now = self._clock()
             orders = self._state.schedule(now, self._wall_clock())
             schedule_s = self._clock() - now
-            for stop in self._state.stop_orders(now):
-                self._tasks.start_soon(self._send_stop, stop)
+            if self._services.may_extend_leases(now):
+                for stop in self._state.stop_orders(now):
+                    self._tasks.start_soon(self._send_stop, stop)
             if orders:
                 self._tasks.start_soon(self._send_starts, orders)
             if self._state.dirty:
@@ -235,7 +248,7 @@
         """
         batch = self._journal.pending_batch()
         while not self._journal.has_written(batch):
-            if self._services.outage.is_confirmed and self._leases.may_extend_leases(
+            if self._services.outage.is_confirmed and self._services.may_extend_leases(
                 self._clock()
             ):
                 self._report("starts not recorded", reason="the store is away")
@@ -247,8 +260,15 @@
         task, worker = order.task, order.worker
         if task.run != order.run or not task.is_active:
             return
-        if task.is_stopping or not task.job.is_live or not worker.is_clock_known:
-            self._state.apply_start_outcome(order, StartOutcome.NOT_SENT, self._clock())
+        now = self._clock()
+        if (
+            task.is_stopping
+            or not task.job.is_live
+            or not worker.is_clock_known
+            # This process may have been paused since the order was journalled.
+            or not self._services.may_extend_leases(now)
+        ):
+            self._state.apply_start_outcome(order, StartOutcome.NOT_SENT, now)
             return
         ticket = (task.step.tickets or {}).get(worker.worker_id)
         try:
@@ -258,7 +278,7 @@
                 task.name,
                 order.run,
                 task.job.spec.text,
-                worker.grant_lease(self._lease_s, self._clock()),
+                worker.grant_lease(self._lease_s, now),
                 self.token,
                 task.checkpoint,
                 ticket.text if ticket else "",
@@ -353,8 +373,13 @@
 
         Returns:
             ``PoolReport`` after the change.
+
+        Raises:
+            NotOwner: Another daemon may have taken over the pool, so workers that are
+                empty here may run its tasks.
         """
         now = self._clock()
+        self._require_no_successor(now)
         wall_time = self._wall_clock()
         self._state.withhold(worker_ids, now, wall_time)
         self._schedule_event.set()
--- a/basilwind/entry/planner.py
+++ b/basilwind/entry/planner.py
@@ -29,6 +29,8 @@
 PRODUCER = "planner"  # shared by all planners, as fencing is per producer
 PLAN_INTERVAL_S = 0.2  # a move takes 1.5 s; each round costs a platform call
 ARRIVAL_S = 1.0  # from the end of a move until the pool's owner knows the worker
+# Owners keep tasks off a worker for 3 s, and a slow platform takes 1 s for an order.
+MAX_EMPTY_AGE_S = 1.0
 SETTLE_MARGIN_S = 0.2  # an order of the previous planner may still be in flight
 
 
@@ -65,6 +67,8 @@
         self._workers_to_empty = {}
         # Ids of workers, by pool, that the owners were last asked to withhold.
         self._withheld = {}
+        # Boot time at which the owners were last asked which workers are empty.
+        self._emptied_at = 0.0
         # Target pool (None for maintenance) and time of recent orders by host, since
         # the platform's list may not show their effect yet.
         self._recent_orders = {}
@@ -162,6 +166,7 @@
 
     async def _empty_workers(self, wanted):
         """Has owners withhold workers; returns the ids of those without tasks."""
+        self._emptied_at = self._clock()
         reports = await self._withhold_all(wanted)
         return {
             load.worker_id
@@ -266,7 +271,28 @@
         if has_new:
             await self._store_wave(wave.number, accepted, False)
 
+    def _may_order(self, host_name):
+        """Returns whether orders may rely on what the owners said about workers.
+
+        This process may have been paused since then, so that a worker that was empty
+        runs tasks again, or another planner gives orders.
+        """
+        now = self._clock()
+        if now - self._emptied_at < MAX_EMPTY_AGE_S and self._services.is_sole_holder(
+            now
+        ):
+            return True
+        self._services.report(
+            "machine order withheld",
+            machine=host_name,
+            report_age_s=round(now - self._emptied_at, 3),
+            store_silence_s=round(self._services.store_monitor.silence_s, 3),
+        )
+        return False
+
     async def _start_maintenance(self, wave, candidate):
+        if not self._may_order(candidate.host):
+            return False
         try:
             outcome = await self._machine_client.start_maintenance(
                 candidate.host, wave.number, self._services.incarnation, self._token
@@ -376,6 +402,8 @@
         return await self._empty_workers(by_pool)
 
     async def _move(self, host, target):
+        if not self._may_order(host.name):
+            return
         try:
             outcome = await self._machine_client.move(
                 host.name, target, self._services.incarnation, self._token
--- a/basilwind/entry/services.py
+++ b/basilwind/entry/services.py
@@ -14,6 +14,7 @@
 from basilwind.platform.store import StoreClient
 from basilwind.platform.transport import Transport
 from basilwind.platform.workers import WorkerControlClient
+from basilwind.scheduling.ownership import is_sole_holder, may_extend_leases
 
 
 @dataclass
@@ -56,3 +57,13 @@
     store_monitor: StoreMonitor
     on_fenced: Callable
     outage: OutageDetector | None = None
+
+    def is_sole_holder(self, now):
+        """Returns whether no other daemon can have taken over this daemon's duties."""
+        return is_sole_holder(
+            self.store_monitor.confirmed_at, self.outage.is_confirmed, now
+        )
+
+    def may_extend_leases(self, now):
+        """Returns whether owners in this daemon may grant and extend leases."""
+        return may_extend_leases(self.store_monitor.confirmed_at, now)
--- a/basilwind/entry/store_monitor.py
+++ b/basilwind/entry/store_monitor.py
@@ -25,19 +25,29 @@
     def __init__(self, clock):
         self._clock = clock
         self._answered_at = clock()
+        self._confirmed_at = self._answered_at
         # The store may have been unavailable before this daemon started.
         self._silence_ended_at = self._answered_at
 
     @property
-    def answered_at(self):
-        """Boot time of the store's last answer."""
-        return self._answered_at
+    def confirmed_at(self):
+        """Boot time at which the latest call that the store answered was sent.
 
-    def record_answer(self):
-        """Records that the store has answered."""
+        What this daemon may do for a limited time counts from here. An answer may have
+        waited while this process was paused, so the time of reading it says nothing.
+        """
+        return self._confirmed_at
+
+    def record_answer(self, sent_at):
+        """Records that the store has answered a call.
+
+        Args:
+            sent_at: Boot time at which the call was sent.
+        """
         if self.is_suspected:
             self._silence_ended_at = self._clock()
         self._answered_at = self._clock()
+        self._confirmed_at = max(self._confirmed_at, sent_at)
 
     @property
     def silence_s(self):
--- a/basilwind/entry/worker_leases.py
+++ b/basilwind/entry/worker_leases.py
@@ -15,7 +15,6 @@
     WorkerReplaced,
 )
 
-MAX_STORE_SILENCE_S = 3.5  # leases are not extended after this long without the store
 HOLD_WAIT_S = 1.5  # short enough that a lease survives two lost answers
 PACED_HOLD_WAIT_S = 0.5  # period over which serving tasks report tail latency
 JOURNAL_WAIT_S = 0.4  # a slow store takes 0.24 s; leases of 4.5 s need hold calls
@@ -35,8 +34,8 @@
     """
 
     def __init__(self, services, state, journal, lease_s, schedule_event, on_fenced):
+        self._services = services
         self._worker_control = services.worker_control
-        self._store_monitor = services.store_monitor
         self._clock = services.clock
         self._report = partial(services.report, pool=state.name)
         self._state = state
@@ -45,14 +44,6 @@
         self._schedule_event = schedule_event
         self._on_fenced = on_fenced
 
-    def may_extend_leases(self, now):
-        """Returns whether this owner may still extend leases.
-
-        A new owner waits for leases that were extended until ``MAX_STORE_SILENCE_S``
-        after the store's last answer here, and then starts the tasks elsewhere.
-        """
-        return now - self._store_monitor.answered_at < MAX_STORE_SILENCE_S
-
     async def run(self, worker):
         """Sends hold calls to a worker until it has left the pool."""
         while self._state.workers.get(worker.worker_id) is worker:
@@ -83,7 +74,7 @@
 
     async def _renew_once(self, worker, sent_at):
         lease_end_s = None
-        if self.may_extend_leases(sent_at):
+        if self._services.may_extend_leases(sent_at):
             lease_end_s = worker.extend_lease(self._lease_s, sent_at)
         report = await self._worker_control.hold(
             worker.entry.address,
--- a/basilwind/platform/store.py
+++ b/basilwind/platform/store.py
@@ -129,14 +129,17 @@
     Args:
         transport: ``Transport`` that sends the requests.
         address: HOST:PORT of the store.
-        on_call: Called after each request with its name and whether the store
-            answered it; an answer with status 429 or 5xx doesn't count.
+        on_call: Called after each request with its name, whether the store answered
+            it, and the time at which it was sent; an answer with status 429 or 5xx
+            doesn't count.
+        clock: Returns boot time.
     """
 
-    def __init__(self, transport, address, on_call):
+    def __init__(self, transport, address, on_call, clock):
         self._transport = transport
         self.set_address(address)
         self._on_call = on_call
+        self._clock = clock
 
     def set_address(self, address):
         """Sets the address, HOST:PORT, for all further requests."""
@@ -271,15 +274,16 @@
             after = page.items[-1].key
 
     async def _call(self, name, method, path, timeout_s, body=None):
+        sent_at = self._clock()
         try:
             status, answer = await self._transport.call(
                 method, self._base + path, timeout_s, body
             )
         except CallRefused as error:
-            self._on_call(name, False)
+            self._on_call(name, False, sent_at)
             raise StoreRefused(str(error)) from error
         except CallUnanswered as error:
-            self._on_call(name, False)
+            self._on_call(name, False, sent_at)
             raise StoreUnanswered(str(error)) from error
-        self._on_call(name, status < 500 and status != 429)
+        self._on_call(name, status < 500 and status != 429, sent_at)
         return status, answer
--- a/basilwind/scheduling/ownership.py
+++ b/basilwind/scheduling/ownership.py
@@ -10,6 +10,7 @@
 
 HEARTBEAT_S = 0.5  # two may be missed before a holder counts as gone
 HOLDER_SILENCE_S = 1.7  # lets a successor take over before 5 s leases expire
+MAX_STORE_SILENCE_S = 3.5  # leases are not extended after this long without the store
 DUTY_DELAY_S = 0.2  # for each duty held, so that idle daemons claim first
 MAX_DUTY_DELAY_S = 1.0  # for each duty held by a slow host
 SLOW_HOST_DELAY_S = 0.2  # for each 100% by which the fastest host is faster
@@ -52,6 +53,35 @@
     return previous.holder.partition("#")[0] != claim.holder.partition("#")[0]
 
 
+def may_extend_leases(confirmed_at, now):
+    """Returns whether a pool's owner may still grant and extend leases.
+
+    A new owner waits for leases that were extended until ``MAX_STORE_SILENCE_S`` after
+    the last call that the store answered, and then starts the tasks elsewhere.
+
+    Args:
+        confirmed_at: Boot time at which the latest call that the store answered was
+            sent.
+        now: Boot time in seconds.
+    """
+    return now - confirmed_at < MAX_STORE_SILENCE_S
+
+
+def is_sole_holder(confirmed_at, is_outage_confirmed, now):
+    """Returns whether no other daemon can have taken over this daemon's duties.
+
+    Args:
+        confirmed_at: Boot time at which the latest call that the store answered was
+            sent.
+        is_outage_confirmed: Whether daemons in other zones do not reach the store
+            either, so that none can claim a duty.
+        now: Boot time in seconds.
+    """
+    if now - confirmed_at < HOLDER_SILENCE_S:
+        return True
+    return is_outage_confirmed and may_extend_leases(confirmed_at, now)
+
+
 def claim_delay_s(cpu_cores, duties):
     """Returns how long a daemon waits before it claims a free duty, seconds.
 
--- a/tests/entry/test_intake.py
+++ b/tests/entry/test_intake.py
@@ -115,7 +115,7 @@
         class ReturningStore(FakeStore):
             async def ping(ping_store):
                 await anyio.sleep(REFUSE_AFTER_S + 0.2)
-                self.monitor.record_answer()
+                self.monitor.record_answer(self.now)
 
         async def scenario(intake):
             self.now += SUSPECT_AFTER_S + 0.1
--- a/tests/entry/test_outage_detector.py
+++ b/tests/entry/test_outage_detector.py
@@ -51,7 +51,7 @@
         self.now += CONFIRMATION_VALID_S
         self.assertFalse(detector.is_confirmed)
         detector = self._checked_detector(b=2.0)
-        self.store_monitor.record_answer()
+        self.store_monitor.record_answer(self.now)
         self.assertFalse(detector.is_confirmed)
 
     def test_stopping_daemon_confirms_nothing(self):
--- a/tests/platform/test_malformed_answers.py
+++ b/tests/platform/test_malformed_answers.py
@@ -45,7 +45,7 @@
     """Returns coroutine functions of all calls to other processes."""
     workers = WorkerControlClient(transport)
     machines = MachineClient(transport, "h:1")
-    store = StoreClient(transport, "h:1", lambda *_: None)
+    store = StoreClient(transport, "h:1", lambda *_: None, lambda: 0.0)
     peers = PeerClient(transport, lambda pool: None, lambda pool: "h:1")
     start = ("h:1", "i", "j.0.0.0", 1, "", 9.0, 7, "", "")
     return (
--- /dev/null
+++ b/tests/utils/entry_fakes.py
@@ -0,0 +1,135 @@
+"""Fakes of what a duty holder uses: clock, store, workers, machines and peers."""
+
+import types
+
+import anyio
+
+from basilwind.entry.services import Services
+from basilwind.entry.store_monitor import StoreMonitor
+from basilwind.platform.machines import Machine, MachineState, OrderOutcome
+from basilwind.scheduling.capacity import PoolReport, WorkerLoad
+from basilwind.scheduling.fleet import Configuration, Pool, RequestLimits
+from basilwind.scheduling.reports import StartOutcome, WorkerReport
+from tests.scheduling.model import QUEUE, make_entry
+
+POOLS = {
+    name: Pool(name, True, name == "spare", "/health") for name in ("pool", "spare")
+}
+CONFIGURATION = Configuration(
+    1, {QUEUE.name: QUEUE}, POOLS, RequestLimits(16384, 262144, 3.0, 15.0)
+)
+
+
+class Clock:
+    """A clock that the test advances; boot time and Unix time are the same."""
+
+    def __init__(self):
+        self.now = 1000.0
+
+    def __call__(self):
+        return self.now
+
+
+class FakeStore:
+    """An empty store that accepts everything."""
+
+    def __init__(self, clock, monitor):
+        self._clock = clock
+        self._monitor = monitor
+        self.on_append = lambda topic: None
+
+    async def append(self, topic, records, at=None, producer=None):
+        sent_at = self._clock()
+        self.on_append(topic)
+        self._monitor.record_answer(sent_at)
+        return 0
+
+    async def read_latest(self, topic):
+        return [], 0
+
+    async def read(self, topic, start, wait_s=0.0):
+        await anyio.sleep(wait_s)
+        return []
+
+
+class FakeWorkers:
+    """Workers that accept every order; keeps the starts and the answered holds."""
+
+    def __init__(self, clock):
+        self._clock = clock
+        self.starts = []
+
+    async def start(self, address, worker_id, task, run, *rest):
+        self.starts.append((task, run))
+        return StartOutcome.STARTED, self._clock()
+
+    async def hold(self, *arguments):
+        await anyio.sleep(0.01)
+        return WorkerReport(self._clock(), 1, (), ())
+
+
+class FakeMachines:
+    """A machine service with one idle host in the pool; keeps the orders."""
+
+    def __init__(self):
+        self.orders = []
+
+    async def list(self):
+        return [
+            Machine(
+                *("m1", "pool", MachineState.UP, "a", frozenset()),
+                cpu=8000,
+                memory=64000,
+                worker_id="w1",
+            )
+        ]
+
+    async def move(self, machine, pool, holder, token):
+        self.orders.append((machine, pool))
+        return OrderOutcome.DONE
+
+
+class FakePeers:
+    """Peers that report one idle worker."""
+
+    def __init__(self):
+        self.on_withhold = lambda worker_ids: None
+
+    async def withhold(self, pool, worker_ids):
+        self.on_withhold(worker_ids)
+        idle = [WorkerLoad(f"w{n}", 8000, 0, 0) for n in (1, 2, 3, 4)]
+        return PoolReport(pool, idle, 0.0, 0.0, 0, 0, 0, 0, 0, 0.0, 0)
+
+
+def make_services(clock, report=lambda event, **fields: None, is_outage=False):
+    """Returns ``Services`` with fakes, as a duty holder gets them."""
+    monitor = StoreMonitor(clock)
+    registry = types.SimpleNamespace(
+        is_loaded=True,
+        entries_of_pool=lambda pool: {"w1": make_entry("w1")},
+        expire_missing=lambda now: None,
+    )
+    configuration = types.SimpleNamespace(
+        current=CONFIGURATION, find_queue=CONFIGURATION.queues.get, waves={}
+    )
+    settings = types.SimpleNamespace(
+        finished_job_retention_s=120.0, max_lease_s=10.0, move_s=1.5, machine_lease_s=3
+    )
+    return Services(
+        settings=settings,
+        incarnation="e1#1",
+        transport=None,
+        store=FakeStore(clock, monitor),
+        worker_control=FakeWorkers(clock),
+        machine_client=FakeMachines(),
+        advice_client=None,
+        configuration=configuration,
+        registry=registry,
+        duties=None,
+        clock=clock,
+        wall_clock=clock,
+        report=report,
+        store_monitor=monitor,
+        on_fenced=lambda pool, token: None,
+        outage=types.SimpleNamespace(is_confirmed=is_outage),
+    )
