Split the capacity planner into demand, donors and planner

The report and the trend of a pool's demand go to demand.py, the hosts that pools can give up to donors.py. No decision changes; the tests are as before.

--- a/basilwind/entry/peers.py
+++ b/basilwind/entry/peers.py
@@ -6,7 +6,7 @@
 from basilwind.errors import CallRefused, CallUnanswered, NotOwner, RequestInvalid
 from basilwind.logs import log
 from basilwind.platform.transport import decode_json
-from basilwind.scheduling.capacity import PoolReport
+from basilwind.scheduling.demand import PoolReport
 from basilwind.scheduling.jobs import JobState
 
 CALL_TIMEOUT_S = 1.0  # a third of the callers' deadline of 3 s
--- a/basilwind/scheduling/pool.py
+++ b/basilwind/scheduling/pool.py
@@ -8,7 +8,7 @@
 
 from basilwind.scheduling import health
 from basilwind.scheduling.admission import refuse_for_s
-from basilwind.scheduling.capacity import PoolReport, WorkerLoad
+from basilwind.scheduling.demand import PoolReport, WorkerLoad
 from basilwind.scheduling.jobs import JobState, TaskState
 from basilwind.scheduling.ordering import is_late, is_overloaded, rank_step
 from basilwind.scheduling.orders import StartOrder, StopOrder
--- a/tests/scheduling/test_capacity.py
+++ b/tests/scheduling/test_capacity.py
@@ -3,12 +3,9 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from basilwind.scheduling.capacity import (
-    CapacityPlanner,
-    PoolReport,
-    WorkerLoad,
-    share_hosts,
-)
+from basilwind.scheduling.capacity import CapacityPlanner
+from basilwind.scheduling.demand import PoolReport, WorkerLoad
+from basilwind.scheduling.donors import share_hosts
 from basilwind.scheduling.estimates import MAX_OUTLIER_RATIO, RunTimes
 
 CPU, MEMORY = 64000, 256000
--- a/tests/utils/entry_fakes.py
+++ b/tests/utils/entry_fakes.py
@@ -7,7 +7,7 @@
 from basilwind.entry.services import Services
 from basilwind.entry.store_monitor import StoreMonitor
 from basilwind.platform.machines import Machine, MachineState, OrderOutcome
-from basilwind.scheduling.capacity import PoolReport, WorkerLoad
+from basilwind.scheduling.demand import PoolReport, WorkerLoad
 from basilwind.scheduling.fleet import Configuration, Pool, RequestLimits
 from basilwind.scheduling.reports import StartOutcome, WorkerReport
 from tests.scheduling.model import QUEUE, make_entry
