Ask a holder whose heartbeat is overdue, and take over sooner

Cause: a duty's holder counted as gone after 1.7 s without a heartbeat.

Weighed: more frequent heartbeats (each is a priced call of each holder, and a slow store delays them all the same), and asking the holder directly, which costs calls only when a heartbeat is overdue. The second is built.

Change: after 0.75 s without a heartbeat a holder is asked at its peer address. If it does not answer, or says that it lacks the store, it counts as gone after 1.0 s; if another incarnation answers, at once; otherwise after 1.7 s as before. A holder relies on having no successor for 1.0 s only.

--- a/basilwind/entry/daemon.py
+++ b/basilwind/entry/daemon.py
@@ -52,15 +52,14 @@
         self._intakes = {}
         self._store_monitor = StoreMonitor(boot_time)
         self._metrics = EntryMetrics(self._pool_owners, count_dropped_lines)
-        self._shared_services = self._create_services(settings)
+        transport = Transport()
+        self._peers = PeerClient(
+            transport, self._find_loaded_owner, self._find_owner_address
+        )
+        self._shared_services = self._create_services(settings, transport)
         self._duty_runner = DutyRunner(
             self._shared_services.duties, self._create_duty_work
         )
-        self._peers = PeerClient(
-            self._shared_services.transport,
-            self._find_loaded_owner,
-            self._find_owner_address,
-        )
         self._shared_services.outage = OutageDetector(
             settings.zone,
             self._store_monitor,
@@ -119,9 +118,8 @@
         await self._shared_services.transport.stop()
         await self._worker_transport.stop()
 
-    def _create_services(self, settings):
+    def _create_services(self, settings, transport):
         incarnation = f"{settings.name}#{uuid.uuid4().hex[:8]}"
-        transport = Transport()
         self._worker_transport = Transport(MAX_WORKER_CONNECTIONS)
         store = StoreClient(
             transport, settings.store_address, self._on_store_call, boot_time
@@ -147,6 +145,7 @@
                 f"{settings.ip}:{settings.peer_port}",
                 boot_time,
                 self._on_duties,
+                self._peers.query_daemon,
             ),
             clock=boot_time,
             wall_clock=wall_time,
--- a/basilwind/entry/duties.py
+++ b/basilwind/entry/duties.py
@@ -45,9 +45,13 @@
         address: HOST:PORT at which peers reach this daemon.
         clock: Returns boot time.
         on_change: Called when the holder of a duty may have changed.
+        query_daemon: Coroutine function that takes a ``Claim`` and returns the
+            ``DaemonResponse`` of the daemon at its address, or None.
     """
 
-    def __init__(self, store, settings, incarnation, address, clock, on_change):
+    def __init__(
+        self, store, settings, incarnation, address, clock, on_change, query_daemon
+    ):
         self._store = store
         self._cpu_cores = settings.cpu_cores
         self._zone = settings.zone
@@ -55,6 +59,7 @@
         self._address = address
         self._clock = clock
         self._on_change = on_change
+        self._query_daemon = query_daemon
         self._table = DutyTable(incarnation, settings.name)
         self._wanted = []
         self._heartbeats_reliable_since = clock()
@@ -118,19 +123,35 @@
 
     async def claim_free_duties(self):
         """Claims duties that have no live holder."""
-        while True:
-            await anyio.sleep(CLAIM_CHECK_S)
-            if self._follower.position is None or self._is_stopping:
-                continue
-            self._update_heartbeats_reliable_since()
-            duty = self._table.duty_to_claim(
-                self._wanted,
-                self._cpu_cores,
-                self._heartbeats_reliable_since,
-                self._clock(),
-            )
-            if duty is not None:
-                await self._try_claim(duty)
+        async with anyio.create_task_group() as tasks:
+            while True:
+                await anyio.sleep(CLAIM_CHECK_S)
+                if self._follower.position is None or self._is_stopping:
+                    continue
+                self._update_heartbeats_reliable_since()
+                reliable_since, now = self._heartbeats_reliable_since, self._clock()
+                for claim in self._table.holders_to_ask(
+                    self._wanted, reliable_since, now
+                ):
+                    tasks.start_soon(self._ask_holder, claim)
+                duty = self._table.duty_to_claim(
+                    self._wanted, self._cpu_cores, reliable_since, now
+                )
+                if duty is not None:
+                    await self._try_claim(duty)
+
+    async def _ask_holder(self, claim):
+        asked_at = self._clock()
+        answer = await self._query_daemon(claim)
+        incarnation = answer.incarnation if answer else ""
+        store_silence_s = answer.store_silence_s if answer else 0.0
+        log(
+            "holder asked",
+            holder=claim.holder,
+            incarnation=incarnation,
+            store_silence_s=round(store_silence_s, 3),
+        )
+        self._table.apply_answer(claim.holder, incarnation, store_silence_s, asked_at)
 
     async def send_heartbeats(self):
         """Appends heartbeats while this daemon holds any duty."""
--- a/basilwind/entry/peers.py
+++ b/basilwind/entry/peers.py
@@ -169,7 +169,7 @@
         Args:
             claim: ``Claim`` of a duty.
         """
-        answer = await self._query_daemon(claim)
+        answer = await self.query_daemon(claim)
         return answer is not None and answer.incarnation == claim.holder
 
     async def store_silence_s(self, claim):
@@ -178,10 +178,15 @@
         Args:
             claim: The holder's ``Claim``.
         """
-        answer = await self._query_daemon(claim)
+        answer = await self.query_daemon(claim)
         return answer.store_silence_s if answer else None
 
-    async def _query_daemon(self, claim):
+    async def query_daemon(self, claim):
+        """Returns the ``DaemonResponse`` of the daemon at a claim's address, or None.
+
+        Args:
+            claim: ``Claim`` of a duty.
+        """
         try:
             status, body = await self._transport.call(
                 "GET", f"http://{claim.address}{HOST_PATH}", PLANNER_TIMEOUT_S
--- a/basilwind/scheduling/ownership.py
+++ b/basilwind/scheduling/ownership.py
@@ -4,12 +4,25 @@
 that last claimed it with a conditional append to the store; the offset of that append
 gives a monotonically increasing fencing token. Holders append heartbeats. A holder
 whose heartbeats are missing while the store answers is considered gone.
+
+Load pattern: a zone with the owner of a pool is cut off at the height of the pool's
+burst, and until it has another owner none of its work starts. A holder with an overdue
+heartbeat is therefore asked directly. If it does not answer, or lacks the store, it
+counts as gone earlier than one that nobody could ask.
 """
 
+import math
 from dataclasses import dataclass, field
 
+from basilwind.scheduling.outages import SUSPECT_AFTER_S
+
 HEARTBEAT_S = 0.5  # two may be missed before a holder counts as gone
 HOLDER_SILENCE_S = 1.7  # lets a successor take over before 5 s leases expire
+HEARTBEAT_OVERDUE_S = 0.75  # one heartbeat is missing; its holder is asked
+QUERY_INTERVAL_S = 0.3  # between two questions to one holder; the time for an answer
+# Silence of a holder that does not answer either. A slow store delays heartbeats by
+# 0.4 s, but not the holder's answer.
+UNRESPONSIVE_HOLDER_SILENCE_S = 1.0
 MAX_STORE_SILENCE_S = 3.5  # leases are not extended after this long without the store
 DUTY_DELAY_S = 0.2  # for each duty held, so that idle daemons claim first
 MAX_DUTY_DELAY_S = 1.0  # for each duty held by a slow host
@@ -77,7 +90,7 @@
             either, so that none can claim a duty.
         now: Boot time in seconds.
     """
-    if now - confirmed_at < HOLDER_SILENCE_S:
+    if now - confirmed_at < UNRESPONSIVE_HOLDER_SILENCE_S:
         return True
     return is_outage_confirmed and may_extend_leases(confirmed_at, now)
 
@@ -121,6 +134,11 @@
     previous_claims: dict[str, Claim] = field(default_factory=dict)
     handed_over: set[str] = field(default_factory=set)
     _free_since: dict[str, float] = field(default_factory=dict)
+    # Boot times of the last question to a holder, and of the last one without success.
+    _asked_at: dict[str, float] = field(default_factory=dict)
+    _unresponsive_at: dict[str, float] = field(default_factory=dict)
+    # Holders that have been replaced by a later incarnation.
+    _replaced: set[str] = field(default_factory=set)
 
     def apply_claim(self, duty, claim, now):
         """Applies a claim or a release, unless a later claim is known."""
@@ -159,6 +177,47 @@
         """Records a holder's heartbeat."""
         self.last_heartbeat_at[holder] = now
 
+    def _silence_s(self, holder, heartbeats_reliable_since, now):
+        last_heartbeat_at = self.last_heartbeat_at.get(holder, 0.0)
+        return now - max(last_heartbeat_at, heartbeats_reliable_since)
+
+    def holders_to_ask(self, wanted, heartbeats_reliable_since, now):
+        """Returns the ``Claim`` of each holder that should be asked now.
+
+        Args:
+            wanted: Names of the duties that need a holder.
+            heartbeats_reliable_since: As for ``is_free``.
+            now: Boot time in seconds.
+        """
+        due = {}
+        for duty in wanted:
+            claim = self.claims.get(duty)
+            if claim is None or not claim.address or claim.holder == self.incarnation:
+                continue
+            silence_s = self._silence_s(claim.holder, heartbeats_reliable_since, now)
+            asked_at = self._asked_at.get(claim.holder, -math.inf)
+            if silence_s > HEARTBEAT_OVERDUE_S and now - asked_at > QUERY_INTERVAL_S:
+                due[claim.holder] = claim
+        for holder in due:
+            self._asked_at[holder] = now
+        return list(due.values())
+
+    def apply_answer(self, holder, incarnation, store_silence_s, now):
+        """Applies a holder's answer to the question whether it still acts.
+
+        Args:
+            holder: Incarnation that made the claim.
+            incarnation: Incarnation that answered; empty if there was no answer.
+            store_silence_s: Seconds since the store last answered it.
+            now: Boot time at which it was asked.
+        """
+        if incarnation and incarnation != holder:
+            self._replaced.add(holder)
+        elif not incarnation or store_silence_s > SUSPECT_AFTER_S:
+            self._unresponsive_at[holder] = now
+        else:
+            self._unresponsive_at.pop(holder, None)
+
     def held_duties(self):
         """Returns the fencing tokens of this daemon's duties, by duty."""
         return {
@@ -184,10 +243,13 @@
         if claim.holder.partition("#")[0] == self.host:
             # A previous incarnation of this daemon.
             return True
-        last_heartbeat_at = max(
-            self.last_heartbeat_at.get(claim.holder, 0.0), heartbeats_reliable_since
-        )
-        return now - last_heartbeat_at > HOLDER_SILENCE_S
+        if claim.holder in self._replaced:
+            return True
+        silence_s = self._silence_s(claim.holder, heartbeats_reliable_since, now)
+        unresponsive_s = now - self._unresponsive_at.get(claim.holder, -math.inf)
+        if unresponsive_s < silence_s and silence_s > UNRESPONSIVE_HOLDER_SILENCE_S:
+            return True
+        return silence_s > HOLDER_SILENCE_S
 
     def duty_to_claim(self, wanted, cpu_cores, heartbeats_reliable_since, now):
         """Returns a duty that this daemon should claim now, or None.
--- a/tests/scheduling/test_ownership.py
+++ b/tests/scheduling/test_ownership.py
@@ -2,11 +2,15 @@
 
 from basilwind.scheduling.ownership import (
     DUTY_DELAY_S,
+    HEARTBEAT_OVERDUE_S,
     HOLDER_SILENCE_S,
     LOST_DUTY_DELAY_S,
+    MAX_STORE_SILENCE_S,
+    UNRESPONSIVE_HOLDER_SILENCE_S,
     Claim,
     DutyTable,
     claim_delay_s,
+    is_sole_holder,
 )
 
 WANTED = ["pool/a", "pool/b"]
@@ -40,6 +44,52 @@
         self.assertTrue(self.table.is_free("pool/a", 0.0, later))
         self.assertFalse(self.table.is_free("pool/a", later - 1.0, later))
 
+    def _ask(self, incarnation, store_silence_s=0.0):
+        """Applies an answer of the holder of pool/a, whose heartbeat is overdue."""
+        self._claim("pool/a", "e2#1", 1, now=10.0)
+        self.assertEqual(self.table.holders_to_ask(WANTED, 0.0, 10.5), [])
+        asked_at = 10.0 + HEARTBEAT_OVERDUE_S + 0.05
+        (claim,) = self.table.holders_to_ask(WANTED, 0.0, asked_at)
+        self.assertEqual(claim.holder, "e2#1")
+        self.assertEqual(self.table.holders_to_ask(WANTED, 0.0, asked_at + 0.1), [])
+        self.table.apply_answer(claim.holder, incarnation, store_silence_s, asked_at)
+
+    def _free_after_s(self):
+        """Returns the silence after which pool/a is free, in tenths of a second."""
+        return next(
+            tenths / 10
+            for tenths in range(30)
+            if self.table.is_free("pool/a", 0.0, 10.01 + tenths / 10)
+        )
+
+    def test_unresponsive_holder_is_gone_early(self):
+        self._ask("")
+        self.assertEqual(self._free_after_s(), UNRESPONSIVE_HOLDER_SILENCE_S)
+
+    def test_holder_that_lacks_the_store_is_gone_early(self):
+        self._ask("e2#1", store_silence_s=0.8)
+        self.assertEqual(self._free_after_s(), UNRESPONSIVE_HOLDER_SILENCE_S)
+
+    def test_holder_that_reaches_the_store_keeps_its_time(self):
+        self._ask("e2#1", store_silence_s=0.4)
+        self.assertEqual(self._free_after_s(), HOLDER_SILENCE_S)
+
+    def test_replaced_holder_is_gone_at_once(self):
+        self._ask("e2#2")
+        self.assertTrue(self.table.is_free("pool/a", 0.0, 10.8))
+
+    def test_heartbeat_after_the_question_makes_up_for_no_answer(self):
+        self._ask("")
+        self.table.apply_heartbeat("e2#1", 10.9)
+        self.assertFalse(self.table.is_free("pool/a", 0.0, 12.0))
+
+    def test_holder_acts_alone_only_while_nobody_can_have_claimed(self):
+        limit_s = UNRESPONSIVE_HOLDER_SILENCE_S
+        self.assertTrue(is_sole_holder(10.0, False, 10.0 + limit_s - 0.01))
+        self.assertFalse(is_sole_holder(10.0, False, 10.0 + limit_s))
+        self.assertTrue(is_sole_holder(10.0, True, 10.0 + limit_s))
+        self.assertFalse(is_sole_holder(10.0, True, 10.0 + MAX_STORE_SILENCE_S))
+
     def test_lost_duty_is_claimed_again_after_a_delay(self):
         now = 10.0
         self._claim("pool/a", "e1#1", 1, now)
