Have a peer store what a daemon without the store is given

Callers came back after a second, often to the same daemons, and most of their jobs were late. An append that was under way when the store fell silent left its caller without an outcome until the deadline.

Weighed: leaving the balancer's rotation sooner (it does not help below half of a zone), and handing the caller's connection on. Storing through a peer needs no new state: the job's id is the key, so whoever stores it, it is one job.

Change: a daemon that lacks the store asks duty holders whether they reach it (it did so already) and has up to two of those store the record. A refusal remains one only if each peer says that it did not store it; without an answer the caller gets 504. A peer refuses records of queues that its configuration does not have.

--- a/basilwind/entry/caller_app.py
+++ b/basilwind/entry/caller_app.py
@@ -13,7 +13,8 @@
     read_request,
     send_response,
 )
-from basilwind.errors import NotOwner, NotStarted, RequestInvalid
+from basilwind.entry.intake import CANCEL_VALUE, cancellation_key
+from basilwind.errors import NotOwner, NotStarted, OutcomeUnknown, RequestInvalid
 from basilwind.platform.jobs import decode_job
 from basilwind.scheduling.admission import retry_after_s
 from basilwind.scheduling.records import SubmissionRecord
@@ -34,15 +35,15 @@
     Args:
         services: ``Services``.
         peers: ``PeerClient``.
-        get_intake: Returns the ``Intake`` of a pool.
+        intake_router: ``IntakeRouter``.
         is_stopping: Returns whether connections should be closed.
         count_response: Counts a response by queue, method, status and seconds.
     """
 
-    def __init__(self, services, peers, get_intake, is_stopping, count_response):
+    def __init__(self, services, peers, intake_router, is_stopping, count_response):
         self._services = services
         self._peers = peers
-        self._get_intake = get_intake
+        self._intake_router = intake_router
         self._is_stopping = is_stopping
         self._count_response = count_response
         self._queue_cache = {}
@@ -130,9 +131,8 @@
             return _error_response(413, "the job is larger than the store's records")
         response = await self._admission_refusal(queue, job_id)
         if response is None:
-            intake = self._get_intake(queue.pool)
             response = await self._respond_when_stored(
-                intake.submit(job_id, record), deadline
+                self._intake_router.store(queue, job_id, record), deadline
             )
         if response.status in REFUSALS and await self._is_accepted(queue, job_id):
             # The job was accepted on an earlier attempt, so a refusal would be wrong.
@@ -153,8 +153,10 @@
         return False
 
     async def _cancel(self, queue, job_id, deadline):
-        intake = self._get_intake(queue.pool)
-        response = await self._respond_when_stored(intake.cancel(job_id), deadline)
+        key = cancellation_key(job_id)
+        response = await self._respond_when_stored(
+            self._intake_router.store(queue, key, CANCEL_VALUE), deadline
+        )
         self._services.report(
             "job cancel", job=job_id, queue=queue.name, status=response.status
         )
@@ -171,6 +173,8 @@
                 await append
             except NotStarted as error:
                 return _unavailable_response(str(error))
+            except OutcomeUnknown as error:
+                return _error_response(504, str(error))
             return json_response({})
         return _error_response(504, "the platform's store did not answer in time")
 
--- a/basilwind/entry/daemon.py
+++ b/basilwind/entry/daemon.py
@@ -13,6 +13,7 @@
 from basilwind.entry.duties import FLEET_DUTY, POOL_PREFIX, DutyManager
 from basilwind.entry.duty_runner import DutyRunner
 from basilwind.entry.intake import Intake
+from basilwind.entry.intake_router import IntakeRouter
 from basilwind.entry.metrics import EntryMetrics
 from basilwind.entry.outage_detector import OutageDetector
 from basilwind.entry.owner import PoolOwner
@@ -70,7 +71,12 @@
         self._caller_app = CallerApp(
             self._shared_services,
             self._peers,
-            self._get_intake,
+            IntakeRouter(
+                self._get_intake,
+                self._store_monitor,
+                self._shared_services.outage.relays,
+                self._peers.relay,
+            ),
             lambda: self._is_stopping,
             self._metrics.count_response,
         )
@@ -80,9 +86,7 @@
             HttpServer(self._serve_readiness, settings.ready_address),
             HttpServer(
                 PeerApp(
-                    self._find_loaded_owner,
-                    self._shared_services.incarnation,
-                    self._store_monitor,
+                    self._find_loaded_owner, self._get_intake, self._shared_services
                 ),
                 f"{settings.ip}:{settings.peer_port}",
             ),
--- a/basilwind/entry/intake.py
+++ b/basilwind/entry/intake.py
@@ -13,6 +13,7 @@
 from basilwind.scheduling.records import decode_submission
 
 CANCEL_PREFIX = "!"  # never the first character of a job id
+CANCEL_VALUE = b"1"  # an empty value would delete the key
 RETRY_S = 0.1  # shorter than a caller's timeout, longer than an answer of the store
 REFUSE_AFTER_S = 1.0  # a third of the callers' deadline of 3 s
 
@@ -22,6 +23,11 @@
     return f"keyed.intake.{pool}"
 
 
+def cancellation_key(job_id):
+    """Returns the key of the record that cancels a job."""
+    return CANCEL_PREFIX + job_id
+
+
 def cancelled_job_id(record):
     """Returns the id of the job that an intake record cancels, or None."""
     if record.key.startswith(CANCEL_PREFIX) and record.value:
@@ -91,28 +97,17 @@
         self._unanswered_keys = frozenset()
         self._wake_event = AutoResetEvent()
 
-    async def submit(self, job_id, record):
-        """Stores a submission.
+    async def store(self, key, value):
+        """Stores a submission or a cancellation.
 
         Args:
-            job_id: Id of the job.
-            record: Encoded ``SubmissionRecord``.
+            key: Id of the job, or ``cancellation_key`` of it.
+            value: Encoded ``SubmissionRecord``, or ``CANCEL_VALUE``.
 
         Raises:
-            NotStarted: The submission was not stored and never will be. This also
-                holds for earlier attempts that this daemon sent.
+            NotStarted: The record was not stored and never will be. This also holds
+                for earlier attempts that this daemon sent.
         """
-        await self._store_record(job_id, record)
-
-    async def cancel(self, job_id):
-        """Stores a cancellation.
-
-        Raises:
-            NotStarted: As for ``submit``.
-        """
-        await self._store_record(CANCEL_PREFIX + job_id, b"1")
-
-    async def _store_record(self, key, value):
         if self._store_monitor.is_unavailable and key not in self._unanswered_keys:
             raise NotStarted("the platform's store is away")
         pending = _PendingRecord(key, value)
--- a/basilwind/entry/outage_detector.py
+++ b/basilwind/entry/outage_detector.py
@@ -4,10 +4,12 @@
 
 from basilwind.scheduling.outages import (
     CONFIRMATION_VALID_S,
+    SUSPECT_AFTER_S,
     is_unavailable_in_all_zones,
 )
 
 QUERY_INTERVAL_S = 0.2  # half of the time for which a confirmation is valid
+RELAY_VALID_S = 0.8  # a round of questions takes 0.5 s if a holder does not answer
 
 
 class OutageDetector:
@@ -31,6 +33,8 @@
         self._clock = clock
         self._confirmed_at = None
         self._is_stopped = False
+        # Claim and boot time of the answer of each holder that reached the store.
+        self._relays = {}
 
     def stop(self):
         """Stops confirming outages, so that everything from now on is journalled."""
@@ -46,6 +50,19 @@
             and self._clock() - self._confirmed_at < CONFIRMATION_VALID_S
         )
 
+    def relays(self):
+        """Returns the ``Claim`` of each duty holder that recently reached the store.
+
+        Those in this daemon's zone come first.
+        """
+        now = self._clock()
+        recent = [
+            claim
+            for claim, answered_at in self._relays.values()
+            if now - answered_at < RELAY_VALID_S
+        ]
+        return sorted(recent, key=lambda claim: claim.zone != self._zone)
+
     async def run(self):
         """Asks repeatedly while the store is suspected unavailable."""
         while True:
@@ -60,8 +77,11 @@
 
         async def ask(claim):
             silence_s = await self._query_store_silence_s(claim)
-            if silence_s is not None:
-                answers.append((claim.zone, silence_s))
+            if silence_s is None:
+                return
+            answers.append((claim.zone, silence_s))
+            if silence_s <= SUSPECT_AFTER_S:
+                self._relays[claim.address] = claim, self._clock()
 
         claims = {claim.address: claim for claim in self._get_claims() if claim.address}
         async with anyio.create_task_group() as tasks:
--- a/basilwind/entry/peers.py
+++ b/basilwind/entry/peers.py
@@ -3,7 +3,14 @@
 import msgspec
 
 from basilwind.api.asgi import HttpResponse, json_response, read_request, send_response
-from basilwind.errors import CallRefused, CallUnanswered, NotOwner, RequestInvalid
+from basilwind.errors import (
+    CallRefused,
+    CallUnanswered,
+    NotOwner,
+    NotStarted,
+    OutcomeUnknown,
+    RequestInvalid,
+)
 from basilwind.logs import log
 from basilwind.platform.transport import decode_json
 from basilwind.scheduling.demand import PoolReport
@@ -11,6 +18,7 @@
 
 CALL_TIMEOUT_S = 1.0  # a third of the callers' deadline of 3 s
 PLANNER_TIMEOUT_S = 0.3  # an answer takes 2 ms, or 24 ms between regions
+RELAY_TIMEOUT_S = 1.5  # a peer stores a record or gives up within 1 s
 HOST_PATH = "/host"
 NOT_OWNER = 421
 
@@ -45,19 +53,33 @@
     store_silence_s: float
 
 
+class RelayedRecord(msgspec.Struct):
+    """A record of the intake that a peer could not store.
+
+    Attributes:
+        queue: Queue that it belongs to.
+        key: Key of the record.
+        value: Value of the record.
+    """
+
+    queue: str
+    key: str
+    value: bytes
+
+
 class PeerApp:
     """ASGI application that serves calls of peers.
 
     Args:
         find_owner: Returns the loaded ``PoolOwner`` of a pool, or None.
-        incarnation: Id of this run of the daemon.
-        store_monitor: ``StoreMonitor``.
+        get_intake: Returns the ``Intake`` of a pool.
+        services: ``Services``.
     """
 
-    def __init__(self, find_owner, incarnation, store_monitor):
+    def __init__(self, find_owner, get_intake, services):
         self._find_owner = find_owner
-        self._incarnation = incarnation
-        self._store_monitor = store_monitor
+        self._get_intake = get_intake
+        self._services = services
 
     async def __call__(self, scope, receive, send):
         """Serves one request."""
@@ -66,15 +88,19 @@
             response = await self._route(request)
         except NotOwner:
             response = HttpResponse(NOT_OWNER)
+        except NotStarted as error:
+            response = HttpResponse(503, str(error).encode(), "text/plain")
         except RequestInvalid as error:
             response = HttpResponse(400, str(error).encode(), "text/plain")
         await send_response(send, response)
 
     async def _route(self, request):
         if request.path == HOST_PATH:
-            silence_s = self._store_monitor.silence_s
-            return json_response(DaemonResponse(self._incarnation, silence_s))
+            silence_s = self._services.store_monitor.silence_s
+            return json_response(DaemonResponse(self._services.incarnation, silence_s))
         kind, pool, *rest = request.path.strip("/").split("/")
+        if kind == "intake":
+            return await self._store_record(pool, request.body)
         owner = self._find_owner(pool)
         if owner is None:
             raise NotOwner(f"pool {pool!r} is not owned here")
@@ -89,6 +115,16 @@
             return json_response(owner.withhold(worker_ids))
         raise RequestInvalid(f"no such call: {request.path}")
 
+    async def _store_record(self, pool, body):
+        record = decode_json(body, RelayedRecord, "relayed record", RequestInvalid)
+        configuration = self._services.configuration.current
+        queue = configuration.queues.get(record.queue) if configuration else None
+        if queue is None or queue.pool != pool:
+            # The peer has an earlier configuration.
+            raise NotStarted(f"no queue {record.queue!r} of pool {pool!r}")
+        await self._get_intake(pool).store(record.key, record.value)
+        return HttpResponse(200)
+
 
 async def job_response(owner, job_id):
     """Returns an owner's ``JobResponse`` for a job."""
@@ -161,6 +197,33 @@
         )
         return decode_json(body, PoolReport, f"report of pool {pool}", NotOwner)
 
+    async def relay(self, claim, queue, key, value):
+        """Has a peer store a record in a pool's intake topic.
+
+        Args:
+            claim: ``Claim`` of the peer.
+            queue: ``Queue`` that the record belongs to.
+            key: Key of the record.
+            value: Value of the record.
+
+        Raises:
+            NotStarted: The peer did not store it and never will.
+            OutcomeUnknown: The peer may store it.
+        """
+        url = f"http://{claim.address}/intake/{queue.pool}"
+        body = msgspec.json.encode(RelayedRecord(queue.name, key, value))
+        try:
+            status, _ = await self._transport.call("POST", url, RELAY_TIMEOUT_S, body)
+        except CallRefused as error:
+            raise NotStarted(str(error)) from error
+        except CallUnanswered as error:
+            raise OutcomeUnknown(str(error)) from error
+        log("record relayed", key=key, peer=claim.holder, status=status)
+        if status in (400, 503):
+            raise NotStarted(f"{claim.holder} did not store the record")
+        if status != 200:
+            raise OutcomeUnknown(f"{claim.holder} answered {status}")
+
     async def is_alive(self, claim):
         """Returns whether the daemon that made a claim still responds.
 
--- a/basilwind/errors.py
+++ b/basilwind/errors.py
@@ -101,6 +101,10 @@
     """A request or job was not started, and this daemon will not start it."""
 
 
+class OutcomeUnknown(BasilwindError):
+    """A job or cancellation may have been stored, or may be stored later."""
+
+
 class DaemonUnreachable(BasilwindError):
     """A daemon did not answer its client."""
 
--- a/tests/entry/test_caller_app.py
+++ b/tests/entry/test_caller_app.py
@@ -37,14 +37,11 @@
         """
         services = make_services(Clock())
         services.settings.store_record_bytes = 262144
-        intake = types.SimpleNamespace(
-            submit=lambda *_: anyio.sleep_forever(),
-            cancel=lambda *_: anyio.sleep_forever(),
-        )
+        intake_router = types.SimpleNamespace(store=lambda *_: anyio.sleep_forever())
         app = CallerApp(
             services,
             FakePeers(error),
-            lambda pool: intake,
+            intake_router,
             lambda: True,
             lambda *_: None,
         )
--- a/tests/entry/test_intake.py
+++ b/tests/entry/test_intake.py
@@ -44,7 +44,7 @@
 
     def test_unanswered_append_is_retried_with_same_sequence(self):
         store = FakeStore(StoreUnanswered("late"))
-        self._run(store, lambda intake: intake.submit("a" * 16, b"job"))
+        self._run(store, lambda intake: intake.store("a" * 16, b"job"))
         (first, second) = store.appends
         self.assertEqual(first, second)
 
@@ -56,8 +56,8 @@
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(supervise, "intake", intake.run)
                 with anyio.move_on_after(0.05):
-                    await intake.submit("a" * 16, b"job")
-                await intake.submit("b" * 16, b"job")
+                    await intake.store("a" * 16, b"job")
+                await intake.store("b" * 16, b"job")
                 tasks.cancel_scope.cancel()
 
         anyio.run(main)
@@ -67,9 +67,9 @@
     def test_refused_submission_is_not_sent_later(self):
         async def scenario(intake):
             with self.assertRaises(NotStarted):
-                await intake.submit("a" * 16, b"job")
+                await intake.store("a" * 16, b"job")
             store.answers.clear()
-            await intake.submit("b" * 16, b"job")
+            await intake.store("b" * 16, b"job")
 
         store = FakeStore(*[StoreRefused("busy") for _ in range(40)])
         self._run(store, scenario)
@@ -81,9 +81,9 @@
         # The first attempt may have been stored although its caller got no answer.
         async def scenario(intake):
             with anyio.move_on_after(RETRY_S):
-                await intake.submit("a" * 16, b"job")
+                await intake.store("a" * 16, b"job")
             with anyio.move_on_after(1.5) as scope:
-                await intake.submit("a" * 16, b"job")
+                await intake.store("a" * 16, b"job")
             self.assertTrue(scope.cancelled_caught)
 
         store = FakeStore(*[StoreUnanswered("silent") for _ in range(100)])
@@ -95,7 +95,7 @@
         async def scenario(intake):
             self.now += SUSPECT_AFTER_S + 0.1
             with self.assertRaises(NotStarted):
-                await intake.submit("a" * 16, b"job")
+                await intake.store("a" * 16, b"job")
 
         store = FakeStore()
         self._run(store, scenario)
@@ -105,7 +105,7 @@
         async def scenario(intake):
             self.now += UNAVAILABLE_S + 0.1
             with anyio.fail_after(0.1), self.assertRaises(NotStarted):
-                await intake.submit("a" * 16, b"job")
+                await intake.store("a" * 16, b"job")
 
         self._run(FakeStore(), scenario)
 
@@ -120,8 +120,8 @@
         async def scenario(intake):
             self.now += SUSPECT_AFTER_S + 0.1
             with self.assertRaises(NotStarted):
-                await intake.submit("a" * 16, b"job")
-            await intake.submit("b" * 16, b"job")
+                await intake.store("a" * 16, b"job")
+            await intake.store("b" * 16, b"job")
 
         store = ReturningStore()
         self._run(store, scenario)
--- /dev/null
+++ b/tests/entry/test_intake_router.py
@@ -0,0 +1,161 @@
+import types
+import unittest
+
+import anyio
+import msgspec
+
+from basilwind.entry.intake_router import SETTLE_AFTER_S, IntakeRouter
+from basilwind.entry.peers import PeerApp, PeerClient, RelayedRecord
+from basilwind.entry.store_monitor import StoreMonitor
+from basilwind.errors import CallRefused, CallUnanswered, NotStarted, OutcomeUnknown
+from basilwind.scheduling.outages import SUSPECT_AFTER_S
+from basilwind.scheduling.ownership import Claim
+from tests.scheduling.model import QUEUE
+from tests.utils.entry_fakes import Clock, make_services
+
+JOB = "a" * 16
+PEERS = [Claim(f"e{n}#1", f"h{n}:1", n, "a") for n in (2, 3, 4)]
+
+
+class FakeIntake:
+    """An intake whose appends succeed, are withdrawn, or never get an answer."""
+
+    def __init__(self, outcome="stored"):
+        self.outcome = outcome
+        self.stored = []
+
+    async def store(self, key, value):
+        if self.outcome == "refused":
+            raise NotStarted("the platform's store is away")
+        if self.outcome == "unanswered":
+            await anyio.sleep_forever()
+        self.stored.append((key, value))
+
+
+class TestIntakeRouter(unittest.TestCase):
+    """Load pattern: the store turns this daemon away and serves its peers."""
+
+    def setUp(self):
+        self.clock = Clock()
+        self.monitor = StoreMonitor(self.clock)
+        self.intake = FakeIntake()
+        self.peers = list(PEERS)
+        self.relayed = []
+        self.relay_errors = []
+
+    def _store(self, timeout_s=5.0):
+        async def relay(claim, queue, key, value):
+            self.relayed.append(claim.holder)
+            if self.relay_errors:
+                raise self.relay_errors.pop(0)
+
+        router = IntakeRouter(
+            lambda pool: self.intake, self.monitor, lambda: self.peers, relay
+        )
+
+        async def main():
+            with anyio.fail_after(timeout_s):
+                await router.store(QUEUE, JOB, b"job")
+
+        anyio.run(main)
+
+    def _lose_store(self):
+        self.clock.now += SUSPECT_AFTER_S + 0.1
+        self.intake.outcome = "refused"
+
+    def test_daemon_with_store_stores_by_itself(self):
+        self._store()
+        self.assertEqual(self.intake.stored, [(JOB, b"job")])
+        self.assertEqual(self.relayed, [])
+
+    def test_peer_stores_for_daemon_without_store(self):
+        self._lose_store()
+        self._store()
+        self.assertEqual((self.intake.stored, self.relayed), ([], ["e2#1"]))
+
+    def test_second_peer_is_tried_if_the_first_certainly_did_not_store(self):
+        self._lose_store()
+        self.relay_errors = [NotStarted("away here too")]
+        self._store()
+        self.assertEqual(self.relayed, ["e2#1", "e3#1"])
+
+    def test_record_that_nobody_stored_is_refused(self):
+        self._lose_store()
+        self.relay_errors = [NotStarted("away") for _ in PEERS]
+        with self.assertRaises(NotStarted):
+            self._store()
+        self.assertEqual(len(self.relayed), 2)
+
+    def test_unanswered_relay_leaves_the_outcome_open(self):
+        # Another peer could only refuse, and a refusal might be wrong.
+        self._lose_store()
+        self.relay_errors = [OutcomeUnknown("no answer")]
+        with self.assertRaises(OutcomeUnknown):
+            self._store()
+        self.assertEqual(self.relayed, ["e2#1"])
+
+    def test_peer_settles_an_append_without_an_answer(self):
+        self.intake.outcome = "unanswered"
+        self._store()
+        self.assertEqual(self.relayed, ["e2#1"])
+
+    def test_append_without_an_answer_stays_open_if_no_peer_stores_it(self):
+        for errors in ([NotStarted("away")] * 3, [OutcomeUnknown("no answer")]):
+            self.intake.outcome = "unanswered"
+            self.relay_errors = errors
+            with self.assertRaises(TimeoutError):
+                self._store(timeout_s=SETTLE_AFTER_S + 0.5)
+
+
+class TestRelay(unittest.TestCase):
+    """A relayed record between ``PeerClient`` and ``PeerApp``."""
+
+    def _relay(self, answer):
+        async def call(*arguments):
+            if isinstance(answer, Exception):
+                raise answer
+            return answer, b""
+
+        client = PeerClient(types.SimpleNamespace(call=call), None, None)
+        anyio.run(client.relay, PEERS[0], QUEUE, JOB, b"job")
+
+    def test_outcomes_of_a_relay(self):
+        self._relay(200)
+        for answer in (CallRefused("down"), 503, 400):
+            with self.assertRaises(NotStarted):
+                self._relay(answer)
+        for answer in (CallUnanswered("silent"), 500, 504):
+            with self.assertRaises(OutcomeUnknown):
+                self._relay(answer)
+
+    def _post(self, intake, queue="q"):
+        app = PeerApp(lambda pool: None, lambda pool: intake, make_services(Clock()))
+        body = msgspec.json.encode(RelayedRecord(queue, JOB, b"job"))
+        scope = {
+            "method": "POST",
+            "path": "/intake/pool",
+            "headers": [],
+            "query_string": b"",
+        }
+        sent = []
+
+        async def receive():
+            return {"type": "http.request", "body": body}
+
+        async def send(message):
+            sent.append(message)
+
+        anyio.run(app, scope, receive, send)
+        return sent[0]["status"]
+
+    def test_peer_stores_or_refuses(self):
+        intake = FakeIntake()
+        self.assertEqual(self._post(intake), 200)
+        self.assertEqual(intake.stored, [(JOB, b"job")])
+        self.assertEqual(self._post(FakeIntake("refused")), 503)
+
+    def test_record_of_a_removed_queue_is_not_stored(self):
+        # The daemon without the store does not know the newest configuration.
+        intake = FakeIntake()
+        self.assertEqual(self._post(intake, queue="removed"), 503)
+        self.assertEqual(intake.stored, [])
--- a/tests/entry/test_outage_detector.py
+++ b/tests/entry/test_outage_detector.py
@@ -2,7 +2,7 @@
 
 import anyio
 
-from basilwind.entry.outage_detector import OutageDetector
+from basilwind.entry.outage_detector import RELAY_VALID_S, OutageDetector
 from basilwind.entry.store_monitor import StoreMonitor
 from basilwind.scheduling.outages import CONFIRMATION_VALID_S, SUSPECT_AFTER_S
 from basilwind.scheduling.ownership import Claim
@@ -43,6 +43,12 @@
     def test_other_zone_with_store_rules_out_outage(self):
         self.assertFalse(self._checked_detector(b=2.0, c=0.1).is_confirmed)
 
+    def test_holders_with_store_relay_records_those_of_the_own_zone_first(self):
+        detector = self._checked_detector(c=0.1, a=0.2, b=2.0, d=None)
+        self.assertEqual([claim.zone for claim in detector.relays()], ["a", "c"])
+        self.now += RELAY_VALID_S + 0.01
+        self.assertEqual(detector.relays(), [])
+
     def test_isolated_zone_confirms_nothing(self):
         self.assertFalse(self._checked_detector(a=2.0, b=None, c=None).is_confirmed)
 
