Move no hosts into a zone that is cut off

Cause: the platform lists the hosts of a zone that is cut off as up. In waves, a host whose worker was silent seemed to have no tasks: it was chosen first, stayed chosen, and never became empty, so it held the place of another.

Change: a zone of which no worker answers its pool's owner, of two or more, gets no spare hosts until one answers. Silent hosts are not chosen for maintenance.

--- a/basilwind/entry/planner.py
+++ b/basilwind/entry/planner.py
@@ -24,6 +24,7 @@
     choose_hosts,
     max_hosts_down,
 )
+from basilwind.scheduling.zones import silent_zones
 
 TOPIC = "keyed.fleet"
 PRODUCER = "planner"  # shared by all planners, as fencing is per producer
@@ -252,6 +253,7 @@
             tasks=load.tasks if load else 0,
             long_running=load.long_running if load else 0,
             is_pool_short=is_pool_short,
+            is_answering=not host.worker_id or load is not None,
         )
 
     async def _empty_and_start_maintenance(self, wave, chosen, accepted):
@@ -332,12 +334,14 @@
             cpu = max(host.cpu for host in hosts) or 1
             memory = max(host.memory for host in hosts) or 1
             self._capacity_planner = CapacityPlanner(spare_pool, cpu, memory)
+        unreachable = self._find_silent_zones(hosts, reports)
         spare = [
             host
             for host in hosts
             if host.pool == spare_pool
             and host.state is MachineState.UP
             and host.name not in self._recent_orders
+            and host.zone not in unreachable
         ]
         by_worker = {host.worker_id: host for host in hosts if host.worker_id}
         moves = self._capacity_planner.plan_moves(
@@ -366,6 +370,7 @@
             },
             spare=len(spare),
             moves=len(moves),
+            silent_zones=sorted(unreachable),
         )
         empty_workers = await self._withhold(moves)
         async with anyio.create_task_group() as tasks:
@@ -376,6 +381,20 @@
                     host = by_worker[move.worker_id]
                     tasks.start_soon(self._move, host, move.target)
 
+    def _find_silent_zones(self, hosts, reports):
+        """Returns the availability zones of which no worker answers its owner."""
+        answering = {
+            load.worker_id for report in reports.values() for load in report.workers
+        }
+        return silent_zones(
+            (host.zone, host.worker_id in answering)
+            for host in hosts
+            if host.pool in reports
+            and host.worker_id
+            and host.state is MachineState.UP
+            and host.name not in self._recent_orders
+        )
+
     def _count_incoming(self, hosts, reports):
         """Returns the number of hosts that are being moved to each pool."""
         known = {
--- a/basilwind/scheduling/maintenance.py
+++ b/basilwind/scheduling/maintenance.py
@@ -24,6 +24,8 @@
         tasks: Number of tasks that run or may run on its worker.
         long_running: Number of those tasks that are long-running.
         is_pool_short: Whether its pool would lack hosts without it.
+        is_answering: Whether its worker answers; True for a host that is off. Nobody
+            can tell what runs on one that does not, nor empty it.
     """
 
     host: str
@@ -32,6 +34,7 @@
     tasks: int
     long_running: int
     is_pool_short: bool
+    is_answering: bool = True
 
 
 def max_hosts_down(
@@ -77,9 +80,12 @@
         (
             candidate
             for candidate in candidates
-            if candidate.host in already_chosen
-            or is_deadline_near
-            or not candidate.is_pool_short
+            if candidate.is_answering
+            and (
+                candidate.host in already_chosen
+                or is_deadline_near
+                or not candidate.is_pool_short
+            )
         ),
         key=lambda candidate: (
             candidate.host not in already_chosen,
--- a/tests/scheduling/test_maintenance.py
+++ b/tests/scheduling/test_maintenance.py
@@ -9,9 +9,16 @@
 DEADLINE_S, MAINTENANCE_S = 26.0, 2.0
 
 
-def make_candidate(host, tasks=0, long_running=0, worker_id="w", is_pool_short=False):
+def make_candidate(
+    host,
+    tasks=0,
+    long_running=0,
+    worker_id="w",
+    is_pool_short=False,
+    is_answering=True,
+):
     return MaintenanceCandidate(
-        host, worker_id, "a", tasks, long_running, is_pool_short
+        host, worker_id, "a", tasks, long_running, is_pool_short, is_answering
     )
 
 
@@ -54,6 +61,16 @@
         ]
         self.assertEqual(self._choose(candidates, 3), ["off", "empty", "busy"])
 
+    def test_silent_host_does_not_take_the_place_of_another(self):
+        # A silent worker reports no tasks, so it seemed to be the best choice and
+        # stayed chosen, but it never became empty.
+        candidates = [
+            make_candidate("silent", is_answering=False),
+            make_candidate("busy", tasks=3),
+        ]
+        for chosen in ((), {"silent"}):
+            self.assertEqual(self._choose(candidates, 1, chosen), ["busy"])
+
     def test_host_that_is_being_emptied_stays_chosen(self):
         candidates = [make_candidate("a", tasks=2), make_candidate("b")]
         self.assertEqual(self._choose(candidates, 1, chosen={"a"}), ["a"])
