Place no tasks on workers and zones that seem out of reach

Cause: a hold that is under way tells only after up to 2.2 s that its worker is silent.

Weighed: shorter holds (each is a priced look at a worker), and using what the starts tell. The second is built.

Change: a worker whose start has had no answer for 0.4 s gets no further tasks until it answers. A zone with two such workers, of which none answered for 0.6 s, gets none at all. If nobody answers, this daemon lags, and the rule is left out. Running tasks are not touched.

--- a/basilwind/entry/owner.py
+++ b/basilwind/entry/owner.py
@@ -75,6 +75,8 @@
         self._tasks = None
         self._intake_offset = 0
         self._is_loaded = False
+        # Highest fencing token of a planner that has called.
+        self._planner_token = 0
 
     @property
     def pool(self):
@@ -271,6 +273,7 @@
             self._state.apply_start_outcome(order, StartOutcome.NOT_SENT, now)
             return
         ticket = (task.step.tickets or {}).get(worker.worker_id)
+        worker.pending_starts[task.name] = now
         try:
             outcome, worker_clock_s = await self._worker_control.start(
                 worker.entry.address,
@@ -284,8 +287,11 @@
                 ticket.text if ticket else "",
             )
         except CallUnanswered:
+            worker.unanswered_start_sent_at = now
             self._state.apply_unanswered_start(order)
             return
+        finally:
+            worker.pending_starts.pop(task.name, None)
         if worker_clock_s is not None:
             worker.set_clock(worker_clock_s, self._clock())
         if outcome is StartOutcome.FENCED:
@@ -368,18 +374,25 @@
             if self._state.dirty or self._state.dropped:
                 self._journal.request_write()
 
-    def withhold(self, worker_ids):
+    def withhold(self, worker_ids, planner_token):
         """Keeps new tasks off the given workers, and only off those.
 
+        Args:
+            worker_ids: Ids of the workers.
+            planner_token: Fencing token of the planner that wants it.
+
         Returns:
             ``PoolReport`` after the change.
 
         Raises:
             NotOwner: Another daemon may have taken over the pool, so workers that are
-                empty here may run its tasks.
+                empty here may run its tasks; or a later planner has called.
         """
         now = self._clock()
         self._require_no_successor(now)
+        if planner_token < self._planner_token:
+            raise NotOwner(f"pool {self.pool!r} follows a later planner")
+        self._planner_token = planner_token
         wall_time = self._wall_clock()
         self._state.withhold(worker_ids, now, wall_time)
         self._schedule_event.set()
--- a/basilwind/scheduling/pool.py
+++ b/basilwind/scheduling/pool.py
@@ -22,6 +22,7 @@
 )
 from basilwind.scheduling.policy import Ticket, workers_to_ask
 from basilwind.scheduling.pool_workers import PoolWorkers
+from basilwind.scheduling.reachability import reachable_workers
 from basilwind.scheduling.reports import StartOutcome
 
 UNPLACED_AFTER_S = 0.5  # short tasks free capacity within a second
@@ -183,7 +184,9 @@
         """
         self._start_due_occurrences(wall_time)
         self._expire_withholding(now)
-        workers = self._usable_workers(now)
+        workers = reachable_workers(
+            self._usable_workers(now), self.workers.values(), now
+        )
         cores = sum(worker.entry.cpu for worker in workers) / 1000
         self._is_overloaded = is_overloaded(self._urgent_waiting, cores)
         orders, shortages = [], []
--- a/basilwind/scheduling/workers.py
+++ b/basilwind/scheduling/workers.py
@@ -30,6 +30,10 @@
         consecutive_failures: Failed runs since the last successful one.
         paced_at: Boot time at which the pace of one of its tasks was last changed.
         run_time_ratio: Moving average of measured run times over expected ones.
+        pending_starts: Boot times at which starts without an answer yet were sent, by
+            task name.
+        unanswered_start_sent_at: Boot time at which the last start that got no answer
+            was sent, or None.
     """
 
     __slots__ = (
@@ -50,6 +54,8 @@
         "consecutive_failures",
         "paced_at",
         "run_time_ratio",
+        "pending_starts",
+        "unanswered_start_sent_at",
         "_last_worker_clock_s",
         "_clock_read_at",
         "_latest_lease_end_s",
@@ -73,6 +79,8 @@
         self.consecutive_failures = 0
         self.paced_at = 0.0
         self.run_time_ratio = 1.0
+        self.pending_starts = {}
+        self.unanswered_start_sent_at = None
         self._last_worker_clock_s = None
         self._clock_read_at = None
         # Latest end of a lease granted here, on the worker's clock.
@@ -83,6 +91,11 @@
         """Id of the worker."""
         return self.entry.worker_id
 
+    @property
+    def answered_at(self):
+        """Boot time of its last answer, or None."""
+        return self._clock_read_at
+
     @property
     def is_clock_known(self):
         """Whether its clock has been read since it started."""
