Let owners follow only the latest planner

Each call replaces the set of withheld workers, so hosts that one was emptying got tasks again through the other. Withheld orders were logged one line each, up to 300 a second.

Change: a call of the planner carries its token, and owners refuse lower ones than they have seen. A planner that has handed over ends. Withheld orders are logged once a round.

Tests: test_owner_follows_only_the_latest_planner, test_planner_that_handed_over_gives_up.

--- a/basilwind/entry/peers.py
+++ b/basilwind/entry/peers.py
@@ -68,6 +68,18 @@
     value: bytes
 
 
+class WithholdRequest(msgspec.Struct):
+    """Request of the planner to a pool's owner.
+
+    Attributes:
+        worker_ids: Ids of the workers that should get no tasks.
+        token: Fencing token of the planner.
+    """
+
+    worker_ids: list[str]
+    token: int
+
+
 class HandoverRequest(msgspec.Struct):
     """Request of a new planner to the previous one.
 
@@ -136,10 +148,10 @@
         if kind == "queues" and rest:
             return json_response(queue_response(owner, rest[0]))
         if kind == "withhold":
-            worker_ids = decode_json(
-                request.body, list[str], request.path, RequestInvalid
+            wanted = decode_json(
+                request.body, WithholdRequest, request.path, RequestInvalid
             )
-            return json_response(owner.withhold(worker_ids))
+            return json_response(owner.withhold(wanted.worker_ids, wanted.token))
         raise RequestInvalid(f"no such call: {request.path}")
 
     def _hand_over_planning(self, body):
@@ -210,23 +222,28 @@
         body = await self._call(pool, f"/queues/{pool}/{queue}")
         return decode_json(body, QueueResponse, f"queue {queue}", NotOwner)
 
-    async def withhold(self, pool, worker_ids):
+    async def withhold(self, pool, worker_ids, token):
         """Has an owner keep new tasks off the given workers, and only off those.
 
+        Args:
+            pool: Name of the pool.
+            worker_ids: Ids of the workers.
+            token: Fencing token of the planner.
+
         Returns:
             ``PoolReport`` after the change.
 
         Raises:
-            NotOwner: No owner answered.
+            NotOwner: No owner answered, or it follows a later planner.
         """
         owner = self._find_owner(pool)
         if owner is not None:
-            return owner.withhold(worker_ids)
+            return owner.withhold(worker_ids, token)
         body = await self._call(
             pool,
             f"/withhold/{pool}",
             "POST",
-            msgspec.json.encode(worker_ids),
+            msgspec.json.encode(WithholdRequest(worker_ids, token)),
             PLANNER_TIMEOUT_S,
         )
         return decode_json(body, PoolReport, f"report of pool {pool}", NotOwner)
--- a/basilwind/entry/planner.py
+++ b/basilwind/entry/planner.py
@@ -70,6 +70,8 @@
         self._withheld = {}
         # Boot time at which the owners were last asked which workers are empty.
         self._emptied_at = 0.0
+        # Value of ``_emptied_at`` for which withheld orders were last logged.
+        self._withheld_round = None
         # Target pool (None for maintenance) and time of recent orders by host, since
         # the platform's list may not show their effect yet.
         self._recent_orders = {}
@@ -89,6 +91,8 @@
         await self._load()
         await self._wait_for_previous_planner()
         while True:
+            if self._services.machine_orders.handed_over_to > self._token:
+                raise ProducerFenced("planning was handed over to a later planner")
             try:
                 await self._plan_once(self._clock())
             except (PlatformUnavailable, StoreRefused, StoreUnanswered) as error:
@@ -156,7 +160,9 @@
 
         async def ask(pool, worker_ids):
             try:
-                reports[pool] = await self._peers.withhold(pool, sorted(worker_ids))
+                reports[pool] = await self._peers.withhold(
+                    pool, sorted(worker_ids), self._token
+                )
             except NotOwner as error:
                 log("pool report missing", pool=pool, error=str(error))
 
@@ -288,12 +294,14 @@
         ):
             orders.record(host_name, now)
             return True
-        self._services.report(
-            "machine order withheld",
-            machine=host_name,
-            report_age_s=round(now - self._emptied_at, 3),
-            store_silence_s=round(self._services.store_monitor.silence_s, 3),
-        )
+        if self._withheld_round != self._emptied_at:
+            self._withheld_round = self._emptied_at
+            self._services.report(
+                "machine orders withheld",
+                machine=host_name,
+                report_age_s=round(now - self._emptied_at, 3),
+                store_silence_s=round(self._services.store_monitor.silence_s, 3),
+            )
         return False
 
     async def _start_maintenance(self, wave, candidate):
--- a/tests/entry/test_expired_authority.py
+++ b/tests/entry/test_expired_authority.py
@@ -74,10 +74,10 @@
 
     def test_owner_without_store_reports_nothing_to_planner(self):
         async def scenario(owner):
-            owner.withhold([])
+            owner.withhold([], 1)
             self.clock.now += HOLDER_SILENCE_S
             with self.assertRaises(NotOwner):
-                owner.withhold([])
+                owner.withhold([], 1)
 
         self._run(scenario)
 
@@ -95,10 +95,19 @@
 
         async def scenario(owner):
             self.clock.now += HOLDER_SILENCE_S
-            owner.withhold([])
+            owner.withhold([], 1)
             self.clock.now += MAX_STORE_SILENCE_S - HOLDER_SILENCE_S
             with self.assertRaises(NotOwner):
-                owner.withhold([])
+                owner.withhold([], 1)
+
+        self._run(scenario)
+
+    def test_owner_follows_only_the_latest_planner(self):
+        async def scenario(owner):
+            owner.withhold(["w1"], 5)
+            with self.assertRaises(NotOwner):
+                owner.withhold([], 4)
+            self.assertTrue(owner.state.workers["w1"].is_withheld)
 
         self._run(scenario)
 
@@ -143,7 +152,7 @@
 
         orders, events = self._orders(pause)
         self.assertEqual(orders, [])
-        self.assertIn("machine order withheld", events)
+        self.assertIn("machine orders withheld", events)
 
     def test_planner_without_store_moves_nothing(self):
         def tick(clock, monitor, worker_ids):
@@ -151,4 +160,4 @@
 
         orders, events = self._orders(tick)
         self.assertEqual(orders, [])
-        self.assertIn("machine order withheld", events)
+        self.assertIn("machine orders withheld", events)
--- a/tests/entry/test_planner_handover.py
+++ b/tests/entry/test_planner_handover.py
@@ -3,6 +3,7 @@
 import anyio
 
 from basilwind.entry.planner import FleetPlanner
+from basilwind.errors import ProducerFenced
 from basilwind.scheduling.ownership import Claim
 from tests.utils.entry_fakes import Clock, FakePeers, make_services
 
@@ -52,5 +53,6 @@
     def test_host_that_the_previous_planner_ordered_waits_for_its_lease(self):
         self.assertGreaterEqual(self._run_planner({"m1": 1.0}, run_s=3.0)[0], 2.2)
 
-    def test_planner_that_handed_over_gives_no_orders(self):
-        self.assertEqual(self._run_planner(None, handed_over_to=8), [])
+    def test_planner_that_handed_over_gives_up(self):
+        with self.assertRaises(ProducerFenced):
+            self._run_planner(None, handed_over_to=8)
--- a/tests/platform/test_malformed_answers.py
+++ b/tests/platform/test_malformed_answers.py
@@ -62,7 +62,7 @@
         lambda: store.read_latest("topic"),
         lambda: peers.job_state("pool", "a" * 16),
         lambda: peers.queue("pool", "queue"),
-        lambda: peers.withhold("pool", []),
+        lambda: peers.withhold("pool", [], 7),
         lambda: peers.hand_over_planning(Claim("e#1", "h:1", 7), 9, 3.0),
         lambda: peers.query_daemon(Claim("e#1", "h:1", 7)),
     )
--- a/tests/utils/entry_fakes.py
+++ b/tests/utils/entry_fakes.py
@@ -104,7 +104,7 @@
     async def hand_over_planning(self, claim, token, lease_s):
         return self.recent_orders
 
-    async def withhold(self, pool, worker_ids):
+    async def withhold(self, pool, worker_ids, token):
         self.on_withhold(worker_ids)
         idle = [WorkerLoad(f"w{n}", 8000, 0, 0) for n in (1, 2, 3, 4)]
         return PoolReport(pool, idle, 0.0, 0.0, 0, 0, 0, 0, 0, 0.0, 0)
