Keep the queue that accepted a job with the job

Cause: attempts, priority and objective of a job were looked up in the daemon's configuration. A daemon that started after the queue was removed does not know it; as the new owner of the pool it left the accepted job waiting for ever.

Ruled out: a default queue, whose number of attempts could fail a job too early or too late.

Change: the stored submission carries its queue. Owners remember it unless a configuration with the queue is known. Records of earlier versions are read.

--- a/basilwind/entry/caller_app.py
+++ b/basilwind/entry/caller_app.py
@@ -125,7 +125,7 @@
         except RequestInvalid as error:
             return _error_response(400, str(error))
         record = msgspec.json.encode(
-            SubmissionRecord(queue.name, self._services.wall_clock(), spec)
+            SubmissionRecord(queue.name, self._services.wall_clock(), spec, queue)
         )
         if len(record) + 64 > self._services.settings.store_record_bytes:
             return _error_response(413, "the job is larger than the store's records")
--- a/basilwind/entry/configuration.py
+++ b/basilwind/entry/configuration.py
@@ -49,6 +49,10 @@
         """
         return self._known_queues.get(name)
 
+    def remember_queue(self, queue):
+        """Adds a ``Queue`` of an earlier configuration, unless a later one is known."""
+        self._known_queues.setdefault(queue.name, queue)
+
     async def run(self):
         """Follows the operator's topic."""
         await self._follower.run()
--- a/basilwind/entry/intake.py
+++ b/basilwind/entry/intake.py
@@ -35,11 +35,12 @@
     return None
 
 
-def decode_submitted_job(record, report):
+def decode_submitted_job(record, remember_queue, report):
     """Returns the new ``Job`` that an intake record submits, or None.
 
     Args:
         record: ``KeyedRecord`` of the intake.
+        remember_queue: Called with the ``Queue`` that accepted the job.
         report: Logs and counts an event; called if the record can't be decoded.
     """
     if record.key.startswith(CANCEL_PREFIX) or not record.value:
@@ -49,6 +50,8 @@
     except msgspec.DecodeError as error:
         report("submission damaged", job=record.key, error=str(error))
         return None
+    if submission.accepted_queue is not None:
+        remember_queue(submission.accepted_queue)
     return Job(record.key, submission.queue, submission.spec, submission.accepted_at)
 
 
--- a/basilwind/entry/owner.py
+++ b/basilwind/entry/owner.py
@@ -160,7 +160,12 @@
         started_at = self._clock()
         await self._journal.fence()
         self._intake_offset = await restore_jobs(
-            self._state, self._store, self._clock, self._wall_clock, self._report
+            self._state,
+            self._store,
+            self._services.configuration.remember_queue,
+            self._clock,
+            self._wall_clock,
+            self._report,
         )
         now = self._clock()
         previous_lease_s = self._lease_s * DRIFT_ALLOWANCE
@@ -207,7 +212,9 @@
             self._state.cancel(cancelled, self._clock())
         if record.key in self._state.jobs:
             return
-        job = decode_submitted_job(record, self._report)
+        job = decode_submitted_job(
+            record, self._services.configuration.remember_queue, self._report
+        )
         if job is not None:
             self._state.submit(
                 job.job_id,
--- a/basilwind/entry/takeover.py
+++ b/basilwind/entry/takeover.py
@@ -25,7 +25,7 @@
             await anyio.sleep(PLATFORM_RETRY_S)
 
 
-async def restore_jobs(state, store, clock, wall_clock, report):
+async def restore_jobs(state, store, remember_queue, clock, wall_clock, report):
     """Restores a pool's jobs from the journal and the intake.
 
     The journal's epoch must have been raised first, so that the previous owner
@@ -34,6 +34,7 @@
     Args:
         state: An empty ``PoolState``.
         store: ``StoreClient``.
+        remember_queue: Called with the ``Queue`` that accepted each job.
         clock: Returns boot time.
         wall_clock: Returns Unix time.
         report: Logs and counts an event.
@@ -47,7 +48,7 @@
     )
     job_records = {record.key: record.value for record in records if record.value}
     for record in submissions:
-        job = decode_submitted_job(record, report)
+        job = decode_submitted_job(record, remember_queue, report)
         if job is None:
             continue
         job_record = job_records.get(record.key)
--- a/basilwind/scheduling/records.py
+++ b/basilwind/scheduling/records.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from basilwind.scheduling.fleet import Queue
 from basilwind.scheduling.jobs import JobState, TaskState
 from basilwind.scheduling.specs import JobSpec
 
@@ -53,11 +54,15 @@
         queue: Name of the queue.
         accepted_at: Time of acceptance, Unix seconds.
         spec: ``JobSpec``.
+        accepted_queue: ``Queue`` as it was when the job was accepted; None in records
+            of earlier versions. An owner that has not seen the queue's configuration,
+            as it was removed before, schedules the job by it.
     """
 
     queue: str
     accepted_at: float
     spec: JobSpec
+    accepted_queue: Queue | None = None
 
 
 _JOB_RECORDS = msgspec.json.Decoder(JobRecord)
--- a/tests/utils/entry_fakes.py
+++ b/tests/utils/entry_fakes.py
@@ -31,12 +31,18 @@
 
 
 class FakeStore:
-    """An empty store that accepts everything."""
+    """A store that accepts everything.
+
+    Attributes:
+        on_append: Called with the topic of each append.
+        latest: Newest records by topic.
+    """
 
     def __init__(self, clock, monitor):
         self._clock = clock
         self._monitor = monitor
         self.on_append = lambda topic: None
+        self.latest = {}
 
     async def append(self, topic, records, at=None, producer=None):
         sent_at = self._clock()
@@ -45,7 +51,7 @@
         return 0
 
     async def read_latest(self, topic):
-        return [], 0
+        return self.latest.get(topic, []), 0
 
     async def read(self, topic, start, wait_s=0.0):
         await anyio.sleep(wait_s)
@@ -118,8 +124,12 @@
         entries_of_pool=lambda pool: {"w1": make_entry("w1")},
         expire_missing=lambda now: None,
     )
+    queues = dict(CONFIGURATION.queues)
     configuration = types.SimpleNamespace(
-        current=CONFIGURATION, find_queue=CONFIGURATION.queues.get, waves={}
+        current=CONFIGURATION,
+        find_queue=queues.get,
+        remember_queue=lambda queue: queues.setdefault(queue.name, queue),
+        waves={},
     )
     settings = types.SimpleNamespace(
         finished_job_retention_s=120.0, max_lease_s=10.0, move_s=1.5, machine_lease_s=3
