Give every test fleet a whole block of ports

Cause: a fleet kept only the port after its last one. A second fleet that began its search a few ports earlier, as with adjacent process ids, got a block that overlapped without containing that port; three soaks at once did, and one fleet never served (40 s).

Change: fleets take blocks on a common grid and keep the block's first port. An answer that is no JSON now fails with its status and text.

--- a/extras/entry_fleet.py
+++ b/extras/entry_fleet.py
@@ -16,23 +16,33 @@
 QUEUES = (StandInQueue("q-a", "/a/", "pool-a"), StandInQueue("q-b", "/b/", "pool-b"))
 WAIT_TIMEOUT_S = 40.0  # ends a hanging test; not a limit that the system must meet
 PORTS_PER_DAEMON = 10
+FIRST_PORT, LAST_PORT = 20000, 30000  # below the ports of outgoing connections
+PORT_BLOCK = 100  # a fleet of nine daemons
 
 
 def reserve_ports(count):
     """Reserves consecutive free ports.
 
+    Every fleet takes whole blocks of ``PORT_BLOCK`` ports, so that no two overlap
+    without sharing the port that the returned socket keeps.
+
+    Args:
+        count: Number of ports, less than ``PORT_BLOCK``.
+
     Returns:
         The first port, and a socket that keeps other fleets off the ports until it is
-        closed: it is bound to the port after the last.
+        closed.
     """
-    for start in range(20000 + os.getpid() % 10000, 60000, count + 1):
+    blocks = (LAST_PORT - FIRST_PORT) // PORT_BLOCK
+    for attempt in range(blocks):
+        start = FIRST_PORT + (os.getpid() + attempt) % blocks * PORT_BLOCK
         sockets = []
         try:
             for port in range(start, start + count + 1):
                 probe = socket.socket()
                 sockets.append(probe)
                 probe.bind(("127.0.0.1", port))
-            return start, sockets.pop()
+            return start + 1, sockets.pop(0)
         except OSError:
             continue
         finally:
@@ -124,7 +134,13 @@
                     method, url, json=body, headers={"Host": "fleet.example"}
                 ) as response,
             ):
-                return response.status, await response.json(content_type=None)
+                text = await response.text()
+                try:
+                    return response.status, json.loads(text) if text else None
+                except ValueError as error:
+                    raise AssertionError(
+                        f"{method} {url}: status {response.status}, not JSON: {text!r}"
+                    ) from error
         except (aiohttp.ClientError, TimeoutError, OSError):
             return None
 
