--- a/basilwind/entry/daemon.py
+++ b/basilwind/entry/daemon.py
@@ -17,7 +17,8 @@
 from basilwind.entry.metrics import EntryMetrics
 from basilwind.entry.outage_detector import OutageDetector
 from basilwind.entry.owner import PoolOwner
-from basilwind.entry.peers import PeerApp, PeerClient
+from basilwind.entry.peer_app import PeerApp
+from basilwind.entry.peer_client import PeerClient
 from basilwind.entry.planner import FleetPlanner
 from basilwind.entry.registry import WorkerRegistry
 from basilwind.entry.services import Services
--- /dev/null
+++ b/basilwind/entry/peer_app.py
@@ -0,0 +1,97 @@
+"""Serves calls of other daemons, mostly to the owner of a pool."""
+
+from basilwind.api.asgi import HttpResponse, json_response, read_request, send_response
+from basilwind.entry.peer_messages import (
+    HANDOVER_PATH,
+    HOST_PATH,
+    DaemonResponse,
+    HandoverRequest,
+    HandoverResponse,
+    JobResponse,
+    QueueResponse,
+    RelayedRecord,
+    WithholdRequest,
+)
+from basilwind.errors import NotOwner, NotStarted, RequestInvalid
+from basilwind.platform.transport import decode_json
+
+NOT_OWNER = 421
+
+
+class PeerApp:
+    """ASGI application that serves calls of peers.
+
+    Args:
+        find_owner: Returns the loaded ``PoolOwner`` of a pool, or None.
+        get_intake: Returns the ``Intake`` of a pool.
+        services: ``Services``.
+    """
+
+    def __init__(self, find_owner, get_intake, services):
+        self._find_owner = find_owner
+        self._get_intake = get_intake
+        self._services = services
+
+    async def __call__(self, scope, receive, send):
+        """Serves one request."""
+        try:
+            request = await read_request(scope, receive)
+            response = await self._route(request)
+        except NotOwner:
+            response = HttpResponse(NOT_OWNER)
+        except NotStarted as error:
+            response = HttpResponse(503, str(error).encode(), "text/plain")
+        except RequestInvalid as error:
+            response = HttpResponse(400, str(error).encode(), "text/plain")
+        await send_response(send, response)
+
+    async def _route(self, request):
+        if request.path == HOST_PATH:
+            silence_s = self._services.store_monitor.silence_s
+            return json_response(DaemonResponse(self._services.incarnation, silence_s))
+        if request.path == HANDOVER_PATH:
+            return self._hand_over_planning(request.body)
+        kind, pool, *rest = request.path.strip("/").split("/")
+        if kind == "intake":
+            return await self._store_record(pool, request.body)
+        owner = self._find_owner(pool)
+        if owner is None:
+            raise NotOwner(f"pool {pool!r} is not owned here")
+        if kind == "jobs" and rest:
+            return json_response(await job_response(owner, rest[0]))
+        if kind == "queues" and rest:
+            return json_response(queue_response(owner, rest[0]))
+        if kind == "withhold":
+            wanted = decode_json(
+                request.body, WithholdRequest, request.path, RequestInvalid
+            )
+            return json_response(owner.withhold(wanted.worker_ids, wanted.token))
+        raise RequestInvalid(f"no such call: {request.path}")
+
+    def _hand_over_planning(self, body):
+        request = decode_json(body, HandoverRequest, HANDOVER_PATH, RequestInvalid)
+        ages_s = self._services.machine_orders.hand_over(
+            request.token, request.lease_s, self._services.clock()
+        )
+        return json_response(HandoverResponse(self._services.incarnation, ages_s))
+
+    async def _store_record(self, pool, body):
+        record = decode_json(body, RelayedRecord, "relayed record", RequestInvalid)
+        configuration = self._services.configuration.current
+        queue = configuration.queues.get(record.queue) if configuration else None
+        if queue is None or queue.pool != pool:
+            # The peer has an earlier configuration.
+            raise NotStarted(f"no queue {record.queue!r} of pool {pool!r}")
+        await self._get_intake(pool).store(record.key, record.value)
+        return HttpResponse(200)
+
+
+async def job_response(owner, job_id):
+    """Returns an owner's ``JobResponse`` for a job."""
+    state = await owner.job_state(job_id)
+    return JobResponse(state)
+
+
+def queue_response(owner, queue):
+    """Returns an owner's ``QueueResponse`` for a queue."""
+    return QueueResponse(owner.count_waiting(queue), owner.refuse_for_s(queue))
--- a/basilwind/entry/peers.py
+++ b/basilwind/entry/peer_client.py
@@ -1,186 +1,33 @@
-"""Calls between daemons, mostly to the owner of a pool."""
+"""Calls other daemons, mostly the owner of a pool."""
 
 import msgspec
 
-from basilwind.api.asgi import HttpResponse, json_response, read_request, send_response
+from basilwind.entry.peer_app import queue_response
+from basilwind.entry.peer_messages import (
+    HANDOVER_PATH,
+    HOST_PATH,
+    DaemonResponse,
+    HandoverRequest,
+    HandoverResponse,
+    JobResponse,
+    QueueResponse,
+    RelayedRecord,
+    WithholdRequest,
+)
 from basilwind.errors import (
     CallRefused,
     CallUnanswered,
     NotOwner,
     NotStarted,
     OutcomeUnknown,
-    RequestInvalid,
 )
 from basilwind.logs import log
 from basilwind.platform.transport import decode_json
 from basilwind.scheduling.demand import PoolReport
-from basilwind.scheduling.jobs import JobState
 
 CALL_TIMEOUT_S = 1.0  # a third of the callers' deadline of 3 s
 PLANNER_TIMEOUT_S = 0.3  # an answer takes 2 ms, or 24 ms between regions
 RELAY_TIMEOUT_S = 1.5  # a peer stores a record or gives up within 1 s
-HOST_PATH = "/host"
-HANDOVER_PATH = "/planner/handover"
-NOT_OWNER = 421
-
-
-class JobResponse(msgspec.Struct):
-    """State of a job; ``state`` is None if the owner has no such job."""
-
-    state: JobState | None
-
-
-class QueueResponse(msgspec.Struct):
-    """State of a queue.
-
-    Attributes:
-        waiting: Number of accepted jobs that have not started any task.
-        refuse_for_s: For how many seconds new jobs are refused; 0 to accept them.
-    """
-
-    waiting: int
-    refuse_for_s: float = 0.0
-
-
-class DaemonResponse(msgspec.Struct):
-    """Status of a daemon.
-
-    Attributes:
-        incarnation: Id of this run of the daemon.
-        store_silence_s: Seconds since the store last answered it.
-    """
-
-    incarnation: str
-    store_silence_s: float
-
-
-class RelayedRecord(msgspec.Struct):
-    """A record of the intake that a peer could not store.
-
-    Attributes:
-        queue: Queue that it belongs to.
-        key: Key of the record.
-        value: Value of the record.
-    """
-
-    queue: str
-    key: str
-    value: bytes
-
-
-class WithholdRequest(msgspec.Struct):
-    """Request of the planner to a pool's owner.
-
-    Attributes:
-        worker_ids: Ids of the workers that should get no tasks.
-        token: Fencing token of the planner.
-    """
-
-    worker_ids: list[str]
-    token: int
-
-
-class HandoverRequest(msgspec.Struct):
-    """Request of a new planner to the previous one.
-
-    Attributes:
-        token: Fencing token of the new planner.
-        lease_s: Time between orders of two planners for one host, seconds.
-    """
-
-    token: int
-    lease_s: float
-
-
-class HandoverResponse(msgspec.Struct):
-    """Response of the previous planner.
-
-    Attributes:
-        incarnation: Id of this run of the daemon.
-        ages_s: Seconds since the latest order for each host.
-    """
-
-    incarnation: str
-    ages_s: dict[str, float]
-
-
-class PeerApp:
-    """ASGI application that serves calls of peers.
-
-    Args:
-        find_owner: Returns the loaded ``PoolOwner`` of a pool, or None.
-        get_intake: Returns the ``Intake`` of a pool.
-        services: ``Services``.
-    """
-
-    def __init__(self, find_owner, get_intake, services):
-        self._find_owner = find_owner
-        self._get_intake = get_intake
-        self._services = services
-
-    async def __call__(self, scope, receive, send):
-        """Serves one request."""
-        try:
-            request = await read_request(scope, receive)
-            response = await self._route(request)
-        except NotOwner:
-            response = HttpResponse(NOT_OWNER)
-        except NotStarted as error:
-            response = HttpResponse(503, str(error).encode(), "text/plain")
-        except RequestInvalid as error:
-            response = HttpResponse(400, str(error).encode(), "text/plain")
-        await send_response(send, response)
-
-    async def _route(self, request):
-        if request.path == HOST_PATH:
-            silence_s = self._services.store_monitor.silence_s
-            return json_response(DaemonResponse(self._services.incarnation, silence_s))
-        if request.path == HANDOVER_PATH:
-            return self._hand_over_planning(request.body)
-        kind, pool, *rest = request.path.strip("/").split("/")
-        if kind == "intake":
-            return await self._store_record(pool, request.body)
-        owner = self._find_owner(pool)
-        if owner is None:
-            raise NotOwner(f"pool {pool!r} is not owned here")
-        if kind == "jobs" and rest:
-            return json_response(await job_response(owner, rest[0]))
-        if kind == "queues" and rest:
-            return json_response(queue_response(owner, rest[0]))
-        if kind == "withhold":
-            wanted = decode_json(
-                request.body, WithholdRequest, request.path, RequestInvalid
-            )
-            return json_response(owner.withhold(wanted.worker_ids, wanted.token))
-        raise RequestInvalid(f"no such call: {request.path}")
-
-    def _hand_over_planning(self, body):
-        request = decode_json(body, HandoverRequest, HANDOVER_PATH, RequestInvalid)
-        ages_s = self._services.machine_orders.hand_over(
-            request.token, request.lease_s, self._services.clock()
-        )
-        return json_response(HandoverResponse(self._services.incarnation, ages_s))
-
-    async def _store_record(self, pool, body):
-        record = decode_json(body, RelayedRecord, "relayed record", RequestInvalid)
-        configuration = self._services.configuration.current
-        queue = configuration.queues.get(record.queue) if configuration else None
-        if queue is None or queue.pool != pool:
-            # The peer has an earlier configuration.
-            raise NotStarted(f"no queue {record.queue!r} of pool {pool!r}")
-        await self._get_intake(pool).store(record.key, record.value)
-        return HttpResponse(200)
-
-
-async def job_response(owner, job_id):
-    """Returns an owner's ``JobResponse`` for a job."""
-    state = await owner.job_state(job_id)
-    return JobResponse(state)
-
-
-def queue_response(owner, queue):
-    """Returns an owner's ``QueueResponse`` for a queue."""
-    return QueueResponse(owner.count_waiting(queue), owner.refuse_for_s(queue))
 
 
 class PeerClient:
--- /dev/null
+++ b/basilwind/entry/peer_messages.py
@@ -0,0 +1,91 @@
+"""Messages of the calls between daemons.
+
+The field names are part of the messages.
+"""
+
+import msgspec
+
+from basilwind.scheduling.jobs import JobState
+
+HOST_PATH = "/host"
+HANDOVER_PATH = "/planner/handover"
+
+
+class JobResponse(msgspec.Struct):
+    """State of a job; ``state`` is None if the owner has no such job."""
+
+    state: JobState | None
+
+
+class QueueResponse(msgspec.Struct):
+    """State of a queue.
+
+    Attributes:
+        waiting: Number of accepted jobs that have not started any task.
+        refuse_for_s: For how many seconds new jobs are refused; 0 to accept them.
+    """
+
+    waiting: int
+    refuse_for_s: float = 0.0
+
+
+class DaemonResponse(msgspec.Struct):
+    """Status of a daemon.
+
+    Attributes:
+        incarnation: Id of this run of the daemon.
+        store_silence_s: Seconds since the store last answered it.
+    """
+
+    incarnation: str
+    store_silence_s: float
+
+
+class RelayedRecord(msgspec.Struct):
+    """A record of the intake that a peer could not store.
+
+    Attributes:
+        queue: Queue that it belongs to.
+        key: Key of the record.
+        value: Value of the record.
+    """
+
+    queue: str
+    key: str
+    value: bytes
+
+
+class WithholdRequest(msgspec.Struct):
+    """Request of the planner to a pool's owner.
+
+    Attributes:
+        worker_ids: Ids of the workers that should get no tasks.
+        token: Fencing token of the planner.
+    """
+
+    worker_ids: list[str]
+    token: int
+
+
+class HandoverRequest(msgspec.Struct):
+    """Request of a new planner to the previous one.
+
+    Attributes:
+        token: Fencing token of the new planner.
+        lease_s: Time between orders of two planners for one host, seconds.
+    """
+
+    token: int
+    lease_s: float
+
+
+class HandoverResponse(msgspec.Struct):
+    """Response of the previous planner.
+
+    Attributes:
+        incarnation: Id of this run of the daemon.
+        ages_s: Seconds since the latest order for each host.
+    """
+
+    incarnation: str
+    ages_s: dict[str, float]
--- a/tests/entry/test_intake_router.py
+++ b/tests/entry/test_intake_router.py
@@ -5,7 +5,9 @@
 import msgspec
 
 from basilwind.entry.intake_router import SETTLE_AFTER_S, IntakeRouter
-from basilwind.entry.peers import PeerApp, PeerClient, RelayedRecord
+from basilwind.entry.peer_app import PeerApp
+from basilwind.entry.peer_client import PeerClient
+from basilwind.entry.peer_messages import RelayedRecord
 from basilwind.entry.store_monitor import StoreMonitor
 from basilwind.errors import CallRefused, CallUnanswered, NotStarted, OutcomeUnknown
 from basilwind.scheduling.outages import SUSPECT_AFTER_S
--- a/tests/entry/test_peers.py
+++ b/tests/entry/test_peer_client.py
@@ -3,7 +3,8 @@
 import anyio
 import msgspec
 
-from basilwind.entry.peers import HandoverResponse, PeerClient
+from basilwind.entry.peer_client import PeerClient
+from basilwind.entry.peer_messages import HandoverResponse
 from basilwind.errors import CallUnanswered
 from basilwind.scheduling.ownership import Claim
 
--- a/tests/platform/test_malformed_answers.py
+++ b/tests/platform/test_malformed_answers.py
@@ -7,7 +7,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from basilwind.entry.peers import PeerClient
+from basilwind.entry.peer_client import PeerClient
 from basilwind.errors import BasilwindError, CallUnanswered, WorkerCallFailed
 from basilwind.platform.advice import AdviceClient
 from basilwind.platform.machines import MachineClient, MachineState, OrderOutcome
