--- a/basilwind/entry/caller_app.py
+++ b/basilwind/entry/caller_app.py
@@ -1,6 +1,7 @@
 """The HTTP API for callers: jobs, their states, cancellations and queues."""
 
 import re
+import traceback
 
 import anyio
 import msgspec
@@ -45,23 +46,46 @@
         self._is_stopping = is_stopping
         self._count_response = count_response
         self._queue_cache = {}
+        # A ``CancelScope`` for each request that has no response yet.
+        self._open_requests = set()
 
     async def __call__(self, scope, receive, send):
         """Serves one request."""
+        with anyio.CancelScope() as open_request:
+            self._open_requests.add(open_request)
+            try:
+                response = await self._respond(scope, receive)
+            except ClientDisconnected:
+                return
+            except Exception as error:
+                self._services.report(
+                    "request failed",
+                    path=scope["path"],
+                    error="".join(traceback.format_exception(error)),
+                )
+                response = _interrupted_response(scope["method"])
+            finally:
+                self._open_requests.discard(open_request)
+        if open_request.cancelled_caught:
+            response = _interrupted_response(scope["method"])
+        if self._is_stopping():
+            response.headers["Connection"] = "close"
+        await send_response(send, response)
+
+    def answer_open_requests(self):
+        """Answers all open requests, as this daemon can't finish them any more."""
+        for open_request in list(self._open_requests):
+            open_request.cancel()
+
+    async def _respond(self, scope, receive):
         started_at = self._services.clock()
         configuration = self._services.configuration.current
         max_body = configuration.limits.body_bytes if configuration else 262144
         try:
             request = await read_request(scope, receive, max_body)
-        except ClientDisconnected:
-            return
         except RequestInvalid as error:
-            await send_response(send, _error_response(413, str(error)))
-            return
-        response = await self._route(request, started_at)
-        if self._is_stopping():
-            response.headers["Connection"] = "close"
-        await send_response(send, response)
+            return _error_response(413, str(error))
+        return await self._route(request, started_at)
 
     async def _route(self, request, started_at):
         configuration = self._services.configuration.current
@@ -238,6 +262,16 @@
     return HttpResponse(status, msgspec.json.encode({"error": message}))
 
 
+def _interrupted_response(method):
+    """Returns the response to a request whose processing was broken off.
+
+    A submission or a cancellation may be stored already, so it can't be refused.
+    """
+    if method == "GET":
+        return _unavailable_response("the daemon was interrupted; try again")
+    return _error_response(504, "the daemon was interrupted; the outcome is unknown")
+
+
 def _unavailable_response(message):
     response = _error_response(503, message)
     response.headers["Retry-After"] = str(RETRY_AFTER_S)
--- a/basilwind/entry/daemon.py
+++ b/basilwind/entry/daemon.py
@@ -32,6 +32,7 @@
 
 READY_CHECK_S = 1.0  # the balancer drops a daemon after two failed checks
 BALANCER_REMOVAL_S = 2.6  # two failed checks, plus time for a new connection in flight
+LAST_RESPONSES_S = 0.3  # sending the responses of interrupted requests
 STOP_MARGIN_S = 1.9  # closing connections and the event loop on a slow host
 
 
@@ -67,14 +68,14 @@
             self._peers.store_silence_s,
             boot_time,
         )
-        caller_app = CallerApp(
+        self._caller_app = CallerApp(
             self._shared_services,
             self._peers,
             self._get_intake,
             lambda: self._is_stopping,
             self._metrics.count_response,
         )
-        self._caller_server = HttpServer(caller_app, settings.front_address)
+        self._caller_server = HttpServer(self._caller_app, settings.front_address)
         self._servers = [
             self._caller_server,
             HttpServer(self._serve_readiness, settings.ready_address),
@@ -272,7 +273,13 @@
         remaining_s = (
             self._settings.termination_grace_s - BALANCER_REMOVAL_S - STOP_MARGIN_S
         )
-        with anyio.move_on_after(max(0.0, remaining_s)):
+        await self._wait_until_callers_left(max(0.0, remaining_s))
+        self._caller_app.answer_open_requests()
+        await self._wait_until_callers_left(LAST_RESPONSES_S)
+        log("stopped", host=self._settings.name)
+
+    async def _wait_until_callers_left(self, timeout_s):
+        """Waits until all callers' connections are closed, or for ``timeout_s``."""
+        with anyio.move_on_after(timeout_s):
             while self._caller_server.server_state.connections:
                 await anyio.sleep(0.02)
-        log("stopped", host=self._settings.name)
--- a/extras/entry_fleet.py
+++ b/extras/entry_fleet.py
@@ -18,16 +18,21 @@
 PORTS_PER_DAEMON = 10
 
 
-def find_free_ports(count):
-    """Returns the first of ``count`` consecutive ports that are free now."""
-    for start in range(20000 + os.getpid() % 10000, 60000, count):
+def reserve_ports(count):
+    """Reserves consecutive free ports.
+
+    Returns:
+        The first port, and a socket that keeps other fleets off the ports until it is
+        closed: it is bound to the port after the last.
+    """
+    for start in range(20000 + os.getpid() % 10000, 60000, count + 1):
         sockets = []
         try:
-            for port in range(start, start + count):
+            for port in range(start, start + count + 1):
                 probe = socket.socket()
                 sockets.append(probe)
                 probe.bind(("127.0.0.1", port))
-            return start
+            return start, sockets.pop()
         except OSError:
             continue
         finally:
@@ -51,7 +56,7 @@
     """
 
     def __init__(self, daemons=2, log_folder=None):
-        port = find_free_ports(10 + PORTS_PER_DAEMON * daemons)
+        port, self._reservation = reserve_ports(10 + PORTS_PER_DAEMON * daemons)
         self.platform = EntryPlatformStandIn(port, QUEUES)
         first = self.platform.next_free_port
         self.ports = [first + PORTS_PER_DAEMON * n for n in range(daemons)]
@@ -80,6 +85,7 @@
             if process.returncode is None:
                 process.kill()
             await process.aclose()
+        self._reservation.close()
         self._folder.cleanup()
 
     async def call(self, method, index, path, body=None):
--- a/tests/processes/test_entry_host.py
+++ b/tests/processes/test_entry_host.py
@@ -8,6 +8,7 @@
 
 import anyio
 
+from basilwind.entry.daemon import BALANCER_REMOVAL_S
 from extras.entry_fleet import WAIT_TIMEOUT_S, EntryFleet
 
 
@@ -193,6 +194,23 @@
 
         self._run(scenario)
 
+    def test_request_that_is_open_at_the_end_of_a_stop_is_answered(self):
+        # Callers of a daemon that was stopped got the server's own status 500
+        # (fleetbench cordillera-flota-grown, trouble-2), which says nothing about
+        # whether the job was accepted.
+        async def scenario(fleet):
+            fleet.processes[0].send_signal(signal.SIGTERM)
+            await anyio.sleep(BALANCER_REMOVAL_S - 0.3)
+            fleet.platform.store.lose_answers = 1000
+            body = {"spec": "", "steps": [{"count": 1, "cpu": 100, "memMb": 10}]}
+            answer = await fleet.call("POST", 0, "/a/" + "7" * 16, body)
+            self.assertIsNotNone(answer, "the connection was closed without a response")
+            self.assertEqual(answer[0], 504)
+            with anyio.fail_after(WAIT_TIMEOUT_S):
+                self.assertEqual(await fleet.processes[0].wait(), 0)
+
+        self._run(scenario, daemons=1)
+
     def test_daemon_without_store_is_not_ready(self):
         # In an isolated zone, daemons that could not accept jobs stayed in the
         # balancer's rotation for 6 s (fleetbench cordillera-flota-grown, trouble-2).
