--- a/basilwind/scheduling/capacity.py
+++ b/basilwind/scheduling/capacity.py
@@ -144,7 +144,7 @@
             floor = self._floor(report.pool, hosts)
             idle = self._trends[report.pool].idle_since
             keep = shares[report.pool] + (PREEMPTION_MARGIN if self._is_short else 0)
-            donors.add(report, max(keep, floor), max(total, floor), idle)
+            donors.add(report, keep, total, floor, idle)
         moves = []
         for pool, share in sorted(
             shares.items(), key=lambda item: supply[item[0]] - item[1]
--- a/basilwind/scheduling/donors.py
+++ b/basilwind/scheduling/donors.py
@@ -47,26 +47,34 @@
 
 
 class DonorHosts:
-    """Hosts that pools can give up: spare ones, then idle ones, then busy ones."""
+    """Hosts that pools can give up: spare, idle, reserved and busy ones, in this order.
+
+    Reserved hosts are idle ones that a pool keeps for its next burst.
+    """
 
     def __init__(self, spare_pool, spare):
         self._spare_pool = spare_pool
         self._spare = spare
         self._idle = []
+        self._reserved = []
         self._busy = []
 
-    def add(self, report, keep_urgent, keep, idle_since):
+    def add(self, report, keep_urgent, keep, floor, idle_since):
         """Adds the hosts that a pool can give up.
 
         Args:
             report: ``PoolReport``.
             keep_urgent: Number of hosts that its urgent work needs.
             keep: Number of hosts that all its work needs.
+            floor: Number of hosts that it keeps for its next burst.
             idle_since: Boot time since which a worker has had no tasks, by worker id.
         """
         count = len(report.workers)
         idle = sorted((since, worker_id) for worker_id, since in idle_since.items())
-        idle = idle[: max(0, count - keep)]
+        free = max(0, count - max(keep, floor))
+        available = max(free, count - max(keep, MIN_HOSTS))
+        self._reserved += [(report.pool, host[1]) for host in idle[free:available]]
+        idle = idle[:free]
         self._idle += [(report.pool, worker_id, since) for since, worker_id in idle]
         taken = {worker_id for _, worker_id in idle}
         busy = sorted(
@@ -74,7 +82,7 @@
             for load in report.workers
             if not load.long_running and load.worker_id not in taken
         )
-        busy = busy[: max(0, count - keep_urgent - len(idle))]
+        busy = busy[: max(0, count - max(keep_urgent, floor) - len(idle))]
         self._busy += [(report.pool, worker_id) for _, _, worker_id in busy]
 
     def take(self, pool, wanted, may_interrupt):
@@ -83,7 +91,8 @@
         Args:
             pool: Pool that needs hosts.
             wanted: Number of hosts that it needs.
-            may_interrupt: Whether hosts that run late work may be taken.
+            may_interrupt: Whether reserved hosts and those that run late work may be
+                taken.
         """
         moves = []
         while len(moves) < wanted:
@@ -93,7 +102,7 @@
                 continue
             host = self._pop(self._idle, pool)
             if host is None and may_interrupt:
-                host = self._pop(self._busy, pool)
+                host = self._pop(self._reserved, pool) or self._pop(self._busy, pool)
             if host is None:
                 break
             moves.append(Move(host[1], host[0], pool))
--- a/tests/scheduling/test_capacity.py
+++ b/tests/scheduling/test_capacity.py
@@ -50,6 +50,24 @@
         self.assertEqual(sorted(set(moves)), [("a", "spare"), ("b", "spare")])
         self.assertLessEqual(moves.count(("a", "spare")), 4)
 
+    def test_hosts_kept_for_later_bursts_serve_work_that_waits_now(self):
+        # Regression (fleetbench sabeel-amman trouble-1, 35 s to 41 s): a burst waited
+        # with 13 hosts while six of the 20 in reach stood idle in other pools.
+        reports = [
+            make_report("a", 13, urgent=200.0, urgent_cpu=13 * CPU, tasks=4),
+            make_report("b", 4),
+            make_report("c", 4),
+        ]
+        moves = self._targets(reports)
+        self.assertEqual(sorted(moves), [("b", "a")] * 2 + [("c", "a")] * 2)
+
+    def test_hosts_kept_for_later_bursts_do_not_go_to_late_work(self):
+        reports = [
+            make_report("a", 20, late=9000.0, late_cpu=20 * CPU, tasks=4),
+            *(make_report(pool, 4) for pool in "bcd"),
+        ]
+        self.assertEqual(self._targets(reports), [])
+
     def test_late_work_yields_hosts_to_a_burst_of_another_pool(self):
         # Regression (fleetbench kivimagi-inv trouble-3): 17 hosts stayed with late
         # work.
