--- a/basilwind/entry/peers.py
+++ b/basilwind/entry/peers.py
@@ -20,6 +20,7 @@
 PLANNER_TIMEOUT_S = 0.3  # an answer takes 2 ms, or 24 ms between regions
 RELAY_TIMEOUT_S = 1.5  # a peer stores a record or gives up within 1 s
 HOST_PATH = "/host"
+HANDOVER_PATH = "/planner/handover"
 NOT_OWNER = 421
 
 
@@ -67,6 +68,30 @@
     value: bytes
 
 
+class HandoverRequest(msgspec.Struct):
+    """Request of a new planner to the previous one.
+
+    Attributes:
+        token: Fencing token of the new planner.
+        lease_s: Time between orders of two planners for one host, seconds.
+    """
+
+    token: int
+    lease_s: float
+
+
+class HandoverResponse(msgspec.Struct):
+    """Response of the previous planner.
+
+    Attributes:
+        incarnation: Id of this run of the daemon.
+        ages_s: Seconds since the latest order for each host.
+    """
+
+    incarnation: str
+    ages_s: dict[str, float]
+
+
 class PeerApp:
     """ASGI application that serves calls of peers.
 
@@ -98,6 +123,8 @@
         if request.path == HOST_PATH:
             silence_s = self._services.store_monitor.silence_s
             return json_response(DaemonResponse(self._services.incarnation, silence_s))
+        if request.path == HANDOVER_PATH:
+            return self._hand_over_planning(request.body)
         kind, pool, *rest = request.path.strip("/").split("/")
         if kind == "intake":
             return await self._store_record(pool, request.body)
@@ -115,6 +142,13 @@
             return json_response(owner.withhold(worker_ids))
         raise RequestInvalid(f"no such call: {request.path}")
 
+    def _hand_over_planning(self, body):
+        request = decode_json(body, HandoverRequest, HANDOVER_PATH, RequestInvalid)
+        ages_s = self._services.machine_orders.hand_over(
+            request.token, request.lease_s, self._services.clock()
+        )
+        return json_response(HandoverResponse(self._services.incarnation, ages_s))
+
     async def _store_record(self, pool, body):
         record = decode_json(body, RelayedRecord, "relayed record", RequestInvalid)
         configuration = self._services.configuration.current
@@ -224,16 +258,25 @@
         if status != 200:
             raise OutcomeUnknown(f"{claim.holder} answered {status}")
 
-    async def is_alive(self, claim):
-        """Returns whether the daemon that made a claim still responds.
-
-        A daemon that has restarted since then does not count.
+    async def hand_over_planning(self, claim, token, lease_s):
+        """Has the previous planner stop.
 
         Args:
-            claim: ``Claim`` of a duty.
+            claim: Its ``Claim``.
+            token: Fencing token of the new planner.
+            lease_s: Time between orders of two planners for one host, seconds.
+
+        Returns:
+            Seconds since its latest order for each host, or None if it did not respond
+            or has restarted.
         """
-        answer = await self.query_daemon(claim)
-        return answer is not None and answer.incarnation == claim.holder
+        body = msgspec.json.encode(HandoverRequest(token, lease_s))
+        answer = await self._call_daemon(
+            claim, "POST", HANDOVER_PATH, HandoverResponse, body
+        )
+        if answer is None or answer.incarnation != claim.holder:
+            return None
+        return answer.ages_s
 
     async def store_silence_s(self, claim):
         """Returns the time since the store last answered a holder, or None.
@@ -250,12 +293,16 @@
         Args:
             claim: ``Claim`` of a duty.
         """
+        return await self._call_daemon(claim, "GET", HOST_PATH, DaemonResponse)
+
+    async def _call_daemon(self, claim, method, path, kind, body=None):
+        """Returns the decoded response of a duty holder, or None."""
         try:
-            status, body = await self._transport.call(
-                "GET", f"http://{claim.address}{HOST_PATH}", PLANNER_TIMEOUT_S
+            status, answer = await self._transport.call(
+                method, f"http://{claim.address}{path}", PLANNER_TIMEOUT_S, body
             )
             if status == 200:
-                return msgspec.json.decode(body, type=DaemonResponse)
+                return msgspec.json.decode(answer, type=kind)
             log(
                 "unexpected response from duty holder",
                 holder=claim.holder,
--- a/basilwind/entry/planner.py
+++ b/basilwind/entry/planner.py
@@ -96,22 +96,22 @@
             await anyio.sleep(PLAN_INTERVAL_S)
 
     async def _wait_for_previous_planner(self):
-        """Waits for one lease if the previous planner still responds.
+        """Has the previous planner stop, and waits where it gave orders recently.
 
         Two planners must not give orders for the same host within its lease. A
         planner that crashed, is cut off or frozen does not respond; the platform
         rejects its token from now on.
         """
-        previous_claim = self._previous_claim
-        if previous_claim is None or not await self._peers.is_alive(previous_claim):
+        if self._previous_claim is None:
             return
-        lease_s = self._services.settings.machine_lease_s
-        log(
-            "planning postponed",
-            reason="the previous planner is still running",
-            lease_s=lease_s,
+        lease_s = self._services.settings.machine_lease_s + SETTLE_MARGIN_S
+        ages_s = await self._peers.hand_over_planning(
+            self._previous_claim, self._token, lease_s
         )
-        await anyio.sleep(lease_s + SETTLE_MARGIN_S)
+        if ages_s is None:
+            return
+        log("planning handed over", recent_orders=sorted(ages_s))
+        self._services.machine_orders.wait_for(ages_s, lease_s, self._clock())
 
     async def _load(self):
         records, _ = await read_latest_records(self._store, TOPIC)
@@ -274,15 +274,19 @@
             await self._store_wave(wave.number, accepted, False)
 
     def _may_order(self, host_name):
-        """Returns whether orders may rely on what the owners said about workers.
+        """Returns whether an order for a host may be sent now, and records that it is.
 
-        This process may have been paused since then, so that a worker that was empty
-        runs tasks again, or another planner gives orders.
+        This process may have been paused since the owners were asked, so that a worker
+        that was empty runs tasks again, or another planner gives orders.
         """
         now = self._clock()
+        orders = self._services.machine_orders
+        if not orders.may_order(host_name, self._token, now):
+            return False
         if now - self._emptied_at < MAX_EMPTY_AGE_S and self._services.is_sole_holder(
             now
         ):
+            orders.record(host_name, now)
             return True
         self._services.report(
             "machine order withheld",
--- a/basilwind/entry/services.py
+++ b/basilwind/entry/services.py
@@ -1,7 +1,7 @@
 """Objects that the components of an entry host's daemon share."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from basilwind.entry.configuration import ConfigurationWatcher
 from basilwind.entry.duties import DutyManager
@@ -14,6 +14,7 @@
 from basilwind.platform.store import StoreClient
 from basilwind.platform.transport import Transport
 from basilwind.platform.workers import WorkerControlClient
+from basilwind.scheduling.machine_orders import MachineOrders
 from basilwind.scheduling.ownership import is_sole_holder, may_extend_leases
 
 
@@ -39,6 +40,7 @@
         on_fenced: Called with a pool's name and the token after an order of its
             owner was fenced.
         outage: ``OutageDetector``; set after the peer client is created.
+        machine_orders: ``MachineOrders`` that this daemon has given.
     """
 
     settings: EntryHostSettings
@@ -57,6 +59,7 @@
     store_monitor: StoreMonitor
     on_fenced: Callable
     outage: OutageDetector | None = None
+    machine_orders: MachineOrders = field(default_factory=MachineOrders)
 
     def is_sole_holder(self, now):
         """Returns whether no other daemon can have taken over this daemon's duties."""
--- /dev/null
+++ b/tests/entry/test_planner_handover.py
@@ -0,0 +1,56 @@
+import unittest
+
+import anyio
+
+from basilwind.entry.planner import FleetPlanner
+from basilwind.scheduling.ownership import Claim
+from tests.utils.entry_fakes import Clock, FakePeers, make_services
+
+PREVIOUS = Claim("e2#1", "h2:1", 5, "a")
+ROUND_S = 0.2  # by which the clock advances whenever an owner is asked
+
+
+class TestPlannerHandover(unittest.TestCase):
+    """A planner takes over from one that lost the store and still runs.
+
+    Load pattern (fleetbench cordillera-flota-large trouble-1, 18.5 s): a burst began in
+    a pool of 19 hosts that needed 160, and the new planner waited 3.2 s for the lease
+    of the previous one before it moved any host.
+    """
+
+    def _run_planner(self, recent_orders, run_s=2.0, handed_over_to=0):
+        """Returns the times of the orders for host m1, from the planner's start."""
+        clock = Clock()
+        services = make_services(clock)
+        services.machine_orders.handed_over_to = handed_over_to
+        peers = FakePeers()
+        peers.recent_orders = recent_orders
+        started_at, ordered_at = clock(), []
+
+        def tick(worker_ids):
+            clock.now += ROUND_S
+            services.store_monitor.record_answer(clock.now)
+
+        async def move(machine, pool, holder, token):
+            ordered_at.append(clock() - started_at)
+            return await services_move(machine, pool, holder, token)
+
+        peers.on_withhold = tick
+        services_move = services.machine_client.move
+        services.machine_client.move = move
+
+        async def main():
+            with anyio.move_on_after(run_s):
+                await FleetPlanner(7, services, peers, PREVIOUS).run()
+
+        anyio.run(main)
+        return ordered_at
+
+    def test_host_without_a_recent_order_is_moved_at_once(self):
+        self.assertLess(self._run_planner({"m9": 0.1})[0], 2.0)
+
+    def test_host_that_the_previous_planner_ordered_waits_for_its_lease(self):
+        self.assertGreaterEqual(self._run_planner({"m1": 1.0}, run_s=3.0)[0], 2.2)
+
+    def test_planner_that_handed_over_gives_no_orders(self):
+        self.assertEqual(self._run_planner(None, handed_over_to=8), [])
