--- a/basilwind/scheduling/capacity.py
+++ b/basilwind/scheduling/capacity.py
@@ -4,9 +4,9 @@
 a queue receives several times its mean load for some seconds, more than its pool can
 serve, and almost nothing between bursts. Moving a host takes seconds, so the planner
 sizes a pool by its backlog, by the work that will arrive during the move, and by
-bursts predicted from earlier ones. Running work keeps the hosts it occupies and no
-more: surplus hosts are missing in the pool that the next burst hits, and idle hosts
-cost money every second.
+earlier bursts, both when one is predicted and as soon as one shows. Running work keeps
+the hosts it occupies and no more: surplus hosts are missing in the pool that the next
+burst hits, and idle hosts cost money every second.
 """
 
 import math
@@ -25,6 +25,9 @@
 MIN_BURST_HOSTS = 3  # a smaller demand may be a single large job
 PREEMPTION_MARGIN = 1  # hosts by which shares may be off before work is interrupted
 BUSY_DEMAND_SHARE = 0.25  # a single burst takes a third of all hosts
+FIRST_PEAK_SHARE = 0.25  # of all hosts; what a burst needs at least
+# Of a pool's hosts; with less in use, a high rate is that of single large jobs.
+RISING_LOAD_SHARE = 0.6
 FORECAST_TOLERANCE_S = 1.5  # how late a predicted burst may begin
 
 
@@ -67,7 +70,10 @@
         urgent_cores = (
             running_cores + (report.urgent_work + backlog_growth) / BACKLOG_DRAIN_S
         )
-        if self._is_burst_expected(report.pool, now):
+        if self._is_burst_expected(report.pool, now) or (
+            trend.is_rising(now)
+            and report.urgent_cpu > RISING_LOAD_SHARE * (1000 * cores)
+        ):
             urgent_cores = max(urgent_cores, self._expected_peak(trend))
         long_running_hosts = self._hosts_for_long_running(report)
         urgent_hosts = max(
@@ -158,7 +164,8 @@
     def _expected_peak(self, trend):
         """Returns the peak rate to expect of a burst, judged by earlier bursts.
 
-        A pool with fewer than two bursts counts as at least as busy as the mean pool.
+        A pool with fewer than two bursts counts as at least as busy as the mean pool,
+        and one of many before any burst as one that needs its share of all hosts.
         """
         if len(trend.burst_starts) > 1:
             return trend.peak_arrival_rate
@@ -167,9 +174,10 @@
             for other in self._trends.values()
             if other is not trend and other.burst_starts
         ]
-        return max(
-            trend.peak_arrival_rate, sum(others) / len(others) if others else 0.0
-        )
+        if others:
+            return max(trend.peak_arrival_rate, sum(others) / len(others))
+        first_peak = FIRST_PEAK_SHARE * self._host_count * self._host_cpu / 1000
+        return max(trend.peak_arrival_rate, first_peak)
 
     def _burst_period_s(self, pool):
         """Returns the time between two bursts of a pool, or None if unknown.
--- a/basilwind/scheduling/demand.py
+++ b/basilwind/scheduling/demand.py
@@ -11,6 +11,7 @@
 import msgspec
 
 RATE_AVERAGING_S = 0.5  # long enough to distinguish a burst from single jobs
+BURST_RISE_S = 2.0  # from the start of a burst until the backlog tells its size
 BURST_CONFIRM_S = 1.0  # two simultaneous jobs look like a burst for 0.9 s
 
 
@@ -112,6 +113,10 @@
             worker_id: self.idle_since.get(worker_id, now) for worker_id in idle
         }
 
+    def is_rising(self, now):
+        """Returns whether the rate became as high as in a burst a short time ago."""
+        return self._high_since is not None and now - self._high_since < BURST_RISE_S
+
     def _detect_burst(self, is_high, now):
         """Records the start of a burst once the rate has stayed high long enough."""
         if not is_high:
--- a/tests/scheduling/test_capacity.py
+++ b/tests/scheduling/test_capacity.py
@@ -164,6 +164,43 @@
         self.assertLess(self.planner.needs()["b"], 10)
 
 
+class TestRisingDemand(unittest.TestCase):
+    """The first second of a burst, of which only its rate is known.
+
+    Load pattern (fleetbench sabeel-amman quiet-1): the rate of a burst rose within 2 s.
+    Its pool of 3 hosts got its first further host after 2.8 s and 10 hosts after 3.3 s.
+    """
+
+    def _needs(self, jobs_per_s, hosts_in_use, seconds=0.8):
+        """Returns the need of a pool with 4 of 32 hosts after its rate has risen."""
+        planner = CapacityPlanner("spare", CPU, MEMORY)
+        jobs, now = 0.0, 0.0
+        for _ in range(round(seconds / 0.2)):
+            now += 0.2
+            jobs += jobs_per_s * 0.2
+            reports = [
+                make_report(
+                    "a",
+                    4,
+                    urgent_cpu=round(hosts_in_use * CPU),
+                    arrived=16.0 * jobs,
+                    arrived_jobs=jobs,
+                ),
+                *(make_report(pool, 4) for pool in "bcd"),
+            ]
+            planner.plan_moves(reports, 16, {}, now)
+        return planner.needs()["a"]
+
+    def test_burst_gets_its_expected_hosts_as_soon_as_its_hosts_are_in_use(self):
+        self.assertGreaterEqual(self._needs(jobs_per_s=25, hosts_in_use=3), 8)
+
+    def test_rate_alone_fetches_no_hosts(self):
+        self.assertLess(self._needs(jobs_per_s=25, hosts_in_use=1), 4)
+
+    def test_busy_pool_without_a_high_rate_fetches_no_hosts(self):
+        self.assertLess(self._needs(jobs_per_s=4, hosts_in_use=3), 5)
+
+
 class TestRunTimes(unittest.TestCase):
     def test_end_that_is_reported_late_does_not_inflate_estimates(self):
         # Regression (fleetbench kivimagi-inv trouble-3): a pool demanded 600 hosts.
