--- a/basilwind/entry/duties.py
+++ b/basilwind/entry/duties.py
@@ -22,6 +22,7 @@
 _CLAIM_PREFIX = "claim/"
 _RELEASE_PREFIX = "release/"
 CLAIM_CHECK_S = 0.1  # a tenth of the time that changing a holder may take
+PAUSE_S = 0.6  # between two checks; a claim takes some ms, and 0.4 s on a slow store
 CLAIM_RETRY_S = 0.3  # store outages last seconds
 HEARTBEAT_POLL_S = 0.25  # limits reads, as all holders append heartbeats
 HEARTBEAT_WAIT_S = 0.6  # heartbeats arrive every 0.5 s; silence means a dead connection
@@ -63,6 +64,8 @@
         self._table = DutyTable(incarnation, settings.name)
         self._wanted = []
         self._heartbeats_reliable_since = clock()
+        # Boot time at which free duties were last looked for.
+        self._checked_at = clock()
         self._is_stopping = False
         self._follower = KeyedFollower(
             store, TOPIC, self._apply_records, self._apply_records, clock
@@ -129,13 +132,12 @@
                 if self._follower.position is None or self._is_stopping:
                     continue
                 self._update_heartbeats_reliable_since()
-                reliable_since, now = self._heartbeats_reliable_since, self._clock()
-                for claim in self._table.holders_to_ask(
-                    self._wanted, reliable_since, now
-                ):
+                now = self._clock()
+                heard = self._heartbeats_reliable_since, self._heartbeats.read_at or 0.0
+                for claim in self._table.holders_to_ask(self._wanted, *heard, now):
                     tasks.start_soon(self._ask_holder, claim)
                 duty = self._table.duty_to_claim(
-                    self._wanted, self._cpu_cores, reliable_since, now
+                    self._wanted, self._cpu_cores, *heard, now
                 )
                 if duty is not None:
                     await self._try_claim(duty)
@@ -198,8 +200,13 @@
             self._heartbeats_reliable_since = max(
                 self._heartbeats_reliable_since, follower.failed_at
             )
-        # After a pause of this process, heartbeats of all others seem to be missing.
-        if follower.read_at is not None and now - follower.read_at > HEARTBEAT_S * 3:
+        # After a pause of this process, heartbeats of all others seem to be missing,
+        # also if an answer from before the pause was read meanwhile.
+        was_paused = now - self._checked_at > PAUSE_S
+        self._checked_at = now
+        if was_paused or (
+            follower.read_at is not None and now - follower.read_at > HEARTBEAT_S * 3
+        ):
             self._heartbeats_reliable_since = now
 
     async def _try_claim(self, duty):
--- a/basilwind/scheduling/ownership.py
+++ b/basilwind/scheduling/ownership.py
@@ -177,16 +177,18 @@
         """Records a holder's heartbeat."""
         self.last_heartbeat_at[holder] = now
 
-    def _silence_s(self, holder, heartbeats_reliable_since, now):
-        last_heartbeat_at = self.last_heartbeat_at.get(holder, 0.0)
-        return now - max(last_heartbeat_at, heartbeats_reliable_since)
+    def _heard_at(self, holder, heartbeats_reliable_since):
+        return max(self.last_heartbeat_at.get(holder, 0.0), heartbeats_reliable_since)
 
-    def holders_to_ask(self, wanted, heartbeats_reliable_since, now):
+    def holders_to_ask(
+        self, wanted, heartbeats_reliable_since, heartbeats_read_at, now
+    ):
         """Returns the ``Claim`` of each holder that should be asked now.
 
         Args:
             wanted: Names of the duties that need a holder.
             heartbeats_reliable_since: As for ``is_free``.
+            heartbeats_read_at: As for ``is_free``.
             now: Boot time in seconds.
         """
         due = {}
@@ -194,7 +196,8 @@
             claim = self.claims.get(duty)
             if claim is None or not claim.address or claim.holder == self.incarnation:
                 continue
-            silence_s = self._silence_s(claim.holder, heartbeats_reliable_since, now)
+            heard_at = self._heard_at(claim.holder, heartbeats_reliable_since)
+            silence_s = heartbeats_read_at - heard_at
             asked_at = self._asked_at.get(claim.holder, -math.inf)
             if silence_s > HEARTBEAT_OVERDUE_S and now - asked_at > QUERY_INTERVAL_S:
                 due[claim.holder] = claim
@@ -226,14 +229,15 @@
             if claim.holder == self.incarnation
         }
 
-    def is_free(self, duty, heartbeats_reliable_since, now):
+    def is_free(self, duty, heartbeats_reliable_since, heartbeats_read_at):
         """Returns whether a duty has no live holder.
 
         Args:
             duty: Name of the duty.
             heartbeats_reliable_since: Boot time since which no heartbeat can have been
                 missed: the store answered all reads, and this process did not pause.
-            now: Boot time in seconds.
+            heartbeats_read_at: Boot time up to which heartbeats have been read. While
+                the store answers nobody, no holder becomes silent.
         """
         claim = self.claims.get(duty)
         if claim is None or not claim.holder:
@@ -245,13 +249,16 @@
             return True
         if claim.holder in self._replaced:
             return True
-        silence_s = self._silence_s(claim.holder, heartbeats_reliable_since, now)
-        unresponsive_s = now - self._unresponsive_at.get(claim.holder, -math.inf)
-        if unresponsive_s < silence_s and silence_s > UNRESPONSIVE_HOLDER_SILENCE_S:
+        heard_at = self._heard_at(claim.holder, heartbeats_reliable_since)
+        silence_s = heartbeats_read_at - heard_at
+        is_unresponsive = self._unresponsive_at.get(claim.holder, 0.0) > heard_at
+        if is_unresponsive and silence_s > UNRESPONSIVE_HOLDER_SILENCE_S:
             return True
         return silence_s > HOLDER_SILENCE_S
 
-    def duty_to_claim(self, wanted, cpu_cores, heartbeats_reliable_since, now):
+    def duty_to_claim(
+        self, wanted, cpu_cores, heartbeats_reliable_since, heartbeats_read_at, now
+    ):
         """Returns a duty that this daemon should claim now, or None.
 
         Daemons on fast hosts with few duties claim first; the others find the duty
@@ -260,13 +267,13 @@
         Args:
             wanted: Names of the duties that need a holder.
             cpu_cores: Speed of this entry host, cores.
-            heartbeats_reliable_since: Boot time since which no heartbeat can have been
-                missed: the store answered all reads, and this process did not pause.
+            heartbeats_reliable_since: As for ``is_free``.
+            heartbeats_read_at: As for ``is_free``.
             now: Boot time in seconds.
         """
         delay = claim_delay_s(cpu_cores, len(self.held_duties()))
         for duty in wanted:
-            if not self.is_free(duty, heartbeats_reliable_since, now):
+            if not self.is_free(duty, heartbeats_reliable_since, heartbeats_read_at):
                 self._free_since.pop(duty, None)
                 continue
             since = self._free_since.setdefault(duty, now)
