--- a/basilwind/entry/caller_app.py
+++ b/basilwind/entry/caller_app.py
@@ -131,9 +131,7 @@
             return _error_response(413, "the job is larger than the store's records")
         response = await self._admission_refusal(queue, job_id)
         if response is None:
-            response = await self._respond_when_stored(
-                self._intake_router.store(queue, job_id, record), deadline
-            )
+            response = await self._store(queue, job_id, record, deadline)
         if response.status in REFUSALS and await self._is_accepted(queue, job_id):
             # The job was accepted on an earlier attempt, so a refusal would be wrong.
             response = json_response({})
@@ -154,23 +152,22 @@
 
     async def _cancel(self, queue, job_id, deadline):
         key = cancellation_key(job_id)
-        response = await self._respond_when_stored(
-            self._intake_router.store(queue, key, CANCEL_VALUE), deadline
-        )
+        response = await self._store(queue, key, CANCEL_VALUE, deadline)
         self._services.report(
             "job cancel", job=job_id, queue=queue.name, status=response.status
         )
         return response
 
-    async def _respond_when_stored(self, append, deadline):
-        """Waits for an append and returns a response about its outcome.
+    async def _store(self, queue, key, value, deadline):
+        """Stores a record and returns a response about its outcome.
 
-        The response is 503 if the append certainly has no effect, and 504 if it may
-        still take effect.
+        The response is 503 if the record certainly is not stored, and 504 if it may
+        still be stored.
         """
-        with anyio.move_on_after(max(0.0, deadline - self._services.clock())):
+        patience_s = max(0.0, deadline - self._services.clock())
+        with anyio.move_on_after(patience_s):
             try:
-                await append
+                await self._intake_router.store(queue, key, value, patience_s)
             except NotStarted as error:
                 return _unavailable_response(str(error))
             except OutcomeUnknown as error:
--- a/basilwind/entry/intake.py
+++ b/basilwind/entry/intake.py
@@ -100,12 +100,14 @@
         self._unanswered_keys = frozenset()
         self._wake_event = AutoResetEvent()
 
-    async def store(self, key, value):
+    async def store(self, key, value, patience_s=REFUSE_AFTER_S):
         """Stores a submission or a cancellation.
 
         Args:
             key: Id of the job, or ``cancellation_key`` of it.
             value: Encoded ``SubmissionRecord``, or ``CANCEL_VALUE``.
+            patience_s: How long the caller waits, seconds. A record that has not been
+                sent by then is withdrawn.
 
         Raises:
             NotStarted: The record was not stored and never will be. This also holds
@@ -116,7 +118,7 @@
         pending = _PendingRecord(key, value)
         self._waiting.append(pending)
         self._wake_event.set()
-        with anyio.move_on_after(REFUSE_AFTER_S):
+        with anyio.move_on_after(min(patience_s, REFUSE_AFTER_S)):
             await pending.done.wait()
         if not pending.done.is_set():
             if not pending.is_sent and key not in self._unanswered_keys:
--- a/basilwind/entry/intake_router.py
+++ b/basilwind/entry/intake_router.py
@@ -14,6 +14,8 @@
 from basilwind.errors import NotStarted, OutcomeUnknown
 from basilwind.logs import log
 
+MIN_PATIENCE_S = 0.02  # an append takes 10 ms
+REFUSAL_MARGIN_S = 0.05  # before the caller's deadline; until then a refusal is of use
 MAX_RELAYS = 2  # a third peer would answer too late for most callers
 SETTLE_AFTER_S = 1.2  # an append is sent or withdrawn within 1 s
 
@@ -35,25 +37,31 @@
         self._get_relays = get_relays
         self._relay = relay
 
-    async def store(self, queue, key, value):
+    async def store(self, queue, key, value, patience_s):
         """Stores a record; waits for as long as its outcome is open.
 
         Args:
             queue: ``Queue`` that the record belongs to.
             key: Key of the record.
             value: Value of the record.
+            patience_s: How long the caller waits, seconds. A record that was not sent
+                until shortly before that is refused, since that is certain then.
 
         Raises:
             NotStarted: The record was not stored and never will be.
             OutcomeUnknown: The record may be stored.
         """
+        if patience_s < MIN_PATIENCE_S:
+            raise NotStarted("the caller does not wait long enough")
+        started_at = anyio.current_time()
         if self._store_monitor.is_suspected and await self._store_at_peer(
             queue, key, value
         ):
             return
+        patience_s -= anyio.current_time() - started_at
         attempt = _LocalAttempt(self._get_intake(queue.pool))
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(attempt.run, key, value)
+            tasks.start_soon(attempt.run, key, value, patience_s - REFUSAL_MARGIN_S)
             with anyio.move_on_after(SETTLE_AFTER_S):
                 await attempt.ended.wait()
             if not attempt.ended.is_set() and await self._settle(queue, key, value):
@@ -101,10 +109,10 @@
         self.ended = anyio.Event()
         self.refusal = None
 
-    async def run(self, key, value):
+    async def run(self, key, value, patience_s):
         """Stores the record."""
         try:
-            await self._intake.store(key, value)
+            await self._intake.store(key, value, patience_s)
         except NotStarted as error:
             self.refusal = error
         self.ended.set()
--- a/tests/entry/test_intake.py
+++ b/tests/entry/test_intake.py
@@ -101,6 +101,16 @@
         self._run(store, scenario)
         self.assertEqual(store.appends, [])
 
+    def test_record_that_is_not_sent_in_its_time_is_withdrawn(self):
+        async def scenario(intake):
+            self.now += SUSPECT_AFTER_S + 0.1
+            with anyio.fail_after(REFUSE_AFTER_S / 2), self.assertRaises(NotStarted):
+                await intake.store("a" * 16, b"job", patience_s=0.2)
+
+        store = FakeStore()
+        self._run(store, scenario)
+        self.assertEqual(store.appends, [])
+
     def test_unavailable_store_causes_immediate_refusal(self):
         async def scenario(intake):
             self.now += UNAVAILABLE_S + 0.1
