--- a/basilwind/entry/journal.py
+++ b/basilwind/entry/journal.py
@@ -97,6 +97,9 @@
         records += [encode_keyed_record(job_id, b"") for job_id in dropped]
         for chunk in _split_by_size(records):
             await self._topic.append(chunk)
+        for job_id in job_ids:
+            if job_id in state.jobs:
+                state.jobs[job_id].is_recorded = True
         self._last_written_batch = self._last_batch
         event, self._written_event = self._written_event, anyio.Event()
         event.set()
--- a/basilwind/entry/owner.py
+++ b/basilwind/entry/owner.py
@@ -245,25 +245,36 @@
                 self._journal.request_write()
 
     async def _send_starts(self, orders):
-        await self._wait_until_sendable()
-        for order in orders:
-            self._tasks.start_soon(self._send_start, order)
-
-    async def _wait_until_sendable(self):
-        """Waits until dirty jobs are journalled or the store is down for all daemons.
+        """Sends start orders once they may be sent.
 
-        While no daemon reaches the store, none can take over the pool, so tasks may
-        start before the journal has them.
+        That is when they are journalled, or when the store is down for all daemons:
+        then none can take over the pool, so tasks may start before the journal has
+        them.
         """
         batch = self._journal.pending_batch()
-        while not self._journal.has_written(batch):
+        while orders and not self._journal.has_written(batch):
             if self._services.outage.is_confirmed and self._services.may_extend_leases(
                 self._clock()
             ):
-                self._report("starts not recorded", reason="the store is away")
-                return
+                orders = self._send_unrecorded(orders)
             with anyio.move_on_after(OUTAGE_CHECK_S):
                 await self._journal.wait_for(batch)
+        for order in orders:
+            self._tasks.start_soon(self._send_start, order)
+
+    def _send_unrecorded(self, orders):
+        """Sends the orders that need no record, and returns the others."""
+        sendable, kept = [], []
+        for order in orders:
+            may_start = self._state.may_start_unrecorded(order)
+            (sendable if may_start else kept).append(order)
+        if sendable:
+            self._report(
+                "starts not recorded", reason="the store is away", starts=len(sendable)
+            )
+        for order in sendable:
+            self._tasks.start_soon(self._send_start, order)
+        return kept
 
     async def _send_start(self, order):
         task, worker = order.task, order.worker
--- a/basilwind/entry/takeover.py
+++ b/basilwind/entry/takeover.py
@@ -53,6 +53,7 @@
             continue
         job_record = job_records.get(record.key)
         if job_record:
+            job.is_recorded = True
             _apply_job_record(job, job_record, clock(), report)
         state.restore(job, wall_clock())
     for record in submissions:
--- a/basilwind/scheduling/jobs.py
+++ b/basilwind/scheduling/jobs.py
@@ -207,6 +207,7 @@
         next_occurrence: Number of the first occurrence that has not started.
         ended_at: Boot time at which it ended, or None.
         has_started: Whether any task was ever started.
+        is_recorded: Whether the journal has a record of it.
         latest_start: Latest start of its remaining steps that meets the objective, and
             the time of that estimate, both Unix seconds; or None.
     """
@@ -222,6 +223,7 @@
         "next_occurrence",
         "ended_at",
         "has_started",
+        "is_recorded",
         "latest_start",
     )
 
@@ -236,6 +238,7 @@
         self.next_occurrence = 0
         self.ended_at = None
         self.has_started = False
+        self.is_recorded = False
         self.latest_start = None
 
     @property
--- a/basilwind/scheduling/pool.py
+++ b/basilwind/scheduling/pool.py
@@ -192,7 +192,7 @@
         orders, shortages = [], []
         may_have_unrecorded_runs = self.has_unrecorded_runs(now)
         for step in self._rank_ready_steps(wall_time):
-            if may_have_unrecorded_runs and step.job.job_id in self._restored_jobs:
+            if may_have_unrecorded_runs and step.job.job_id in self._jobs_known_before:
                 continue
             if any(shortage.covers(step.spec) for shortage in shortages):
                 continue
@@ -213,6 +213,20 @@
                 shortages.append(Shortage(step.spec.reserved_cpu, step.spec.memory))
         return orders
 
+    @staticmethod
+    def may_start_unrecorded(order):
+        """Returns whether an order may be sent before its start is recorded.
+
+        Load pattern: the store is away, an owner starts accepted work unrecorded, and
+        its successor must find the runs. It waits for them with all jobs of which the
+        journal has a record, and only with those, as others may have been accepted
+        after the outage, when the previous owner was out of reach.
+
+        Args:
+            order: ``StartOrder``.
+        """
+        return order.task.job.is_recorded
+
     def _usable_workers(self, now):
         return [worker for worker in self.workers.values() if is_usable(worker, now)]
 
--- a/basilwind/scheduling/pool_jobs.py
+++ b/basilwind/scheduling/pool_jobs.py
@@ -41,8 +41,8 @@
         self.previous_leases_until = 0.0
         self.unrecorded_runs_until = 0.0
         self.registry_complete_at = 0.0
-        # Ids of jobs of a previous owner, which may have unrecorded runs.
-        self._restored_jobs = set()
+        # Ids of jobs that a previous owner recorded, which may have unrecorded runs.
+        self._jobs_known_before = set()
         self._find_queue = find_queue
         self._finished_job_retention_s = finished_job_retention_s
         self._report = report
@@ -70,6 +70,7 @@
             return
         job = Job(job_id, queue_name, spec, accepted_at)
         self.add_job(job, wall_time)
+        self.dirty.add(job_id)
         work = self._unfinished_work(job)
         if work:
             self._arrived_work += work
@@ -79,8 +80,15 @@
             self._end_job(job, JobState.CANCELLED, now)
 
     def restore(self, job, wall_time):
-        """Adds a job that a previous owner may have started."""
-        self._restored_jobs.add(job.job_id)
+        """Adds a job that was submitted to a previous owner.
+
+        That owner may have started it without a record, but only if it had recorded
+        that it knew the job; see ``may_start_unrecorded``.
+        """
+        if job.is_recorded:
+            self._jobs_known_before.add(job.job_id)
+        else:
+            self.dirty.add(job.job_id)
         self.add_job(job, wall_time)
 
     def add_job(self, job, wall_time):
--- a/tests/scheduling/model.py
+++ b/tests/scheduling/model.py
@@ -157,6 +157,8 @@
         self.journal = {}
         self.acknowledged_done = set()
         self.delayed_orders = []
+        # Pairs of order and delivery that wait for the store to record their jobs.
+        self.unrecorded_orders = []
         self.is_store_unavailable = False
         # Pairs of progress (percent) and load that workers report, by task name.
         self.reported_progress = {}
@@ -183,7 +185,12 @@
             return
         for job_id in self.state.dirty:
             self.journal[job_id] = encode_job(self.state.jobs[job_id])
+            self.state.jobs[job_id].is_recorded = True
         self.state.dirty.clear()
+        orders, self.unrecorded_orders = self.unrecorded_orders, []
+        for order, delivery in orders:
+            if order.task.run == order.run:
+                self._send(order, delivery)
 
     def schedule(self, delivery=lambda: "answered"):
         """Places tasks and sends the start orders.
@@ -195,7 +202,10 @@
         orders = self.state.schedule(self.now, self.now)
         self.flush()
         for order in orders:
-            self._send(order, delivery())
+            if self.is_store_unavailable and not self.state.may_start_unrecorded(order):
+                self.unrecorded_orders.append((order, delivery()))
+            else:
+                self._send(order, delivery())
         self.flush()
 
     def _send(self, order, delivery):
@@ -286,9 +296,12 @@
         """Replaces the owner by a successor that restores the journal."""
         state = self._make_state(self.state.token + 1)
         self.is_store_unavailable = False
+        # The previous owner can't send them any more.
+        self.unrecorded_orders = []
         for job_id, spec in self.submitted.items():
             job = Job(job_id, "q", spec, self.now)
             if job_id in self.journal:
+                job.is_recorded = True
                 restore_job(job, decode_job_record(self.journal[job_id]), self.now)
             state.restore(job, self.now)
         state.previous_leases_until = self.now + previous_leases_s
