Log the runs that are lost with a worker, and how it was lost

Cause: 'worker replaced' named neither the runs that ended with the worker nor how long they had been running, and 'worker lost' did not tell a broken connection (a process that ended) from silence (a cut, a pause).

Change: 'runs lost' lists task, run and age of each run, whether the end of the worker was planned, and for how long it had not answered; 'worker lost' has a cause. The transport raises CallTimedOut where a call timed out on a sound connection.

--- a/basilwind/entry/worker_leases.py
+++ b/basilwind/entry/worker_leases.py
@@ -9,6 +9,7 @@
 
 from basilwind.errors import (
     CallRefused,
+    CallTimedOut,
     CallUnanswered,
     ProducerFenced,
     WorkerCallFailed,
@@ -52,25 +53,28 @@
                 await self._renew_once(worker, sent_at)
             except WorkerReplaced:
                 self._report("worker replaced", worker=worker.worker_id)
-                self._state.remove_worker(worker)
+                self._state.remove_worker(worker, self._clock())
                 self._schedule_event.set()
             except CallRefused:
-                self._mark_unreachable(worker, sent_at)
+                self._mark_unreachable(worker, sent_at, "refused")
                 if worker.entry.is_draining and not worker.is_listed:
-                    self._state.remove_worker(worker)
+                    self._state.remove_worker(worker, self._clock())
                     self._schedule_event.set()
                 await anyio.sleep(RECONNECT_DELAY_S)
-            except (CallUnanswered, WorkerCallFailed):
-                self._mark_unreachable(worker, sent_at)
+            except (CallTimedOut, WorkerCallFailed):
+                self._mark_unreachable(worker, sent_at, "silent")
+                await anyio.sleep(RECONNECT_DELAY_S / 10)
+            except CallUnanswered:
+                self._mark_unreachable(worker, sent_at, "broken")
                 await anyio.sleep(RECONNECT_DELAY_S / 10)
             except ProducerFenced:
                 self._on_fenced(worker)
                 await anyio.sleep(RECONNECT_DELAY_S)
 
-    def _mark_unreachable(self, worker, sent_at):
+    def _mark_unreachable(self, worker, sent_at, cause):
         if worker.unanswered_since is None:
-            worker.unanswered_since = sent_at
-            self._report("worker lost", worker=worker.worker_id)
+            self._report("worker lost", worker=worker.worker_id, cause=cause)
+        worker.mark_unanswered(sent_at, cause == "broken", self._clock())
 
     async def _renew_once(self, worker, sent_at):
         lease_end_s = None
--- a/basilwind/errors.py
+++ b/basilwind/errors.py
@@ -117,6 +117,10 @@
     """A call got no answer; it may have taken effect or may do so later."""
 
 
+class CallTimedOut(CallUnanswered):
+    """No answer came in time, while the connection seemed to be sound."""
+
+
 class StoreRefused(PlatformError):
     """The platform's store rejected a call, so it had no effect."""
 
--- a/basilwind/explain.py
+++ b/basilwind/explain.py
@@ -19,6 +19,7 @@
     "run stalled": 4,
     "run failed": 4,
     "run ended early": 4,
+    "runs lost": 4,
     "lease lapsed": 4,
     "job cancel": 5,
     "job ended": 6,
@@ -143,7 +144,13 @@
     else:
         waited = max(0.0, placed.at - submitted.at)
         findings.append(f"waited {waited:.3f} s for its first worker")
-    for event in ("pool taken over", "lease lapsed", "run failed", "run stalled"):
+    for event in (
+        "pool taken over",
+        "lease lapsed",
+        "runs lost",
+        "run failed",
+        "run stalled",
+    ):
         if event in events:
             findings.append(f"{event}: {events.count(event)} times")
     rejected = events.count("start rejected") + events.count("start unanswered")
--- a/basilwind/platform/transport.py
+++ b/basilwind/platform/transport.py
@@ -4,7 +4,12 @@
 import anyio
 import msgspec
 
-from basilwind.errors import CallRefused, CallUnanswered, PlatformUnavailable
+from basilwind.errors import (
+    CallRefused,
+    CallTimedOut,
+    CallUnanswered,
+    PlatformUnavailable,
+)
 
 # Long polls of all topics use these connections, along with appends and peer calls.
 MAX_CONNECTIONS = 64
@@ -101,7 +106,9 @@
 
         Raises:
             CallRefused: No connection was established, so nothing was sent.
-            CallUnanswered: No complete answer came; the call may have taken effect.
+            CallTimedOut: No complete answer came in time; the call may have taken
+                effect.
+            CallUnanswered: The connection broke; the call may have taken effect.
         """
         try:
             with anyio.fail_after(timeout_s):
@@ -114,4 +121,4 @@
         except (aiohttp.ClientError, OSError, ValueError) as error:
             raise CallUnanswered(f"{url}: {error}") from error
         except TimeoutError as error:
-            raise CallUnanswered(f"{url}: no answer in {timeout_s:g} s") from error
+            raise CallTimedOut(f"{url}: no answer in {timeout_s:g} s") from error
--- a/basilwind/scheduling/pool_workers.py
+++ b/basilwind/scheduling/pool_workers.py
@@ -75,7 +75,7 @@
             and report.incarnation_started_ms
             and worker.incarnation_started_ms != report.incarnation_started_ms
         ):
-            self._start_incarnation(worker)
+            self._start_incarnation(worker, report, now)
         worker.incarnation_started_ms = (
             report.incarnation_started_ms or worker.incarnation_started_ms
         )
@@ -249,19 +249,46 @@
         if task.failures >= limit and not task.spec.is_lasting and task.job.is_live:
             self._end_job(task.job, JobState.FAILED, now)
 
-    def _start_incarnation(self, worker):
+    def _start_incarnation(self, worker, report, now):
         """Resets what the previous incarnation of a worker reported.
 
         Runs of the previous incarnation are missing from the report, while runs that
         the new one has started already are listed. Unanswered orders may still reach
         the new incarnation, which knows of no stop.
         """
+        restarted = {(run.task_name, run.run) for run in report.running}
+        self._report_lost_runs(
+            worker,
+            [
+                task
+                for task in worker.tasks.values()
+                if (task.name, task.run) not in restarted
+            ],
+            now,
+        )
         worker.reset_incarnation()
         for task in worker.tasks.values():
             task.stop_answered_at = None
 
-    def remove_worker(self, worker):
+    def _report_lost_runs(self, worker, tasks, now):
+        """Logs the runs that ended with an incarnation of a worker, and their ages."""
+        if not tasks:
+            return
+        alive_until = now if worker.alive_until is None else worker.alive_until
+        self._report(
+            "runs lost",
+            worker=worker.worker_id,
+            is_planned=worker.is_leaving,
+            unanswered_s=round(now - alive_until, 3),
+            runs=[
+                [task.name, task.run, round(_age_s(task, alive_until), 3)]
+                for task in tasks
+            ],
+        )
+
+    def remove_worker(self, worker, now):
         """Requeues all tasks of a worker that is known to be gone and removes it."""
+        self._report_lost_runs(worker, worker.tasks.values(), now)
         worker.is_listed = False
         for task in list(worker.tasks.values()):
             self._requeue(task)
@@ -306,3 +333,8 @@
             is_responding = worker is not None and worker.unanswered_since is None
             interrupted += not (is_responding and task.is_fully_running)
         return interrupted
+
+
+def _age_s(task, now):
+    """Returns how long a task's run has been known to be executing, seconds."""
+    return 0.0 if task.confirmed_at is None else max(0.0, now - task.confirmed_at)
--- a/basilwind/scheduling/workers.py
+++ b/basilwind/scheduling/workers.py
@@ -20,6 +20,8 @@
             which the next hold acknowledges.
         pending_ack: Sequence number of an ended run that waits for the journal, and
             the number of the journal's batch that contains it; or None.
+        alive_until: Boot time until which the worker is known to have run without a
+            break; None while it answers.
         is_withheld: Whether the fleet planner wants it to run no tasks.
         is_listed: Whether the registry lists it.
         unanswered_since: Boot time at which the first unanswered call was sent, or
@@ -46,6 +48,7 @@
         "last_applied_sequence",
         "acknowledged_sequence",
         "pending_ack",
+        "alive_until",
         "is_withheld",
         "is_listed",
         "unanswered_since",
@@ -71,6 +74,7 @@
         self.last_applied_sequence = 0
         self.acknowledged_sequence = 0
         self.pending_ack = None
+        self.alive_until = None
         self.is_withheld = False
         self.is_listed = True
         self.unanswered_since = None
@@ -96,6 +100,11 @@
         """Boot time of its last answer, or None."""
         return self._clock_read_at
 
+    @property
+    def is_leaving(self):
+        """Whether its end is planned."""
+        return self.entry.is_draining or self.is_withheld
+
     @property
     def is_clock_known(self):
         """Whether its clock has been read since it started."""
@@ -143,6 +152,20 @@
         self._last_worker_clock_s = worker_clock_s
         self._clock_read_at = now
         self.unanswered_since = None
+        self.alive_until = None
+
+    def mark_unanswered(self, sent_at, is_broken, now):
+        """Records that a call got no answer; only the first one counts.
+
+        Args:
+            sent_at: Boot time when the call was sent.
+            is_broken: Whether its connection broke, which tells when the worker or the
+                path to it failed.
+            now: Boot time in seconds.
+        """
+        if self.unanswered_since is None:
+            self.unanswered_since = sent_at
+            self.alive_until = now if is_broken else self.answered_at
 
     def grant_lease(self, lease_s, now):
         """Returns the end of a lease of ``lease_s`` on the worker's clock.
--- a/tests/scheduling/test_pool.py
+++ b/tests/scheduling/test_pool.py
@@ -78,7 +78,7 @@
         model.submit("job", make_job(count=1, is_lasting=True, cpu=8000))
         model.hold()
         (order,) = model.state.schedule(model.now, model.now)
-        model.state.remove_worker(order.worker)
+        model.state.remove_worker(order.worker, model.now)
         model.refresh()
         model.state.apply_unanswered_start(order)
         model.settle()
