--- a/tests/scheduling/model.py
+++ b/tests/scheduling/model.py
@@ -5,6 +5,8 @@
 other run of the task is executing and that no successful end has been acknowledged.
 """
 
+from collections import Counter
+
 from basilwind.scheduling.fleet import Queue, WorkerEntry
 from basilwind.scheduling.jobs import Job, JobState, TaskState
 from basilwind.scheduling.pool import PoolState
@@ -62,6 +64,7 @@
         entry: ``WorkerEntry``.
         incarnation: Number of its incarnation.
         is_reachable: Whether calls reach it.
+        is_crashed: Whether its process has ended.
         runs: Number of the executing run, by task name.
         rejected_runs: Highest run number that it will not start, by task name.
         ended: ``EndedRun`` objects that are not acknowledged.
@@ -74,6 +77,7 @@
         self.entry = entry
         self.incarnation = 1
         self.is_reachable = True
+        self.is_crashed = False
         self.restart()
 
     def restart(self):
@@ -160,6 +164,8 @@
         # Pairs of order and delivery that wait for the store to record their jobs.
         self.unrecorded_orders = []
         self.is_store_unavailable = False
+        # Number of started runs, by task name.
+        self.starts = Counter()
         # Pairs of progress (percent) and load that workers report, by task name.
         self.reported_progress = {}
         self.state = self._make_state(1)
@@ -230,6 +236,7 @@
         is_repeated = worker.runs.get(name) == run
         outcome = worker.start(name, run, expires, token, self.now)
         if outcome is StartOutcome.STARTED and not is_repeated:
+            self.starts[name] += 1
             if sum(name in other.runs for other in self.workers.values()) > 1:
                 self._fail(f"two runs of {name} at the same time")
             if name in self.acknowledged_done:
@@ -249,7 +256,7 @@
             worker = self.workers[name]
             expires = view.extend_lease(LEASE_S, self.now)
             if not worker.is_reachable:
-                view.unanswered_since = view.unanswered_since or self.now
+                view.mark_unanswered(self.now, worker.is_crashed, self.now)
                 continue
             sent_at, self.now = self.now, self.now + 0.001
             report = worker.hold(
@@ -309,6 +316,23 @@
         self.state = state
         self.refresh()
 
+    def crash(self, name):
+        """Ends a worker's process, and all of its runs with it."""
+        worker = self.workers[name]
+        worker.restart()
+        worker.is_crashed = True
+        worker.is_reachable = False
+
+    def replace(self, name):
+        """Starts a host's next worker, under a new id at the same address."""
+        del self.workers[name]
+        view = self.state.workers.get(name)
+        if view is not None:
+            self.state.remove_worker(view, self.now)
+        successor = f"{name}+"
+        self.workers[successor] = ModelWorker(make_entry(successor))
+        self.refresh()
+
     def settle(self, rounds=60):
         """Runs without faults for long enough to finish all jobs."""
         for worker in self.workers.values():
