Send no start to a worker whose capacity has shrunk meanwhile

Callers of a pool with rejectsOverload false would have had tasks on an overloaded worker.

Change: an order is sent only if the worker's reservations still fit. The registry's entries update a worker's free capacity with each change, which held already.

--- a/basilwind/entry/owner.py
+++ b/basilwind/entry/owner.py
@@ -281,13 +281,8 @@
         if task.run != order.run or not task.is_active:
             return
         now = self._clock()
-        if (
-            task.is_stopping
-            or not task.job.is_live
-            or not worker.is_clock_known
-            # This process may have been paused since the order was journalled.
-            or not self._services.may_extend_leases(now)
-        ):
+        # This process may have been paused since the order was journalled.
+        if not self._state.may_send(order) or not self._services.may_extend_leases(now):
             self._state.apply_start_outcome(order, StartOutcome.NOT_SENT, now)
             return
         ticket = (task.step.tickets or {}).get(worker.worker_id)
--- a/basilwind/scheduling/pool.py
+++ b/basilwind/scheduling/pool.py
@@ -238,6 +238,20 @@
         # A crash of its worker could not be recorded either.
         return job.is_recorded and not job.suspects
 
+    @staticmethod
+    def may_send(order):
+        """Returns whether an order that had to wait for its record is still valid.
+
+        Args:
+            order: ``StartOrder``.
+        """
+        return (
+            not order.task.is_stopping
+            and order.task.job.is_live
+            and order.worker.is_clock_known
+            and not order.worker.is_over_capacity
+        )
+
     def _usable_workers(self, now):
         return [worker for worker in self.workers.values() if is_usable(worker, now)]
 
--- a/basilwind/scheduling/workers.py
+++ b/basilwind/scheduling/workers.py
@@ -138,6 +138,11 @@
             and self.free_gpu >= spec.gpu
         )
 
+    @property
+    def is_over_capacity(self):
+        """Whether its tasks no longer fit, as its capacity has shrunk."""
+        return self.free_cpu < 0 or self.free_memory < 0 or self.free_gpu < 0
+
     def update_entry(self, entry):
         """Applies a changed registry entry."""
         self.free_cpu += entry.cpu - self.entry.cpu
--- a/tests/scheduling/model.py
+++ b/tests/scheduling/model.py
@@ -149,13 +149,14 @@
     Args:
         fail: Called with a message if an invariant is violated.
         workers: Number of workers.
+        cpu: CPU of each worker, millicores.
     """
 
-    def __init__(self, fail, workers=3):
+    def __init__(self, fail, workers=3, cpu=8000):
         self._fail = fail
         self.now = 1000.0
         self.workers = {
-            f"w{n}": ModelWorker(make_entry(f"w{n}")) for n in range(workers)
+            f"w{n}": ModelWorker(make_entry(f"w{n}", cpu)) for n in range(workers)
         }
         self.submitted = {}
         self.journal = {}
@@ -220,33 +221,52 @@
             outcome = StartOutcome.WRONG_INCARNATION
             self.state.apply_start_outcome(order, outcome, self.now)
             return
+        if not self.state.may_send(order):
+            self.state.apply_start_outcome(order, StartOutcome.NOT_SENT, self.now)
+            return
         name, run, token = order.task.name, order.run, self.state.token
         expires = order.worker.grant_lease(LEASE_S, self.now)
         if not worker.is_reachable or delivery == "unreachable":
             self.state.apply_start_outcome(order, StartOutcome.UNREACHABLE, self.now)
         elif delivery == "delayed":
             incarnation = worker.incarnation
-            self.delayed_orders.append((worker, incarnation, name, run, expires, token))
+            self.delayed_orders.append(
+                (worker, incarnation, worker.entry.cpu, name, run, expires, token)
+            )
             self.state.apply_unanswered_start(order)
         else:
-            outcome = self._deliver_start(worker, name, run, expires, token)
+            cpu = worker.entry.cpu
+            outcome = self._deliver_start(worker, cpu, name, run, expires, token)
             if delivery == "answer lost":
                 self.state.apply_unanswered_start(order)
             else:
                 self.state.apply_start_outcome(order, outcome, self.now)
 
-    def _deliver_start(self, worker, name, run, expires, token):
+    def _deliver_start(self, worker, cpu_when_sent, name, run, expires, token):
         """Executes a start order on a worker and checks the invariants."""
         is_repeated = worker.runs.get(name) == run
         outcome = worker.start(name, run, expires, token, self.now)
         if outcome is StartOutcome.STARTED and not is_repeated:
             self.starts[name] += 1
+            self._check_capacity(worker, cpu_when_sent)
             if sum(name in other.runs for other in self.workers.values()) > 1:
                 self._fail(f"two runs of {name} at the same time")
             if name in self.acknowledged_done:
                 self._fail(f"{name} was started after its end was acknowledged")
         return outcome
 
+    def _check_capacity(self, worker, cpu_when_sent):
+        """Fails if a worker's runs, also those being stopped, exceed its CPU.
+
+        A worker may execute an order after it has shrunk, which no owner can prevent.
+        """
+        used = sum(
+            self.submitted[name.split(".")[0]].steps[int(name.split(".")[2])].cpu
+            for name in worker.runs
+        )
+        if used > max(worker.entry.cpu, cpu_when_sent):
+            self._fail(f"{worker.entry.worker_id} runs {used} of {worker.entry.cpu}")
+
     def deliver_delayed_orders(self):
         """Executes delayed orders whose worker still has the same incarnation."""
         orders, self.delayed_orders = self.delayed_orders, []
--- a/tests/scheduling/test_pool.py
+++ b/tests/scheduling/test_pool.py
@@ -289,10 +289,17 @@
             with self.subTest(seed=seed):
                 self._run_seed(seed, ("submit", "submit unread"))
 
-    def _run_seed(self, seed, more_faults=()):
+    def test_random_faults_on_full_workers_by_seed(self):
+        # Workers that start whatever they are told must not be overloaded, while their
+        # capacity changes and jobs are cancelled.
+        for seed in range(SEEDS):
+            with self.subTest(seed=seed):
+                self._run_seed(seed, ("submit", "cancel", "shrink", "grow"), cpu=2000)
+
+    def _run_seed(self, seed, more_faults=(), cpu=8000):
         """Applies random faults, with store outages more often than the others."""
         source = random.Random(seed)
-        model = self._model()
+        model = PoolModel(self.fail, cpu=cpu)
         for number in range(source.randint(1, 3)):
             model.submit(f"job{number}", make_job(count=2, steps=2))
         model.submit("lasting", make_job(count=2, is_lasting=True, may_miss=1))
@@ -423,6 +430,11 @@
         elif fault in ("store down", "store up"):
             model.is_store_unavailable = fault == "store down"
             model.flush()
+        elif fault == "cancel":
+            model.state.cancel(f"job{which}", model.now)
+        elif fault in ("shrink", "grow"):
+            worker.entry = make_entry(f"w{which}", 1000 if fault == "shrink" else 2000)
+            model.refresh()
         elif fault == "submit":
             model.submit(f"job{len(model.submitted)}", make_job(count=2))
         elif fault == "submit unread":
