Count runs that are being stopped against a worker's capacity

Two kinds of runs did not: those of a job that a previous owner had cancelled, which the new owner only has stopped, and the later run of a task that an earlier run has completed. For the 0.2 to 0.9 s of a stop their capacity was given away a second time; a worker that guards it rejected the start ('no room', work lost to callers), one that does not was overloaded.

Change: a worker's unwanted runs keep their capacity until a report lists them no more.

Tests: test_run_that_a_previous_owner_cancelled_takes_capacity_until_it_has_ended and test_redundant_run_takes_capacity_until_it_has_ended fail before; a run with a malformed name is stopped and ends no owner.

--- a/basilwind/scheduling/pool_jobs.py
+++ b/basilwind/scheduling/pool_jobs.py
@@ -186,6 +186,14 @@
             return None
         return next((task for task in job.tasks() if task.name == name), None)
 
+    def _find_spec(self, task_name):
+        """Returns the ``StepSpec`` of a task by name, or None if there is none."""
+        try:
+            job_id, _, step, _ = task_name.split(".")
+            return self.jobs[job_id].spec.steps[int(step)]
+        except (ValueError, KeyError, IndexError):
+            return None
+
     def _unassign(self, task):
         """Releases a task's capacity on its worker and resets the task."""
         worker = self.workers.get(task.worker_id)
--- a/basilwind/scheduling/pool_workers.py
+++ b/basilwind/scheduling/pool_workers.py
@@ -140,9 +140,15 @@
                 self._apply_progress(worker, task, reported, now)
             elif self._is_missing(task, sent_at):
                 self._requeue(task)
+        unwanted = {}
         for name, run in reported_runs:
             if not self._adopt_run(worker, name, run, now):
                 self._pending_stops.append(StopOrder(name, run, worker))
+                spec = self._find_spec(name)
+                if spec is not None:
+                    unwanted[name, run] = spec
+        if unwanted or worker.unwanted_runs:
+            worker.set_unwanted_runs(unwanted)
         return worker.last_applied_sequence
 
     def _adopt_run(self, worker, name, run, now):
@@ -286,6 +292,8 @@
         worker = self.workers.get(task.worker_id)
         if task.is_active and worker is not None:
             self._pending_stops.append(StopOrder(task.name, task.run, worker))
+            run = {(task.name, task.run): task.spec}
+            worker.set_unwanted_runs(worker.unwanted_runs | run)
 
     def _count_failure(self, task, now):
         """Counts a failed run, and fails the job after too many of them."""
--- a/basilwind/scheduling/workers.py
+++ b/basilwind/scheduling/workers.py
@@ -12,6 +12,8 @@
         free_memory: Unreserved memory, megabytes.
         free_gpu: Unreserved accelerators.
         tasks: Tasks by name that have or may have a run on the worker.
+        unwanted_runs: ``StepSpec`` of runs that no task needs and that are being
+            stopped, by task name and run. They take capacity until they have ended.
         incarnation_started_ms: Start of the incarnation that last answered, Unix
             milliseconds, or 0.
         last_applied_sequence: Sequence number of the last ended run that was applied
@@ -45,6 +47,7 @@
         "free_memory",
         "free_gpu",
         "tasks",
+        "unwanted_runs",
         "incarnation_started_ms",
         "last_applied_sequence",
         "acknowledged_sequence",
@@ -72,6 +75,7 @@
         self.free_memory = entry.memory
         self.free_gpu = entry.gpu
         self.tasks = {}
+        self.unwanted_runs = {}
         self.incarnation_started_ms = 0
         self.last_applied_sequence = 0
         self.acknowledged_sequence = 0
@@ -118,17 +122,26 @@
         if task.name in self.tasks:
             return
         self.tasks[task.name] = task
-        self.free_cpu -= task.spec.reserved_cpu
-        self.free_memory -= task.spec.memory
-        self.free_gpu -= task.spec.gpu
+        self._add_free_capacity(task.spec, -1)
 
     def release(self, task):
         """Releases a task's capacity; does nothing if none is reserved."""
         if self.tasks.pop(task.name, None) is None:
             return
-        self.free_cpu += task.spec.reserved_cpu
-        self.free_memory += task.spec.memory
-        self.free_gpu += task.spec.gpu
+        self._add_free_capacity(task.spec, 1)
+
+    def set_unwanted_runs(self, runs):
+        """Replaces ``unwanted_runs`` and adjusts the free capacity."""
+        for spec in self.unwanted_runs.values():
+            self._add_free_capacity(spec, 1)
+        for spec in runs.values():
+            self._add_free_capacity(spec, -1)
+        self.unwanted_runs = runs
+
+    def _add_free_capacity(self, spec, sign):
+        self.free_cpu += sign * spec.reserved_cpu
+        self.free_memory += sign * spec.memory
+        self.free_gpu += sign * spec.gpu
 
     def has_capacity_for(self, spec):
         """Returns whether a task of a step fits into the free capacity."""
@@ -207,6 +220,7 @@
 
     def reset_incarnation(self):
         """Resets the state that belongs to one incarnation of the worker."""
+        self.set_unwanted_runs({})
         self.last_applied_sequence = 0
         self.acknowledged_sequence = 0
         self.pending_ack = None
--- a/tests/scheduling/test_pool.py
+++ b/tests/scheduling/test_pool.py
@@ -5,7 +5,7 @@
 from hypothesis import strategies as st
 
 from basilwind.scheduling.jobs import JobState, TaskState
-from basilwind.scheduling.reports import EndKind
+from basilwind.scheduling.reports import EndedRun, EndKind, WorkerReport
 from tests.scheduling.model import LEASE_S, PoolModel, make_entry, make_job
 
 FAULTS = st.sampled_from(
@@ -321,6 +321,53 @@
         self.assertEqual({task.run for task in model.all_tasks()}, {1})
         self.assertTrue(all(t.state is TaskState.RUNNING for t in model.all_tasks()))
 
+    def test_run_that_a_previous_owner_cancelled_takes_capacity_until_it_has_ended(
+        self,
+    ):
+        model = PoolModel(self.fail, workers=1, cpu=2000)
+        model.submit("cancelled", make_job(count=2))
+        model.hold()
+        model.schedule()
+        model.state.cancel("cancelled", model.now)
+        model.flush()
+        model.take_over()
+        model.submit("job", make_job(count=2))
+        view, worker = model.state.workers["w0"], model.workers["w0"]
+        self._report(model, view, worker)
+        self.assertEqual(model.state.schedule(model.now, model.now), [])
+        worker.end("cancelled.0.0.0", EndKind.STOPPED)
+        worker.end("cancelled.0.0.1", EndKind.STOPPED)
+        self._report(model, view, worker)
+        self.assertEqual(len(model.state.schedule(model.now, model.now)), 2)
+
+    def _report(self, model, view, worker):
+        report = worker.hold(model.state.token, 0, None, {}, model.now)
+        model.state.apply_report(view, report, model.now, model.now)
+
+    def test_redundant_run_takes_capacity_until_it_has_ended(self):
+        # The end of an earlier run arrives while a later one executes elsewhere.
+        model = PoolModel(self.fail, workers=2, cpu=2000)
+        model.submit("job", make_job(count=1, cpu=2000))
+        model.hold()
+        model.schedule()
+        (task,) = model.all_tasks()
+        other = "w1" if task.worker_id == "w0" else "w0"
+        ended = EndedRun(1, task.name, task.run - 1, EndKind.DONE, "")
+        report = WorkerReport(model.now, 2, (), (ended,))
+        view = model.state.workers[other]
+        model.state.apply_report(view, report, model.now, model.now)
+        self.assertIs(task.state, TaskState.DONE)
+        model.submit("next", make_job(count=2, cpu=2000))
+        orders = model.state.schedule(model.now, model.now)
+        self.assertEqual([order.worker.worker_id for order in orders], [other])
+
+    def test_run_with_a_malformed_name_is_stopped(self):
+        model = self._model(workers=1)
+        model.workers["w0"].runs["no task"] = 1
+        model.workers["w0"].lease_until = model.now + LEASE_S
+        model.hold()
+        self.assertEqual(model.workers["w0"].runs, {})
+
     def test_late_end_of_an_earlier_run_ends_the_later_one(self):
         # Regression (test_random_faults_by_seed, seed 50): the end was acknowledged and
         # a third run was started.
