Take a worker's entry for what it says when its capacity shrinks to nothing

Cause: an entry of the registry with a capacity of 0 was ignored as one that is not valid, so the worker's last entry, with more capacity, stayed in force, and tasks were started there (rule LIMIT).

Change: only a negative capacity is invalid. Nothing fits on a worker without capacity.

Test: test_worker_without_any_capacity_left_is_decoded fails before (RecordInvalid).

--- a/basilwind/platform/documents.py
+++ b/basilwind/platform/documents.py
@@ -147,18 +147,17 @@
         A ``WorkerEntry``.
 
     Raises:
-        RecordInvalid: The entry does not parse, has an unknown state, or lacks a
-            capacity or an address.
+        RecordInvalid: The entry does not parse, has an unknown state or a negative
+            capacity, or lacks an address.
     """
     entry = _decode(data, _Worker, f"entry of worker {worker_id!r}")
     if entry.state not in ("ready", "draining"):
         raise RecordInvalid(f"entry of worker {worker_id!r}: state {entry.state!r}")
-    if (
-        entry.capacity.cpu <= 0
-        or entry.capacity.mem_mb <= 0
-        or ":" not in entry.address
-    ):
-        raise RecordInvalid(f"entry of worker {worker_id!r}: no capacity or address")
+    capacity = entry.capacity
+    if min(capacity.cpu, capacity.mem_mb, capacity.gpu) < 0:
+        raise RecordInvalid(f"entry of worker {worker_id!r}: capacity {capacity}")
+    if ":" not in entry.address:
+        raise RecordInvalid(f"entry of worker {worker_id!r}: address {entry.address!r}")
     return WorkerEntry(
         worker_id=worker_id,
         pool=entry.service,
