Refuse jobs that no daemon can hold

An accepted job with a count of 10^12, or one that has been due a billion times, used up the memory of its pool's owner; each daemon that took the pool over read the same record. A stored record with an unknown state or a step that follows one that does not exist ended each owner's load ('duty failed'), and with it the whole pool.

Change: a job has at most 10,000 tasks (3.1 MB measured), or is answered 400; due occurrences beyond that start as earlier ones end; stored records are checked as they are decoded, logged and left out.

--- a/basilwind/platform/jobs.py
+++ b/basilwind/platform/jobs.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from basilwind.errors import RequestInvalid
-from basilwind.scheduling.specs import JobSpec, StepSpec
+from basilwind.scheduling.specs import MAX_TASKS, JobSpec, StepSpec
 
 MAX_SPEC_BYTES = 4000
 
@@ -85,6 +85,9 @@
         raise RequestInvalid("job: 'steps' is empty; name at least one step")
     if len(job.spec.encode()) > MAX_SPEC_BYTES:
         raise RequestInvalid(f"job: 'spec' is longer than {MAX_SPEC_BYTES} bytes")
+    tasks = sum(step.count for step in job.steps)
+    if tasks > MAX_TASKS:
+        raise RequestInvalid(f"job: {tasks} tasks, at most {MAX_TASKS} are allowed")
     return JobSpec(
         text=job.spec,
         steps=tuple(_decode_step(n, step) for n, step in enumerate(job.steps)),
--- a/basilwind/scheduling/jobs.py
+++ b/basilwind/scheduling/jobs.py
@@ -2,7 +2,7 @@
 
 import enum
 
-from basilwind.scheduling.specs import JobSpec, StepSpec
+from basilwind.scheduling.specs import MAX_TASKS, JobSpec, StepSpec
 
 
 class JobState(enum.Enum):
@@ -265,8 +265,15 @@
             Steps that are now ready to run.
         """
         ready = []
-        while self.next_occurrence < self.spec.occurrences and (
-            not self.spec.is_timed or self.spec.due_s(self.next_occurrence) <= wall_time
+        # Further ones start as earlier ones end.
+        most = max(1, MAX_TASKS // self.spec.tasks_per_occurrence)
+        while (
+            self.next_occurrence < self.spec.occurrences
+            and len(self.occurrences) < most
+            and (
+                not self.spec.is_timed
+                or self.spec.due_s(self.next_occurrence) <= wall_time
+            )
         ):
             number = self.next_occurrence
             self.next_occurrence += 1
--- a/basilwind/scheduling/records.py
+++ b/basilwind/scheduling/records.py
@@ -134,18 +134,24 @@
     """Decodes the journal's record of a job.
 
     Raises:
-        msgspec.DecodeError: The record does not parse.
+        msgspec.DecodeError: The record does not parse, or its state is unknown.
     """
-    return _JOB_RECORDS.decode(data)
+    record = _JOB_RECORDS.decode(data)
+    if record.state not in {state.value for state in JobState}:
+        raise msgspec.ValidationError(f"unknown state {record.state!r}")
+    return record
 
 
 def decode_submission(data):
     """Decodes a stored submission.
 
     Raises:
-        msgspec.DecodeError: The record does not parse.
+        msgspec.DecodeError: The record does not parse, or its job is not valid.
     """
-    return _SUBMISSIONS.decode(data)
+    submission = _SUBMISSIONS.decode(data)
+    if not submission.spec.is_valid:
+        raise msgspec.ValidationError("the job's steps are not valid")
+    return submission
 
 
 def restore_job(job, record, now):
--- a/basilwind/scheduling/specs.py
+++ b/basilwind/scheduling/specs.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+MAX_TASKS = 10_000  # of one occurrence of a job; takes 3 MB of the owner's memory
+
 
 class StepSpec(msgspec.Struct, frozen=True, omit_defaults=True):
     """A step of a job, a set of identical tasks.
@@ -79,6 +81,25 @@
     first_due_s: float = 0.0
     interval_s: float = 0.0
 
+    @property
+    def tasks_per_occurrence(self):
+        """Number of tasks of all steps."""
+        return sum(step.count for step in self.steps)
+
+    @property
+    def is_valid(self):
+        """Whether an owner can hold the job and schedule its steps."""
+        return (
+            bool(self.steps)
+            and all(step.count >= 1 for step in self.steps)
+            and self.tasks_per_occurrence <= MAX_TASKS
+            and all(
+                0 <= earlier < number
+                for number, step in enumerate(self.steps)
+                for earlier in step.after
+            )
+        )
+
     def due_s(self, occurrence):
         """Returns the due time of an occurrence, Unix seconds."""
         return self.first_due_s + occurrence * self.interval_s
