Crash workers by tasks in the stand-in, a process test and the soak

The stand-in's workers can be crashed by a task: their connections break, their runs and the ends that nobody took note of are lost, and the host starts another worker under another id.

- test_task_that_crashes_its_workers_is_given_up_alone: real processes, the owner is killed after the second crash; the job is shown as failed, the tasks beside it finish.

--- a/basilwind/standin/entry_platform.py
+++ b/basilwind/standin/entry_platform.py
@@ -17,7 +17,11 @@
     send_response,
 )
 from basilwind.standin.entry_store import StoreStandIn
-from basilwind.standin.entry_worker import EntryWorkerStandIn
+from basilwind.standin.entry_worker import (
+    BROKEN_CONNECTION,
+    NO_ANSWER,
+    EntryWorkerStandIn,
+)
 
 HEARTBEAT_INTERVAL_S = 0.5  # 1.5 s on the real platform; shorter here to speed up tests
 INTERNAL_PORTS_END = 6  # last internal port of a daemon, relative to its first port
@@ -49,7 +53,7 @@
 
     Attributes:
         store: The ``StoreStandIn``.
-        workers: ``EntryWorkerStandIn`` by id.
+        workers: ``EntryWorkerStandIn`` by the id of its first life.
         run_starts: A ``RunStart`` for each run that a worker started.
         run_ends: A ``RunEnd`` for each run that ended.
         version: Version of the configuration.
@@ -148,15 +152,20 @@
 
     async def _send_heartbeats(self):
         sequence = 0
+        listed = {}
         while True:
             sequence += 1
-            for worker in self.workers.values():
-                if not worker.is_silent and not self.store.is_down:
-                    self.store.write(
-                        "keyed.servers",
-                        worker.worker_id,
-                        worker.registry_entry(sequence),
-                    )
+            for name, worker in self.workers.items():
+                if worker.is_silent or worker.is_crashed or self.store.is_down:
+                    continue
+                self.store.write(
+                    "keyed.servers",
+                    worker.worker_id,
+                    worker.registry_entry(sequence),
+                )
+                if listed.get(name, worker.worker_id) != worker.worker_id:
+                    self.store.write("keyed.servers", listed[name], b"")
+                listed[name] = worker.worker_id
             await anyio.sleep(HEARTBEAT_INTERVAL_S)
 
 
@@ -167,7 +176,14 @@
         except ClientDisconnected:
             return
         response = await handle(request)
-        if response is None:
+        if response is BROKEN_CONNECTION:
+            # The server closes the connection, as the body is missing.
+            headers = [(b"content-length", b"1")]
+            await send(
+                {"type": "http.response.start", "status": 200, "headers": headers}
+            )
+            return
+        if response is NO_ANSWER:
             # Simulates a lost answer: waits until the caller disconnects.
             await receive()
             return
--- a/basilwind/standin/entry_worker.py
+++ b/basilwind/standin/entry_worker.py
@@ -12,6 +12,12 @@
 TICK_S = 0.02  # resolution of run times and leases
 DEFAULT_WORK_S = 0.1
 UNTIL_STOPPED = -1.0  # work_s of a task that runs until it is stopped
+CRASH_S = 1.0  # time for which a crashed worker is away; 3 s on the real platform
+
+
+# What a handler returns to lose an answer, or to break the connection.
+NO_ANSWER = None
+BROKEN_CONNECTION = "broken"
 
 
 @dataclass
@@ -46,7 +52,8 @@
         at: When it ended, in seconds on the monotonic clock.
         task: Name of the task.
         run: Number of the run.
-        kind: How it ended: ``done``, ``stopped``, or ``lapsed`` with the lease.
+        kind: How it ended: ``done``, ``stopped``, ``lapsed`` with the lease, or
+            ``lost`` with the worker, also if it was done and no owner had taken note.
     """
 
     at: float
@@ -58,7 +65,8 @@
 class EntryWorkerStandIn:
     """A worker whose tasks run for as long as the specification of their job says.
 
-    The specification is a JSON object with the run time, ``work_s``.
+    The specification is a JSON object with the run time, ``work_s``. With ``crashes``,
+    the indexes of some tasks, these crash each worker that starts them.
 
     Args:
         worker_id: Id of the worker; each start of its host gives it a new one.
@@ -70,18 +78,23 @@
 
     Attributes:
         is_silent: Whether requests get no answer and heartbeats stop.
+        is_crashed: Whether its process has ended; its connections break.
         delay_next_s: Delay of the next order, in seconds; the order is then carried
             out but not answered.
     """
 
     def __init__(self, worker_id, pool, address, rack, run_starts, run_ends):
         self.worker_id = worker_id
+        self._host = worker_id
+        self._lives = 1
         self.pool = pool
         self.address = address
         self.rack = rack
         self.run_starts = run_starts
         self.run_ends = run_ends
         self.is_silent = False
+        self.is_crashed = False
+        self._back_at = 0.0
         self.delay_next_s = 0.0
         self.cpu, self.memory = 16000, 64000
         self.restart()
@@ -112,6 +125,7 @@
                 "capacity": {"cpu": self.cpu, "memMb": self.memory, "gpu": 0},
                 "labels": ["a", self.rack],
                 "born": self.incarnation_started_ms,
+                "machine": self._host,
                 "sequence": sequence,
             }
         ).encode()
@@ -126,16 +140,45 @@
         while True:
             await anyio.sleep(TICK_S)
             now = time.monotonic()
+            if self.is_crashed and now >= self._back_at:
+                self._come_back()
             for name, run in list(self.runs.items()):
                 if run.done_at != UNTIL_STOPPED and now >= run.done_at:
                     self._end(name, "done")
                 elif self.clock_ms > self._lease_ms:
                     self._end(name, "lapsed")
 
+    def crash(self):
+        """Ends the worker's process; its host starts another worker later."""
+        now = time.monotonic()
+        lost = {(name, run.number) for name, run in self.runs.items()}
+        lost |= {(name, number) for _, name, number, _, _ in self._ended}
+        self.run_ends += [RunEnd(now, name, number, "lost") for name, number in lost]
+        self.is_crashed, self._back_at = True, now + CRASH_S
+        ended = self._run_ended
+        self.restart()
+        ended.set()
+
+    def _come_back(self):
+        self._lives += 1
+        self.worker_id = f"{self._host}-{self._lives}"
+        self.is_crashed = False
+        self.restart()
+
     async def handle(self, request):
-        """Handles a request; returns the response, or None to send no answer."""
-        if self.is_silent:
-            return None
+        """Handles a request.
+
+        Returns:
+            The response, ``NO_ANSWER``, or ``BROKEN_CONNECTION``.
+        """
+        started_ms = self.incarnation_started_ms
+        response = await self._handle(request)
+        is_lost = started_ms != self.incarnation_started_ms
+        return BROKEN_CONNECTION if self.is_crashed or is_lost else response
+
+    async def _handle(self, request):
+        if self.is_silent or self.is_crashed:
+            return NO_ANSWER
         if request.headers.get("x-expect-instance", self.worker_id) != self.worker_id:
             return HttpResponse(421)
         order = msgspec.json.decode(request.body)
@@ -146,7 +189,7 @@
             await anyio.sleep(delay_s)
             if started_ms == self.incarnation_started_ms:
                 self._execute(request.path, order)
-            return None
+            return NO_ANSWER
         if request.path == "/hold":
             return await self._hold(order)
         return self._execute(request.path, order)
@@ -179,6 +222,9 @@
         done_at = UNTIL_STOPPED if work_s == UNTIL_STOPPED else now + work_s
         self.runs[name] = _Run(number, done_at, now)
         self.run_starts.append(RunStart(now, name, number, self.worker_id))
+        if int(name.rpartition(".")[2]) in _parse_crashes(order["spec"]):
+            self.crash()
+            return NO_ANSWER
         return json_response({"clockMs": int(self.clock_ms)})
 
     def _stop(self, order):
@@ -229,6 +275,13 @@
         return min(99, int(100 * (time.monotonic() - run.started_at) / total_s))
 
 
+def _parse_crashes(text):
+    try:
+        return json.loads(text).get("crashes", [])
+    except (ValueError, AttributeError):
+        return []
+
+
 def _parse_work_s(text):
     try:
         return float(json.loads(text)["work_s"])
--- a/extras/entry_fleet.py
+++ b/extras/entry_fleet.py
@@ -167,9 +167,12 @@
             index: Index of the daemon to try first.
             queue: Name of the queue.
             **step: Fields of each of the job's two steps; a long-running job has only
-                one step. ``work_s`` is the run time in seconds and goes into the spec.
+                one step. ``work_s`` is the run time in seconds, ``crashes`` the
+                indexes of tasks that crash their workers; both go into the spec.
         """
-        spec = json.dumps({"work_s": step.pop("work_s", 0.1)})
+        spec = json.dumps(
+            {"work_s": step.pop("work_s", 0.1), "crashes": step.pop("crashes", [])}
+        )
         values = {"count": 2, "cpu": 1000, "memMb": 100, "estimateMs": 100} | step
         body = {"spec": spec, "steps": [values, values | {"after": [0]}]}
         if values.get("longRunning"):
@@ -186,6 +189,14 @@
     async def wait_until_completed(self, job_id, queue="a"):
         """Waits until a daemon reports a job as completed.
 
+        Raises:
+            AssertionError: A daemon answers that it does not know the job.
+        """
+        await self.wait_until_state(job_id, "completed", queue)
+
+    async def wait_until_state(self, job_id, state, queue="a"):
+        """Waits until a daemon reports a state of a job.
+
         Raises:
             AssertionError: A daemon answers that it does not know the job.
         """
@@ -197,7 +208,7 @@
                     raise AssertionError(
                         f"a daemon does not know job {job_id} any more"
                     )
-                if answer and answer[1] == {"state": "completed"}:
+                if answer and answer[1] == {"state": state}:
                     return True
             return False
 
--- a/extras/soak/__main__.py
+++ b/extras/soak/__main__.py
@@ -15,6 +15,7 @@
 COMPLETION_TIMEOUT_S = 60.0  # much longer than any lease or silence of a worker
 ACCEPTED = (200, 201, 202)
 REFUSED = (429, 503)
+CRASHING_JOB_INTERVAL_S = 3.0  # a third of the time until such a job is given up
 
 
 class SoakRun:
@@ -25,14 +26,16 @@
         faults: Number of faults.
         daemons: Number of daemons.
         log_folder: Directory in which the daemons' logs are kept; not kept if None.
+        crashing_jobs: Number of jobs with a task that crashes its workers.
     """
 
-    def __init__(self, seed, faults, daemons, log_folder=None):
+    def __init__(self, seed, faults, daemons, log_folder=None, crashing_jobs=0):
         self._schedule = make_schedule(seed, faults)
         self._random = random.Random(seed + 1)
         self._fleet = EntryFleet(daemons, log_folder)
         self._seed = seed
         self._outcomes = {}
+        self._crashing_jobs = crashing_jobs
         self._are_faults_over = False
 
     async def run(self):
@@ -50,6 +53,7 @@
                 await fleet.wait_until_serving(0)
                 async with anyio.create_task_group() as activities:
                     activities.start_soon(self._submit_jobs)
+                    activities.start_soon(self._submit_crashing_jobs)
                     await self._inject_faults(activities)
                 violations = await self._wait_for_jobs()
                 tasks.cancel_scope.cancel()
@@ -71,6 +75,17 @@
             await self._submit(job_id, "ab"[number % 2])
             await anyio.sleep(JOB_INTERVAL_S)
 
+    async def _submit_crashing_jobs(self):
+        for number in range(self._crashing_jobs):
+            await anyio.sleep(CRASHING_JOB_INTERVAL_S)
+            job_id = f"c{self._seed:07x}{number:08x}"
+            step = {"count": 3, "cpu": 1000, "memMb": 100, "estimateMs": 200}
+            body = {"spec": '{"work_s": 0.3, "crashes": [1]}', "steps": [step]}
+            index = (self._seed + number) % len(self._fleet.ports)
+            answer = await self._fleet.call("POST", index, f"/a/{job_id}", body)
+            if answer and answer[0] in ACCEPTED:
+                self._outcomes[job_id] = "crashing"
+
     async def _submit(self, job_id, queue):
         step = {"count": 2, "cpu": 1000, "memMb": 100, "estimateMs": 200}
         work_s = self._random.choice((0.05, 0.2, 0.8))
@@ -93,18 +108,23 @@
             Descriptions of jobs that were not.
         """
         accepted = [
-            job for job, outcome in self._outcomes.items() if outcome == "accepted"
+            (job_id, "completed", "ab"[int(job_id[8:], 16) % 2])
+            for job_id, outcome in self._outcomes.items()
+            if outcome == "accepted"
+        ]
+        accepted += [
+            (job_id, "failed", "a")
+            for job_id, outcome in self._outcomes.items()
+            if outcome == "crashing"
         ]
         violations = []
         with anyio.move_on_after(COMPLETION_TIMEOUT_S) as scope:
-            for job_id in accepted:
+            for job_id, state, queue in accepted:
                 try:
-                    await self._fleet.wait_until_completed(
-                        job_id, "ab"[int(job_id[8:], 16) % 2]
-                    )
+                    await self._fleet.wait_until_state(job_id, state, queue)
                 except (AssertionError, TimeoutError) as error:
                     violations.append(
-                        f"accepted job {job_id}: {error or 'never completed'}"
+                        f"accepted job {job_id}: {error or f'never {state}'}"
                     )
         if scope.cancelled_caught:
             violations.append(
@@ -123,15 +143,18 @@
 @click.option("--seeds", default="1-3", show_default=True, help="A seed or a range.")
 @click.option("--faults", default=10, show_default=True, help="Faults per seed.")
 @click.option("--daemons", default=3, show_default=True, help="Number of daemons.")
+@click.option(
+    "--crashing", default=0, show_default=True, help="Jobs that crash their workers."
+)
 @click.option("--logs", type=click.Path(file_okay=False), help="Directory for logs.")
-def main(seeds, faults, daemons, logs):
+def main(seeds, faults, daemons, crashing, logs):
     """Run the soak test with each seed and report violated guarantees."""
     failed = 0
     for seed in parse_seeds(seeds):
         folder = Path(logs) / str(seed) if logs else None
         if folder:
             folder.mkdir(parents=True, exist_ok=True)
-        violations = anyio.run(SoakRun(seed, faults, daemons, folder).run)
+        violations = anyio.run(SoakRun(seed, faults, daemons, folder, crashing).run)
         failed += bool(violations)
         click.echo(f"seed {seed}: {'; '.join(violations) or 'no violations'}")
     sys.exit(1 if failed else 0)
--- a/extras/soak/checks.py
+++ b/extras/soak/checks.py
@@ -5,7 +5,7 @@
 
 from collections import defaultdict
 
-LASTS = "lasting"
+MAX_CRASHES = 5  # a task is not started three times more after three crashes
 
 
 def find_violations(platform, outcomes):
@@ -14,7 +14,7 @@
     Args:
         platform: ``EntryPlatformStandIn`` with the starts and ends of all runs.
         outcomes: What callers were told, by job id: ``accepted``, ``refused``,
-            ``unknown``.
+            ``unknown``, or ``crashing`` for an accepted job that crashes its workers.
     """
     violations = []
     starts, ends = defaultdict(list), {}
@@ -26,6 +26,13 @@
         job_id = task.split(".")[0]
         if outcomes.get(job_id) == "refused":
             violations.append(f"{task} ran although its job was refused")
+        lost = sum(
+            ends[task, run.run].kind == "lost"
+            for run in runs
+            if (task, run.run) in ends
+        )
+        if outcomes.get(job_id) == "crashing" and lost > MAX_CRASHES:
+            violations.append(f"{task} was lost with {lost} workers")
         violations += _check_runs(task, sorted(runs, key=lambda run: run.at), ends)
     return violations
 
--- a/tests/processes/test_entry_host.py
+++ b/tests/processes/test_entry_host.py
@@ -132,6 +132,31 @@
 
         self._run(scenario)
 
+    def test_task_that_crashes_its_workers_is_given_up_alone(self):
+        # The owner is killed meanwhile; the tasks beside it finish.
+        async def scenario(fleet):
+            jobs = [f"{n:016x}" for n in range(4)]
+            await fleet.submit(jobs[0], 0, count=4, work_s=0.5)
+            bad = "b" * 16
+            await fleet.submit(bad, 0, count=3, work_s=0.5, crashes=[1])
+            for job_id in jobs[1:]:
+                await fleet.submit(job_id, 1, count=4, work_s=0.5)
+
+            async def has_crashed_twice():
+                crashed = [s for s in fleet.platform.run_starts if s.task == task]
+                return len(crashed) >= 2
+
+            task = f"{bad}.0.0.1"
+            await fleet.wait_until(has_crashed_twice)
+            fleet.processes[0].send_signal(signal.SIGKILL)
+            await fleet.wait_until_state(bad, "failed")
+            for job_id in jobs:
+                await fleet.wait_until_completed(job_id)
+            starts = [s for s in fleet.platform.run_starts if s.task == task]
+            self.assertLessEqual(len(starts), 5)
+
+        self._run(scenario)
+
     def test_cancelled_long_running_job_stops_on_workers(self):
         async def scenario(fleet):
             job_id = "6" * 16
--- a/tests/processes/test_soak.py
+++ b/tests/processes/test_soak.py
@@ -38,3 +38,6 @@
 
     def test_short_seeded_run_finds_no_violations(self):
         self.assertEqual(anyio.run(SoakRun(1, 5, 2).run), [])
+
+    def test_short_seeded_run_with_a_crashing_job_finds_no_violations(self):
+        self.assertEqual(anyio.run(SoakRun(2, 5, 2, crashing_jobs=1).run), [])
