--- a/basilwind/journal/entries.py
+++ b/basilwind/journal/entries.py
@@ -55,7 +55,7 @@
 
 
 class Accepted(_Entry, tag="accepted"):
-    """Records that a job was accepted.
+    """Records that a job was accepted, and again with each attempt that is lost.
 
     Attributes:
         identity: Identity under which the job runs at most once.
@@ -64,6 +64,7 @@
         digest: Digest of the request, to detect a reused idempotency key.
         spec: Encoded request; empty in the state once the job is finished.
         deadline: When the job has to be finished, in seconds since the Unix epoch.
+        lost_attempts: Number of attempts that were lost with their worker.
     """
 
     identity: str
@@ -72,6 +73,7 @@
     digest: str
     spec: bytes
     deadline: float
+    lost_attempts: int = 0
 
 
 class Started(_Entry, tag="started"):
--- a/basilwind/placement/executor.py
+++ b/basilwind/placement/executor.py
@@ -1,6 +1,7 @@
 """Runs admitted requests on workers, with retries."""
 
 import uuid
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
 import anyio
@@ -31,11 +32,14 @@
         failures: Number of failed attempts that may have run.
         not_run: Number of attempts proven not to have run.
         last: Outcome to return if there is no further attempt.
+        record_lost: Called with the number of failures after an attempt was lost with
+            its worker; or None.
     """
 
     failures: int = 0
     not_run: int = 0
     last: Outcome = field(default_factory=lambda: refused(Reason.DEADLINE_EXCEEDED))
+    record_lost: Callable[[int], Awaitable[None]] | None = None
 
 
 class Executor:
@@ -56,7 +60,7 @@
         self._clock = clock
         self._wall_clock = wall_clock
 
-    async def execute(self, spec, deadline, execution, guard=None):
+    async def execute(self, spec, deadline, execution, guard=None, history=None):
         """Runs a request and returns its outcome.
 
         Args:
@@ -64,11 +68,14 @@
             deadline: Its deadline, on the monotonic clock in seconds.
             execution: Its ``Execution``.
             guard: ``StartGuard`` of a request that runs at most once, or None.
+            history: ``AttemptHistory`` of a job's attempts under earlier owners.
 
         Returns:
             The final ``Outcome``.
         """
-        history = AttemptHistory()
+        history = history or AttemptHistory()
+        if history.failures >= MAX_ATTEMPTS:
+            return history.last
         self._shard.retry_budget(spec.team).record_request()
         while True:
             ticket = await self._shard.acquire(spec, deadline)
@@ -177,6 +184,8 @@
         budget = self._shard.retry_budget(spec.team)
         if history.failures >= MAX_ATTEMPTS or not budget.try_take():
             return history.last
+        if isinstance(result, TaskIndeterminate) and history.record_lost is not None:
+            await history.record_lost(history.failures)
         return await self._back_off(deadline, history.failures)
 
     async def _back_off(self, deadline, attempt):
--- a/basilwind/placement/jobs.py
+++ b/basilwind/placement/jobs.py
@@ -1,5 +1,7 @@
 """Jobs: accepted in the journal, run by the shard's owner, finished once."""
 
+from functools import partial
+
 import anyio
 import msgspec
 
@@ -16,6 +18,7 @@
 from basilwind.peers.messages import JobReply
 from basilwind.placement.at_most_once import digest_of
 from basilwind.placement.executions import Execution, ExecutionState
+from basilwind.placement.executor import AttemptHistory
 
 ACCEPT_TIMEOUT_S = 2.0
 LOG_RETRY_AFTER_S = 2.0
@@ -197,16 +200,48 @@
                 known = await self._service.outcome_from_journal(spec, float("inf"))
                 if known is not None:
                     return known
-            outcome = await self._attempt(spec, deadline, execution, epoch)
+            outcome = await self._attempt(work_item, spec, deadline, execution, epoch)
             if outcome.reason not in RETRIED_REASONS:
                 return outcome
             await anyio.sleep(RETRY_INTERVAL_S)
 
-    async def _attempt(self, spec, deadline, execution, epoch):
+    async def _attempt(self, work_item, spec, deadline, execution, epoch):
         guard = None if spec.idempotent else self._service.guard(spec, epoch)
         if execution.is_cancelled:
             return Outcome(OutcomeKind.CANCELLED, Reason.CANCELLED_BY_CALLER)
-        return await self._service.run_attempts(spec, deadline, execution, guard)
+        history = AttemptHistory(
+            failures=work_item.job.lost_attempts,
+            last=unknown(Reason.WORKER_ANSWER_LOST),
+            record_lost=partial(self._record_lost, work_item, epoch),
+        )
+        return await self._service.run_attempts(
+            spec, deadline, execution, guard, history
+        )
+
+    async def _record_lost(self, work_item, epoch, lost_attempts):
+        """Records that an attempt was lost with its worker.
+
+        From the second one on the job waits until that is durable: it may be the cause,
+        and a next owner that did not know would start it as often again.
+        """
+        journal = self._zone_context.journal
+        entry = msgspec.structs.replace(
+            work_item.job, epoch=epoch, lost_attempts=lost_attempts
+        )
+        while True:
+            try:
+                if lost_attempts < 2:
+                    journal.append_nowait(entry)
+                else:
+                    await journal.append(entry, ACCEPT_TIMEOUT_S)
+                return
+            except EntryFenced:
+                # Another owner has taken over, or the job has ended.
+                return
+            except JournalUnavailable:
+                if lost_attempts < 2:
+                    return
+                await anyio.sleep(RETRY_INTERVAL_S)
 
     def _record(self, spec, execution, outcome):
         owned = self._zone_context.ownership.owned.get(self._service.pool)
--- a/basilwind/placement/service.py
+++ b/basilwind/placement/service.py
@@ -176,11 +176,13 @@
                 return None
             await anyio.sleep(LEASE_POLL_INTERVAL_S)
 
-    async def run_attempts(self, spec, deadline, execution, guard):
+    async def run_attempts(self, spec, deadline, execution, guard, history=None):
         """Runs a request in its execution's cancel scope; see ``Executor.execute``."""
         outcome = refused(Reason.CANCELLED_BY_CALLER)
         with execution.open_scope():
-            outcome = await self._executor.execute(spec, deadline, execution, guard)
+            outcome = await self._executor.execute(
+                spec, deadline, execution, guard, history
+            )
         return apply_cancellation(execution, outcome)
 
     async def _run_pending(self, pending, spec, deadline, execution, guard):
--- a/basilwind/standin/worker.py
+++ b/basilwind/standin/worker.py
@@ -57,6 +57,7 @@
         refuse_all: Whether every task is refused.
         reset_after_run: Number of following answers that are replaced by a connection
             reset.
+        crash_on: Tag of the tasks that restart the worker when they begin.
         truncate: Number of following answers that end early.
         silent: Number of following answers that are never sent.
         swallow: Number of following tasks that are neither run nor answered.
@@ -68,6 +69,7 @@
     fail_all: bool = False
     refuse_all: bool = False
     reset_after_run: int = 0
+    crash_on: str = ""
     truncate: int = 0
     silent: int = 0
     swallow: int = 0
@@ -221,6 +223,11 @@
             self.ledger.refused += 1
             return _refusal_response(refusal)
         task = self._begin(task_id, request)
+        if self.faults.crash_on and task.run.tag == self.faults.crash_on:
+            self._end(task)
+            self.restart()
+            abort_connection(send)
+            return None
         try:
             await self._work(task, _decode_behavior(request))
         finally:
