Isolate fewer tasks, and away from long-running ones

Cause: each crash made suspects of all runs younger than 0.5 s, up to seven jobs, while a pool of six keeps two workers for suspects; a suspect's worker was closed until the next report, up to 1.5 s; and workers that had crashed lately were avoided before those with long-running tasks.

Change: a run is suspected within 0.2 s of its start (seen: at most 13 ms), its worker is open again once it has outlived that on an unbroken connection, and isolation prefers workers without long-running tasks. Slower crashes are still caught by their count.

--- a/basilwind/scheduling/crashes.py
+++ b/basilwind/scheduling/crashes.py
@@ -19,7 +19,7 @@
 from basilwind.scheduling.jobs import TaskState
 from basilwind.scheduling.policy import valid_ticket
 
-PROBATION_S = 0.5  # a task that crashes its worker does so within 20 ms of its start
+PROBATION_S = 0.2  # a task that crashes its worker does so within 20 ms of its start
 # For tasks that were lost repeatedly, however long they had been running.
 LONG_PROBATION_S = 3.0
 CRASHES_BEFORE_SUSPICION = 3
@@ -232,7 +232,7 @@
         """
         if not self._suspect_jobs:
             return workers, {}
-        closed = [worker for worker in workers if _has_suspects(worker)]
+        closed = [worker for worker in workers if _is_isolating(worker, now)]
         limit = max(1, int(len(workers) * MAX_ISOLATED_FRACTION))
         kept = {}
         # Jobs with fewer crashes are more likely to be innocent.
@@ -263,15 +263,16 @@
     def _isolation_rank(self, worker, task, now):
         """Returns the sort key of a worker for a job's suspects; the smallest is best.
 
-        A worker that can start the task at once comes first, then the one that has
-        been kept for the job so far. A host that crashed lately may do so again by
-        itself.
+        A crash costs least where no long-running task has to start again. Then come
+        workers that can start the task at once, and the one that has been kept for the
+        job so far. A host that crashed lately may do so again by itself.
         """
         crashed_at = self._crashed_at.get(worker.entry.address, -UNSTABLE_S)
         is_ready = worker.has_capacity_for(task.spec) and is_quiet(
             worker, task.job, now
         )
         return (
+            any(other.spec.is_lasting for other in worker.tasks.values()),
             not is_ready,
             worker.isolated_job_id != task.job.job_id,
             now - crashed_at < UNSTABLE_S,
@@ -280,8 +281,18 @@
         )
 
 
-def _has_suspects(worker):
-    return any(task in task.job.suspects for task in worker.tasks.values())
+def _is_isolating(worker, now):
+    """Returns whether a worker has a suspect on probation.
+
+    Its connection would have broken in a crash, so there is no need to wait for the
+    next report.
+    """
+    alive_until = now if worker.unanswered_since is None else worker.alive_until
+    return any(
+        task in task.job.suspects
+        and not has_outlived_probation(task, alive_until or 0.0)
+        for task in worker.tasks.values()
+    )
 
 
 def _count_crashes(job):
