--- a/tests/scheduling/model.py
+++ b/tests/scheduling/model.py
@@ -196,7 +196,7 @@
         self.state.dirty.clear()
         orders, self.unrecorded_orders = self.unrecorded_orders, []
         for order, delivery in orders:
-            if order.task.run == order.run:
+            if order.task.run == order.run and order.task.is_active:
                 self._send(order, delivery)
 
     def schedule(self, delivery=lambda: "answered"):
