Keep no worker for the suspects of a gang

Found by reading the diff: a gang is placed as a whole on the open workers, but one was kept for its suspects and so was missing; a gang that needs all workers never started again after a crash. Test: test_gang_that_needs_all_workers_starts_again_after_a_crash fails before.

--- a/basilwind/scheduling/crashes.py
+++ b/basilwind/scheduling/crashes.py
@@ -242,7 +242,11 @@
             if any(task.is_active for task in job.suspects):
                 # One job crashes one worker at a time.
                 continue
-            task = min(job.suspects, key=lambda task: task.name)
+            # A gang may need more workers than are kept.
+            waiting = [task for task in job.suspects if not task.spec.is_gang]
+            if not waiting:
+                continue
+            task = min(waiting, key=lambda task: task.name)
             fitting = [
                 worker
                 for worker in workers
--- a/tests/scheduling/test_crashing_tasks.py
+++ b/tests/scheduling/test_crashing_tasks.py
@@ -155,6 +155,14 @@
         model.play(60)
         self._assert_contained(model, ["good-1"])
 
+    def test_gang_that_needs_all_workers_starts_again_after_a_crash(self):
+        model = self._model(workers=3)
+        model.submit("gang", make_job(count=3, cpu=8000, is_gang=True))
+        model.play(0.1)
+        model.crash_for("w0")
+        model.play(6)
+        self.assertIs(model.job_state("gang"), JobState.COMPLETED)
+
     def test_crashes_are_still_counted_after_a_takeover(self):
         model = self._model("bad.0.0.0")
         for job_id in ("good-1", "bad", "good-2"):
