Tell the planner of suspects that fit on no worker

Found by reading the diff: a long-running task that waits for an isolated start was not reported as one that fits nowhere, so no host was fetched for it while its pool was full. Test: test_planner_learns_of_a_suspect_that_fits_on_no_worker fails before.

--- a/basilwind/scheduling/pool.py
+++ b/basilwind/scheduling/pool.py
@@ -201,6 +201,10 @@
                 # Its other tasks wait, as they may crash their workers, too.
                 placed = place_suspects(step, kept.get(step.job.job_id), now)
                 orders += self._start_orders(step, placed, now)
+                if placed:
+                    step.unplaced_since = None
+                elif step.unplaced_since is None:
+                    step.unplaced_since = now
                 continue
             if any(shortage.covers(step.spec) for shortage in shortages):
                 continue
--- a/tests/scheduling/test_crashing_tasks.py
+++ b/tests/scheduling/test_crashing_tasks.py
@@ -148,6 +148,18 @@
         for task in model.state.jobs["lasting"].tasks():
             self.assertIs(task.state, TaskState.RUNNING)
 
+    def test_planner_learns_of_a_suspect_that_fits_on_no_worker(self):
+        model = self._model(workers=2)
+        model.submit("job", make_job(count=1, is_lasting=True, cpu=8000))
+        model.submit("other", make_job(count=1, is_lasting=True, cpu=8000))
+        model.play(0.1)
+        model.crash_for("w0", down_s=60)
+        model.state.remove_worker(model.state.workers["w0"], model.now)
+        model.refresh(["w1"])
+        model.play(1.5)
+        report = model.state.pool_report(model.now, model.now)
+        self.assertEqual(report.lasting_waiting, 1)
+
     def test_gang_with_a_crashing_member_is_given_up(self):
         model = self._model("bad.0.0.1")
         model.submit("good-1", make_job(count=6))
