--- a/basilwind/entry/worker_leases.py
+++ b/basilwind/entry/worker_leases.py
@@ -17,6 +17,7 @@
 )
 
 HOLD_WAIT_S = 1.5  # short enough that a lease survives two lost answers
+SUSPECT_HOLD_WAIT_S = 0.5  # tasks on probation are cleared by a report
 PACED_HOLD_WAIT_S = 0.5  # period over which serving tasks report tail latency
 JOURNAL_WAIT_S = 0.4  # a slow store takes 0.24 s; leases of 4.5 s need hold calls
 RECONNECT_DELAY_S = 0.3  # workers restart within seconds
@@ -120,6 +121,11 @@
             worker.pending_ack = None
 
     def _hold_wait_s(self, worker):
-        """Returns how long a hold call may wait; less where filler tasks are paced."""
+        """Returns how long a hold call may wait.
+
+        Less for suspects on probation and where filler tasks are paced.
+        """
+        if any(task in task.job.suspects for task in worker.tasks.values()):
+            return SUSPECT_HOLD_WAIT_S
         has_fillers = any(task.spec.is_filler for task in worker.tasks.values())
         return PACED_HOLD_WAIT_S if has_fillers else HOLD_WAIT_S
--- a/basilwind/scheduling/jobs.py
+++ b/basilwind/scheduling/jobs.py
@@ -39,6 +39,8 @@
         worker_id: Worker of the latest run; empty if there is none.
         token: Fencing token of the owner that ordered the latest run.
         failures: Number of failed runs.
+        crashes: Number of workers that crashed with a run of it.
+        isolated_crashes: Number of those crashes that no other job can have caused.
         checkpoint: Newest checkpoint; empty if there is none.
         confirmed_at: Boot time at which the worker confirmed the run, or None.
         ordered_at: Boot time at which the run was ordered.
@@ -62,6 +64,8 @@
         "worker_id",
         "token",
         "failures",
+        "crashes",
+        "isolated_crashes",
         "checkpoint",
         "confirmed_at",
         "ordered_at",
@@ -83,6 +87,8 @@
         self.worker_id = ""
         self.token = 0
         self.failures = 0
+        self.crashes = 0
+        self.isolated_crashes = 0
         self.checkpoint = ""
         self.confirmed_at = None
         self.ordered_at = 0.0
@@ -208,6 +214,7 @@
         ended_at: Boot time at which it ended, or None.
         has_started: Whether any task was ever started.
         is_recorded: Whether the journal has a record of it.
+        suspects: Tasks that may have crashed a worker; see ``crashes``.
         latest_start: Latest start of its remaining steps that meets the objective, and
             the time of that estimate, both Unix seconds; or None.
     """
@@ -224,6 +231,7 @@
         "ended_at",
         "has_started",
         "is_recorded",
+        "suspects",
         "latest_start",
     )
 
@@ -239,6 +247,7 @@
         self.ended_at = None
         self.has_started = False
         self.is_recorded = False
+        self.suspects = set()
         self.latest_start = None
 
     @property
--- a/basilwind/scheduling/placement.py
+++ b/basilwind/scheduling/placement.py
@@ -8,12 +8,13 @@
 
 from dataclasses import dataclass
 
+from basilwind.scheduling.crashes import is_quiet
+from basilwind.scheduling.eligibility import may_run
 from basilwind.scheduling.health import is_on_probation
 from basilwind.scheduling.jobs import TaskState
 from basilwind.scheduling.policy import valid_ticket
 
 MAX_SILENCE_S = 1.2  # a hold is answered within 1 s and its margin of 0.7 s
-PROBATION_TASKS = 1  # maximum number of tasks on a worker that failed recent ones
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,10 +49,6 @@
     )
 
 
-def _tasks_of_step(worker, step):
-    return sum(task.step is step for task in worker.tasks.values())
-
-
 def _count_serving(worker):
     return sum(
         task.spec.tail_target_ms > 0 and not task.spec.is_filler
@@ -63,16 +60,6 @@
     return sum(task.spec.is_filler for task in worker.tasks.values())
 
 
-def _may_run(step, worker):
-    """Returns whether the step's rules and the worker's health allow another task."""
-    spec = step.spec
-    if spec.required_label and spec.required_label not in worker.entry.labels:
-        return False
-    if spec.most_per_worker and _tasks_of_step(worker, step) >= spec.most_per_worker:
-        return False
-    return not (is_on_probation(worker) and len(worker.tasks) >= PROBATION_TASKS)
-
-
 def _score(spec, worker):
     """Returns the sort key of a worker for a task; the smallest is the best fit."""
     is_remote = bool(spec.data_rack) and spec.data_rack != worker.entry.rack
@@ -109,7 +96,7 @@
         return next(iter(used_racks))
     capacity = {}
     for worker in workers:
-        if not _may_run(step, worker):
+        if not may_run(step, worker):
             continue
         spec = step.spec
         fits = min(
@@ -158,7 +145,7 @@
         fitting = [
             worker
             for worker in candidates
-            if worker.has_capacity_for(spec) and _may_run(step, worker)
+            if worker.has_capacity_for(spec) and may_run(step, worker)
         ]
         if not fitting:
             is_short = True
@@ -173,6 +160,38 @@
     return placed, is_short
 
 
+def place_suspects(step, worker, now):
+    """Reserves a worker that is kept for a job for the suspects of one of its steps.
+
+    Args:
+        step: ``StepRun``.
+        worker: ``WorkerView`` that is kept for the job, or None.
+        now: Boot time in seconds.
+
+    Returns:
+        Pairs of task and worker.
+    """
+    if worker is None or not is_quiet(worker, step.job, now):
+        return []
+    placed = []
+    for task in step.waiting():
+        if (
+            task in step.job.suspects
+            and worker.has_capacity_for(step.spec)
+            and may_run(step, worker)
+        ):
+            worker.reserve(task)
+            placed.append((task, worker))
+    return placed
+
+
+def place_suspected_gang(step, workers, now):
+    """Reserves workers for a gang that has suspects, those for it alone if possible."""
+    quiet = [worker for worker in workers if is_quiet(worker, step.job, now)]
+    placed, is_short = place_step(step, quiet, now)
+    return (placed, is_short) if placed else place_step(step, workers, now)
+
+
 def choose_reserved_worker(step, workers):
     """Returns the worker to keep free for a step that fits on none, or None.
 
@@ -184,7 +203,7 @@
         for worker in workers
         if worker.entry.memory >= step.spec.memory
         and worker.entry.cpu >= step.spec.reserved_cpu
-        and _may_run(step, worker)
+        and may_run(step, worker)
     ]
     if step.reserved_worker in fitting:
         return step.reserved_worker
--- a/basilwind/scheduling/pool.py
+++ b/basilwind/scheduling/pool.py
@@ -19,6 +19,8 @@
     is_gang_waiting,
     is_usable,
     place_step,
+    place_suspected_gang,
+    place_suspects,
 )
 from basilwind.scheduling.policy import Ticket, workers_to_ask
 from basilwind.scheduling.pool_workers import PoolWorkers
@@ -189,16 +191,23 @@
         )
         cores = sum(worker.entry.cpu for worker in workers) / 1000
         self._is_overloaded = is_overloaded(self._urgent_waiting, cores)
+        workers, kept = self._crashes.isolate(workers, now)
         orders, shortages = [], []
         may_have_unrecorded_runs = self.has_unrecorded_runs(now)
         for step in self._rank_ready_steps(wall_time):
             if may_have_unrecorded_runs and step.job.job_id in self._jobs_known_before:
                 continue
+            if step.job.suspects and not step.spec.is_gang:
+                # Its other tasks wait, as they may crash their workers, too.
+                placed = place_suspects(step, kept.get(step.job.job_id), now)
+                orders += self._start_orders(step, placed, now)
+                continue
             if any(shortage.covers(step.spec) for shortage in shortages):
                 continue
             if step.spec.is_gang and not is_gang_waiting(step):
                 continue
-            placed, is_short = place_step(step, workers, now)
+            place = place_suspected_gang if step.job.suspects else place_step
+            placed, is_short = place(step, workers, now)
             orders += self._start_orders(step, placed, now)
             if not is_short or step.tickets is not None:
                 step.unplaced_since = None
@@ -225,7 +234,9 @@
         Args:
             order: ``StartOrder``.
         """
-        return order.task.job.is_recorded
+        job = order.task.job
+        # A crash of its worker could not be recorded either.
+        return job.is_recorded and not job.suspects
 
     def _usable_workers(self, now):
         return [worker for worker in self.workers.values() if is_usable(worker, now)]
--- a/basilwind/scheduling/pool_jobs.py
+++ b/basilwind/scheduling/pool_jobs.py
@@ -1,5 +1,6 @@
 """The jobs of a pool: submitted, ready to run, and ended."""
 
+from basilwind.scheduling.crashes import CrashTracker
 from basilwind.scheduling.estimates import RunTimes
 from basilwind.scheduling.jobs import Job, JobState, TaskState
 
@@ -55,6 +56,7 @@
         self._early_cancels = set()
         # Ids of live jobs whose occurrences have due times.
         self._timed_jobs = set()
+        self._crashes = CrashTracker()
         # Stops of runs that no task needs.
         self._pending_stops = []
         # Work of waiting tasks at the last ranking, core-seconds.
@@ -96,6 +98,7 @@
         self.jobs[job.job_id] = job
         if not job.is_live:
             return
+        self._crashes.add_job(job)
         if job.spec.is_timed:
             self._timed_jobs.add(job.job_id)
         for step in job.start_due_occurrences(wall_time):
@@ -140,6 +143,7 @@
         job.state = state
         job.ended_at = now
         self._timed_jobs.discard(job.job_id)
+        self._crashes.remove_job(job)
         self.dirty.add(job.job_id)
         for task in job.tasks():
             if task.is_active:
@@ -162,6 +166,7 @@
             if member.is_active:
                 self._unassign(member)
             member.state = TaskState.DONE
+            self._crashes.clear(member)
             step.unfinished -= 1
         self.dirty.add(job.job_id)
         if not job.is_live or not step.is_done:
--- a/basilwind/scheduling/pool_workers.py
+++ b/basilwind/scheduling/pool_workers.py
@@ -27,7 +27,14 @@
             if worker is None:
                 worker = self.workers[worker_id] = WorkerView(entry)
                 added.append(worker)
+                self._report(
+                    "worker joined",
+                    worker=worker_id,
+                    host=entry.host,
+                    address=entry.address,
+                )
                 self._restore_reservations(worker)
+                self._fail_jobs(self._crashes.record_incarnation(entry, 0, now), now)
             elif worker.entry != entry:
                 worker.update_entry(entry)
             worker.is_listed = True
@@ -70,6 +77,12 @@
             Sequence number of the last ended run that has been applied. It may be
             acknowledged once the dirty jobs are durable.
         """
+        self._fail_jobs(
+            self._crashes.record_incarnation(
+                worker.entry, report.incarnation_started_ms, now
+            ),
+            now,
+        )
         if (
             worker.incarnation_started_ms
             and report.incarnation_started_ms
@@ -139,6 +152,8 @@
             self._stop_stalled(worker, task, now)
         task.progress_percent = reported.progress_percent
         task.load = reported.load
+        if self._crashes.clear_if_proven(task, now):
+            self.dirty.add(task.job.job_id)
         task.checkpoint = reported.checkpoint or task.checkpoint
 
     def _stop_stalled(self, worker, task, now):
@@ -257,7 +272,7 @@
         the new incarnation, which knows of no stop.
         """
         restarted = {(run.task_name, run.run) for run in report.running}
-        self._report_lost_runs(
+        self._record_crash(
             worker,
             [
                 task
@@ -270,8 +285,8 @@
         for task in worker.tasks.values():
             task.stop_answered_at = None
 
-    def _report_lost_runs(self, worker, tasks, now):
-        """Logs the runs that ended with an incarnation of a worker, and their ages."""
+    def _record_crash(self, worker, tasks, now):
+        """Counts, and logs with their ages, the runs that ended with an incarnation."""
         if not tasks:
             return
         alive_until = now if worker.alive_until is None else worker.alive_until
@@ -285,10 +300,25 @@
                 for task in tasks
             ],
         )
+        self.dirty.update(task.job.job_id for task in tasks)
+        self._fail_jobs(self._crashes.record_crash(worker, tasks, now), now)
+
+    def _fail_jobs(self, tasks, now):
+        """Fails the jobs of tasks that have crashed too many workers."""
+        for task in tasks:
+            if not task.job.is_live:
+                continue
+            self._report(
+                "task given up",
+                task=task.name,
+                crashes=task.crashes,
+                isolated_crashes=task.isolated_crashes,
+            )
+            self._end_job(task.job, JobState.FAILED, now)
 
     def remove_worker(self, worker, now):
         """Requeues all tasks of a worker that is known to be gone and removes it."""
-        self._report_lost_runs(worker, worker.tasks.values(), now)
+        self._record_crash(worker, list(worker.tasks.values()), now)
         worker.is_listed = False
         for task in list(worker.tasks.values()):
             self._requeue(task)
@@ -303,6 +333,7 @@
                 continue
             if worker.is_clock_known and not worker.has_lease_expired(now):
                 continue
+            self._crashes.record_lapse(worker, now)
             for task in list(worker.tasks.values()):
                 self._report(
                     "lease lapsed",
--- a/basilwind/scheduling/records.py
+++ b/basilwind/scheduling/records.py
@@ -33,6 +33,26 @@
     checkpoint: str = ""
 
 
+class CrashRecord(msgspec.Struct, array_like=True):
+    """Crashes of workers under a task that is not done.
+
+    Attributes:
+        occurrence: Number of the occurrence.
+        step: Number of the step.
+        index: Index of the task in the step.
+        crashes: Number of workers that crashed with a run of it.
+        isolated_crashes: Number of those crashes that no other job can have caused.
+        is_suspect: Whether its next run has to outlive a probation.
+    """
+
+    occurrence: int
+    step: int
+    index: int
+    crashes: int
+    isolated_crashes: int
+    is_suspect: bool
+
+
 class JobRecord(msgspec.Struct, array_like=True):
     """State of a job.
 
@@ -40,11 +60,13 @@
         state: A ``JobState`` value.
         tasks: Started tasks of occurrences that are not done.
         done_occurrences: Numbers of occurrences that are done.
+        crashes: Tasks under which workers have crashed.
     """
 
     state: str
     tasks: list[TaskRecord] = []
     done_occurrences: list[int] = []
+    crashes: list[CrashRecord] = []
 
 
 class SubmissionRecord(msgspec.Struct, array_like=True):
@@ -93,6 +115,18 @@
             for task in job.tasks()
             if task.run or task.state is TaskState.DONE
         ]
+        record.crashes = [
+            CrashRecord(
+                occurrence=task.step.occurrence,
+                step=task.step.number,
+                index=task.index,
+                crashes=task.crashes,
+                isolated_crashes=task.isolated_crashes,
+                is_suspect=task in job.suspects,
+            )
+            for task in job.tasks()
+            if task.crashes and task.state is not TaskState.DONE
+        ]
     return msgspec.json.encode(record)
 
 
@@ -145,3 +179,9 @@
             task.state = TaskState.UNCONFIRMED
             task.worker_id = entry.worker_id
             task.ordered_at = now
+    for entry in record.crashes:
+        task = job.occurrences[entry.occurrence][entry.step].tasks[entry.index]
+        task.crashes = entry.crashes
+        task.isolated_crashes = entry.isolated_crashes
+        if entry.is_suspect:
+            job.suspects.add(task)
--- a/basilwind/scheduling/workers.py
+++ b/basilwind/scheduling/workers.py
@@ -24,6 +24,7 @@
             break; None while it answers.
         is_withheld: Whether the fleet planner wants it to run no tasks.
         is_listed: Whether the registry lists it.
+        isolated_job_id: Id of the job whose suspects it was last kept for.
         unanswered_since: Boot time at which the first unanswered call was sent, or
             None.
         ejected_until: Boot time until which it gets no tasks because of failures.
@@ -51,6 +52,7 @@
         "alive_until",
         "is_withheld",
         "is_listed",
+        "isolated_job_id",
         "unanswered_since",
         "ejected_until",
         "ejection_s",
@@ -77,6 +79,7 @@
         self.alive_until = None
         self.is_withheld = False
         self.is_listed = True
+        self.isolated_job_id = ""
         self.unanswered_since = None
         self.ejected_until = 0.0
         self.ejection_s = 0.0
