--- a/basilwind/scheduling/pool_workers.py
+++ b/basilwind/scheduling/pool_workers.py
@@ -22,6 +22,7 @@
             ``WorkerView`` of each new worker.
         """
         added = []
+        entries = self._remove_predecessors(entries, now)
         for worker_id, entry in entries.items():
             worker = self.workers.get(worker_id)
             if worker is None:
@@ -51,6 +52,36 @@
                     del self.workers[worker_id]
         return added
 
+    def _remove_predecessors(self, entries, now):
+        """Removes the workers whose host has started another one since.
+
+        A host runs one worker at a time, but the entry of one that crashed is listed
+        until it expires.
+
+        Returns:
+            The entries of the others by worker id.
+        """
+        newest = {}
+        for entry in entries.values():
+            other = newest.get(entry.host, entry)
+            if (
+                entry.host
+                and entry.incarnation_started_ms >= other.incarnation_started_ms
+            ):
+                newest[entry.host] = entry
+        for worker in list(self.workers.values()):
+            successor = newest.get(worker.entry.host, worker.entry)
+            if successor.worker_id != worker.worker_id and _is_older(
+                worker.entry, successor
+            ):
+                self._report("worker replaced", worker=worker.worker_id)
+                self.remove_worker(worker, now)
+        return {
+            worker_id: entry
+            for worker_id, entry in entries.items()
+            if not _is_older(entry, newest.get(entry.host, entry))
+        }
+
     def _restore_reservations(self, worker):
         """Reserves capacity for tasks whose runs may exist on a new worker."""
         for job in self.jobs.values():
@@ -366,6 +397,10 @@
         return interrupted
 
 
+def _is_older(entry, other):
+    return entry.incarnation_started_ms < other.incarnation_started_ms
+
+
 def _age_s(task, now):
     """Returns how long a task's run has been known to be executing, seconds."""
     return 0.0 if task.confirmed_at is None else max(0.0, now - task.confirmed_at)
--- a/tests/scheduling/test_crashing_tasks.py
+++ b/tests/scheduling/test_crashing_tasks.py
@@ -245,6 +245,42 @@
         model.play(2)
         self.assertEqual(task.crashes, 1)
 
+    def test_crash_is_counted_although_the_host_leaves_before_its_worker_answers(self):
+        # Regression (fleetbench cordillera-flota deploy/days/deadly.toml --seed 1): the
+        # host of a crashed worker was moved to another pool as soon as it was back. Its
+        # runs waited for their leases, and the crash was not counted.
+        model = self._model(workers=1)
+        model.workers["w0"].entry = make_entry("w0", host="host")
+        model.refresh()
+        model.submit("job", make_job(count=1))
+        model.play(0.2)
+        view = model.state.workers["w0"]
+        model.crash("w0")
+        model.play(1)
+        entries = {
+            "w0": view.entry,
+            "w1": make_entry("w1", host="host", incarnation_started_ms=2),
+        }
+        model.state.set_workers(entries, model.now)
+        (task,) = model.state.jobs["job"].tasks()
+        self.assertIs(task.state, TaskState.WAITING)
+        self.assertEqual(task.crashes, 1)
+        # The entry of the worker that is gone is listed until it expires.
+        model.state.set_workers(entries, model.now)
+        self.assertEqual(set(model.state.workers), {"w1"})
+
+    def test_older_entry_of_a_host_ends_no_worker(self):
+        model = self._model(workers=1)
+        entry = make_entry("w0", host="host", incarnation_started_ms=2)
+        model.workers["w0"].entry = entry
+        model.refresh()
+        model.submit("job", make_job(count=1))
+        model.play(0.2)
+        late = make_entry("w1", host="host", incarnation_started_ms=1)
+        model.state.set_workers({"w0": entry, "w1": late}, model.now)
+        (task,) = model.state.jobs["job"].tasks()
+        self.assertIs(task.state, TaskState.RUNNING)
+
     def test_crash_of_a_worker_with_old_runs_only_suspects_none(self):
         model, job = self._run_lasting()
         model.play(2)
