Log what ends long-running runs, and what it was decided from

Each stop that ends a run of a long-running task is now a line ('run interrupted': task, run, worker, whether it is repeated, the indexes of the other tasks of its step that are interrupted, the age of the worker's last answer); so is a run that a worker reports and no task is known to need ('unwanted run', with the run that is known). A takeover tells how many runs its records hold and whether some may lack; orders for machines name the worker and the age of the report that they rely on. Only long-running tasks and the first report of an unwanted run are logged, so cancellations in waves add nothing.

--- a/basilwind/entry/owner.py
+++ b/basilwind/entry/owner.py
@@ -181,6 +181,8 @@
             "pool taken over",
             token=self.token,
             jobs=len(self._state.jobs),
+            runs=self._state.count_active_runs(),
+            may_lack_runs=self._state.unrecorded_runs_until > 0.0,
             seconds=round(now - started_at, 3),
         )
 
--- a/basilwind/entry/planner.py
+++ b/basilwind/entry/planner.py
@@ -307,6 +307,7 @@
     async def _start_maintenance(self, wave, candidate):
         if not self._may_order(candidate.host):
             return False
+        sent_at = self._clock()
         try:
             outcome = await self._machine_client.start_maintenance(
                 candidate.host, wave.number, self._services.incarnation, self._token
@@ -315,7 +316,11 @@
             # Retried in the next round, until the platform confirms it.
             return False
         self._services.report(
-            "machine upkeep", machine=candidate.host, outcome=outcome.value
+            "machine upkeep",
+            machine=candidate.host,
+            worker=candidate.worker_id,
+            report_age_s=round(sent_at - self._emptied_at, 3),
+            outcome=outcome.value,
         )
         self._raise_if_fenced(outcome)
         if outcome is OrderOutcome.DONE:
@@ -435,6 +440,7 @@
     async def _move(self, host, target):
         if not self._may_order(host.name):
             return
+        sent_at = self._clock()
         try:
             outcome = await self._machine_client.move(
                 host.name, target, self._services.incarnation, self._token
@@ -449,6 +455,8 @@
         self._services.report(
             "machine moved",
             machine=host.name,
+            worker=host.worker_id,
+            report_age_s=round(sent_at - self._emptied_at, 3),
             source=host.pool,
             target=target,
             outcome=outcome.value if outcome else "unknown",
--- a/basilwind/scheduling/pool.py
+++ b/basilwind/scheduling/pool.py
@@ -442,6 +442,8 @@
                     continue
                 if task.state is TaskState.STARTING:
                     continue
+                if task.spec.is_lasting and task.job.is_live:
+                    self._report_interruption(task, worker, now)
                 task.stop_sent_at = now
                 orders.append(StopOrder(task.name, task.run, worker))
         return orders
--- a/basilwind/scheduling/pool_jobs.py
+++ b/basilwind/scheduling/pool_jobs.py
@@ -126,6 +126,10 @@
             for job in self.jobs.values()
         )
 
+    def count_active_runs(self):
+        """Returns how many runs may exist on workers."""
+        return sum(task.is_active for job in self.jobs.values() for task in job.tasks())
+
     def drop_ended_jobs(self, now):
         """Drops jobs that ended longer ago than the retention time."""
         for job_id, job in list(self.jobs.items()):
--- a/basilwind/scheduling/pool_workers.py
+++ b/basilwind/scheduling/pool_workers.py
@@ -143,6 +143,7 @@
         unwanted = {}
         for name, run in reported_runs:
             if not self._adopt_run(worker, name, run, now):
+                self._report_unwanted(worker, name, run)
                 self._pending_stops.append(StopOrder(name, run, worker))
                 spec = self._find_spec(name)
                 if spec is not None:
@@ -172,6 +173,21 @@
         self._report("run adopted", task=name, run=run, worker=worker.worker_id)
         return True
 
+    def _report_unwanted(self, worker, name, run):
+        """Logs the first time that a run which no task needs is to be stopped."""
+        if (name, run) in worker.unwanted_runs:
+            return
+        task = self._find_task(name)
+        self._report(
+            "unwanted run",
+            task=name,
+            run=run,
+            worker=worker.worker_id,
+            known_run=task.run if task else None,
+            known_worker=task.worker_id if task else None,
+            state=task.state.value if task else None,
+        )
+
     def has_unrecorded_runs(self, now):
         """Returns whether workers that never answered may have unrecorded runs."""
         if now >= self.unrecorded_runs_until:
@@ -397,13 +413,37 @@
 
     def _count_interrupted(self, step):
         """Returns how many tasks of a long-running step are not fully running."""
-        interrupted = 0
+        return len(self._interrupted_tasks(step))
+
+    def _interrupted_tasks(self, step):
+        """Returns the tasks of a long-running step that are not fully running."""
+        interrupted = []
         for task in step.tasks:
             worker = self.workers.get(task.worker_id)
             is_responding = worker is not None and worker.unanswered_since is None
-            interrupted += not (is_responding and task.is_fully_running)
+            if not (is_responding and task.is_fully_running):
+                interrupted.append(task)
         return interrupted
 
+    def _report_interruption(self, task, worker, now):
+        """Logs an order that ends a long-running run, and what it was decided from."""
+        answered_at = worker.answered_at
+        self._report(
+            "run interrupted",
+            task=task.name,
+            run=task.run,
+            worker=worker.worker_id,
+            state=task.state.value,
+            is_planned=worker.is_leaving,
+            is_repeated=task.stop_sent_at is not None,
+            interrupted=[
+                other.index
+                for other in self._interrupted_tasks(task.step)
+                if other is not task
+            ],
+            answer_age_s=None if answered_at is None else round(now - answered_at, 3),
+        )
+
 
 def _is_older(entry, other):
     return entry.incarnation_started_ms < other.incarnation_started_ms
