Adopt runs that replaced a recorded one before a takeover

Callers saw two tasks of a service down for over 8 s, one more than allowed: the service's pool had got a new owner just after an outage of the store.

Cause: in the outage the previous owner had moved tasks, and could not record it. Its successor finds the earlier runs in its records, as 'unconfirmed', and later ones in the first reports of other workers. It adopted a reported run only if the task was waiting, which depends on which worker answers first, and ended all others at once, without a count. After an outage they then wait for 8.2 s, as jobs that may have unrecorded runs are not started.

Evidence: the end of the incident comes 20 ms after reports reach a successor, after an outage, and both tasks wait 8.2 s; the test does the same (outage, lost worker, takeover, first reports) and failed before: 'lasting.0.0.1 is ended while lasting.0.0.0 is interrupted'.

Change: a later run also replaces one that was recorded by a previous owner, who started it only as it knew that the earlier one had ended. Should a worker report the earlier run nevertheless, that one is stopped, as before. The report's progress counts from the first report on.

--- a/basilwind/scheduling/pool_workers.py
+++ b/basilwind/scheduling/pool_workers.py
@@ -141,8 +141,8 @@
             elif self._is_missing(task, sent_at):
                 self._requeue(task)
         unwanted = {}
-        for name, run in reported_runs:
-            if not self._adopt_run(worker, name, run, now):
+        for (name, run), reported in reported_runs.items():
+            if not self._adopt_run(worker, reported, now):
                 self._report_unwanted(worker, name, run)
                 self._pending_stops.append(StopOrder(name, run, worker))
                 spec = self._find_spec(name)
@@ -152,25 +152,39 @@
             worker.set_unwanted_runs(unwanted)
         return worker.last_applied_sequence
 
-    def _adopt_run(self, worker, name, run, now):
+    def _adopt_run(self, worker, reported, now):
         """Adopts a run that a previous owner could not record.
 
         Returns:
             Whether the run was adopted; if not, it has to be stopped.
         """
-        task = self._find_task(name)
-        if task is None or task.state is not TaskState.WAITING or run <= task.run:
+        task = self._find_task(reported.task_name)
+        if task is None or reported.run <= task.run:
+            return False
+        is_record_old = task.is_active and task.token < self.token
+        if not is_record_old and task.state is not TaskState.WAITING:
             return False
+        # The previous owner knew that the recorded run had ended.
+        self._unassign(task)
         task.state = TaskState.RUNNING
-        task.run = run
+        task.run = reported.run
         task.worker_id = worker.worker_id
         task.token = self.token
         task.ordered_at = task.confirmed_at = task.progressed_at = now
+        task.progress_percent = reported.progress_percent
+        task.load = reported.load
+        task.checkpoint = reported.checkpoint or task.checkpoint
         worker.reserve(task)
         task.job.has_started = True
         task.job.state = JobState.RUNNING
         self.dirty.add(task.job.job_id)
-        self._report("run adopted", task=name, run=run, worker=worker.worker_id)
+        self._report(
+            "run adopted",
+            task=task.name,
+            run=task.run,
+            worker=worker.worker_id,
+            replaces_record=is_record_old,
+        )
         return True
 
     def _report_unwanted(self, worker, name, run):
