Revoke lost starts of services only after a report that lacks their runs

Callers saw several tasks of a service ended in the same moment, shortly after they had started.

Cause: a start that gets no answer is stopped after 0.3 s, so that a late start can do no harm. Whether the run is up by then is not asked, and a hold, which would tell, takes up to 1.5 s. Nobody counted the step's other tasks either: all starts of one step that lost their answers were stopped together.

Change: the lost start of a long-running task is revoked only within 0.05 s of a report that lacks its run, so the stop goes out with the report. A report that lists the run confirms it, and nothing is stopped. A task whose start was lost is so started again at most one hold later; it was down before. Other tasks are stopped as before.

--- a/basilwind/entry/owner.py
+++ b/basilwind/entry/owner.py
@@ -71,6 +71,7 @@
             self._lease_s,
             self._schedule_event,
             self._handle_fenced,
+            self._send_stops_of,
         )
         self._tasks = None
         self._intake_offset = 0
@@ -371,6 +372,11 @@
         if is_accepted:
             self._state.apply_stop_answer(order, self._clock())
 
+    def _send_stops_of(self, worker, now):
+        if self._services.may_extend_leases(now):
+            for stop in self._state.stop_orders_of(worker, now):
+                self._tasks.start_soon(self._send_stop, stop)
+
     def _handle_fenced(self, worker):
         self._report("order fenced", worker=worker.worker_id, token=self.token)
         self._services.on_fenced(self.pool, self.token)
--- a/basilwind/entry/worker_leases.py
+++ b/basilwind/entry/worker_leases.py
@@ -33,9 +33,12 @@
         lease_s: Duration of the leases, in seconds.
         schedule_event: ``AutoResetEvent`` that triggers scheduling.
         on_fenced: Called with a worker that has seen a higher fencing token.
+        send_stops: Called with a worker and the boot time after each of its reports.
     """
 
-    def __init__(self, services, state, journal, lease_s, schedule_event, on_fenced):
+    def __init__(
+        self, services, state, journal, lease_s, schedule_event, on_fenced, send_stops
+    ):
         self._services = services
         self._worker_control = services.worker_control
         self._clock = services.clock
@@ -45,6 +48,7 @@
         self._lease_s = lease_s
         self._schedule_event = schedule_event
         self._on_fenced = on_fenced
+        self._send_stops = send_stops
 
     async def run(self, worker):
         """Sends hold calls to a worker until it has left the pool."""
@@ -94,9 +98,9 @@
             # ``WorkerView``.
             return
         was_silent = worker.unanswered_since is not None
-        last_applied_sequence = self._state.apply_report(
-            worker, report, sent_at, self._clock()
-        )
+        now = self._clock()
+        last_applied_sequence = self._state.apply_report(worker, report, sent_at, now)
+        self._send_stops(worker, now)
         if was_silent:
             self._report("worker regained", worker=worker.worker_id)
         self._schedule_event.set()
--- a/basilwind/scheduling/pool.py
+++ b/basilwind/scheduling/pool.py
@@ -31,6 +31,7 @@
 STOP_RETRY_S = 0.7  # stopping takes up to 0.2 or 0.9 s, depending on the deployment
 WITHHOLD_S = 3.0  # the planner renews it every 0.4 s; a new planner needs 3 s
 UNCONFIRMED_START_S = 0.3  # time for a hold to report a run whose start got no answer
+FRESH_REPORT_S = 0.05  # a run that starts later than the report is not up yet
 # Late tasks that end sooner are not stopped, as stopping takes 0.2 or 0.9 s, depending
 # on the deployment.
 PREEMPTION_MIN_REMAINING_S = 0.5
@@ -427,23 +428,45 @@
         """Returns the ``StopOrder`` objects that are due."""
         orders, self._pending_stops = self._pending_stops, []
         for worker in self.workers.values():
-            if not worker.is_clock_known:
+            orders += self.stop_orders_of(worker, now)
+        return orders
+
+    def stop_orders_of(self, worker, now):
+        """Returns the ``StopOrder`` objects that are due for the runs of a worker."""
+        if not worker.is_clock_known:
+            return []
+        orders = []
+        for task in worker.tasks.values():
+            if task.state is TaskState.STARTING:
                 continue
-            for task in worker.tasks.values():
-                is_unconfirmed = (
-                    task.state is TaskState.UNCONFIRMED
-                    and task.stop_answered_at is None
-                    and task.token == self.token
-                    and now - task.ordered_at > UNCONFIRMED_START_S
-                )
-                if not (task.is_stopping or is_unconfirmed):
-                    continue
-                if task.stop_sent_at and now - task.stop_sent_at < STOP_RETRY_S:
-                    continue
-                if task.state is TaskState.STARTING:
-                    continue
-                if task.spec.is_lasting and task.job.is_live:
-                    self._report_interruption(task, worker, now)
-                task.stop_sent_at = now
-                orders.append(StopOrder(task.name, task.run, worker))
+            if task.stop_sent_at and now - task.stop_sent_at < STOP_RETRY_S:
+                continue
+            if not (task.is_stopping or self._is_start_lost(task, worker, now)):
+                continue
+            if task.spec.is_lasting and task.job.is_live:
+                self._report_interruption(task, worker, now)
+            task.stop_sent_at = now
+            orders.append(StopOrder(task.name, task.run, worker))
         return orders
+
+    def _is_start_lost(self, task, worker, now):
+        """Returns whether a start without an answer has to be revoked by a stop.
+
+        A long-running task may be up, and the step have no interruption to spare. Its
+        start is revoked only immediately after a report that lacks the run.
+        """
+        if (
+            task.state is not TaskState.UNCONFIRMED
+            or task.stop_answered_at is not None
+            or task.token != self.token
+            or now - task.ordered_at <= UNCONFIRMED_START_S
+        ):
+            return False
+        if not task.spec.is_lasting:
+            return True
+        reported_at = worker.reported_at
+        return (
+            reported_at is not None
+            and reported_at - task.ordered_at > UNCONFIRMED_START_S
+            and now - reported_at < FRESH_REPORT_S
+        )
--- a/basilwind/scheduling/pool_workers.py
+++ b/basilwind/scheduling/pool_workers.py
@@ -124,6 +124,7 @@
             report.incarnation_started_ms or worker.incarnation_started_ms
         )
         worker.set_clock(report.worker_clock_s, now)
+        worker.reported_at = now
         for end in report.ended:
             # Ends are listed until acknowledged, and reports may arrive out of order.
             if end.sequence > worker.last_applied_sequence:
--- a/basilwind/scheduling/workers.py
+++ b/basilwind/scheduling/workers.py
@@ -22,6 +22,7 @@
             which the next hold acknowledges.
         pending_ack: Sequence number of an ended run that waits for the journal, and
             the number of the journal's batch that contains it; or None.
+        reported_at: Boot time at which its last report was read, or None.
         alive_until: Boot time until which the worker is known to have run without a
             break; None while it answers.
         is_withheld: Whether the fleet planner wants it to run no tasks.
@@ -52,6 +53,7 @@
         "last_applied_sequence",
         "acknowledged_sequence",
         "pending_ack",
+        "reported_at",
         "alive_until",
         "is_withheld",
         "is_listed",
@@ -80,6 +82,7 @@
         self.last_applied_sequence = 0
         self.acknowledged_sequence = 0
         self.pending_ack = None
+        self.reported_at = None
         self.alive_until = None
         self.is_withheld = False
         self.is_listed = True
@@ -224,6 +227,7 @@
         self.last_applied_sequence = 0
         self.acknowledged_sequence = 0
         self.pending_ack = None
+        self.reported_at = None
         self._last_worker_clock_s = None
         self._clock_read_at = None
         self._latest_lease_end_s = 0.0
