Count a service's interrupted tasks again whenever a stop is sent

Callers saw a task of a service ended although another one had been down for seconds.

Cause: whether a task may be interrupted was counted when its stop was decided. The stop leaves later, and is repeated every 0.7 s until the run has ended, without a count. The count also took a worker's last report as true until a call to it failed, however old the report was; a daemon that was paused acts on it before it notices.

Change: scheduling/interruptions.py holds the count. It is taken for each stop that leaves, first or repeated; a task counts as up only by a report that was asked for less than 4 s ago (one that is down for 4.5 s counts as interrupted for any cause). A stop that was never sent and is not allowed any more is dropped and decided anew; one that was sent waits, and its task counts as interrupted until the run has ended. Draining workers are exempt, as their tasks end anyway; should the entry be ready again, the count holds again.

--- a/basilwind/scheduling/pool.py
+++ b/basilwind/scheduling/pool.py
@@ -9,6 +9,7 @@
 from basilwind.scheduling import health
 from basilwind.scheduling.admission import refuse_for_s
 from basilwind.scheduling.demand import PoolReport, WorkerLoad
+from basilwind.scheduling.interruptions import may_interrupt
 from basilwind.scheduling.jobs import JobState, TaskState
 from basilwind.scheduling.ordering import is_late, is_overloaded, rank_step
 from basilwind.scheduling.orders import StartOrder, StopOrder
@@ -81,10 +82,7 @@
                 if task.is_stopping:
                     continue
                 if task.spec.is_lasting:
-                    # The count excludes this task, which runs until it is stopped.
-                    task.is_stopping = (
-                        self._count_interrupted(task.step) < task.spec.may_miss
-                    )
+                    task.is_stopping = may_interrupt(task, self.workers, now)
                 elif self._is_worth_preempting(task, now, wall_time):
                     task.is_stopping = True
 
@@ -444,11 +442,25 @@
             if not (task.is_stopping or self._is_start_lost(task, worker, now)):
                 continue
             if task.spec.is_lasting and task.job.is_live:
+                if task.is_stopping and not self._may_send_stop(task, worker, now):
+                    continue
                 self._report_interruption(task, worker, now)
             task.stop_sent_at = now
             orders.append(StopOrder(task.name, task.run, worker))
         return orders
 
+    def _may_send_stop(self, task, worker, now):
+        """Returns whether the stop of a long-running run may be sent, or sent again.
+
+        A stop that was never sent is dropped otherwise, and decided anew if the run is
+        still to be stopped. One that was sent may still take effect.
+        """
+        if worker.entry.is_draining or may_interrupt(task, self.workers, now):
+            return True
+        if task.stop_sent_at is None:
+            task.is_stopping = False
+        return False
+
     def _is_start_lost(self, task, worker, now):
         """Returns whether a start without an answer has to be revoked by a stop.
 
--- a/basilwind/scheduling/pool_workers.py
+++ b/basilwind/scheduling/pool_workers.py
@@ -1,6 +1,7 @@
 """The workers of a pool: registration, reports, failures and lost leases."""
 
 from basilwind.scheduling import health
+from basilwind.scheduling.interruptions import interrupted_tasks, may_interrupt
 from basilwind.scheduling.jobs import JobState, TaskState
 from basilwind.scheduling.orders import StopOrder
 from basilwind.scheduling.pool_jobs import PoolJobs
@@ -124,7 +125,7 @@
             report.incarnation_started_ms or worker.incarnation_started_ms
         )
         worker.set_clock(report.worker_clock_s, now)
-        worker.reported_at = now
+        worker.report_asked_at, worker.reported_at = sent_at, now
         for end in report.ended:
             # Ends are listed until acknowledged, and reports may arrive out of order.
             if end.sequence > worker.last_applied_sequence:
@@ -229,10 +230,7 @@
 
         A long-running task is left alone while its step has no interruption to spare.
         """
-        if (
-            task.spec.is_lasting
-            and self._count_interrupted(task.step) >= task.spec.may_miss
-        ):
+        if task.spec.is_lasting and not may_interrupt(task, self.workers, now):
             return
         task.is_stopping = True
         self._report("run stalled", task=task.name, worker=worker.worker_id)
@@ -426,23 +424,9 @@
                     self._requeue(task)
         self.previous_leases_until = 0.0
 
-    def _count_interrupted(self, step):
-        """Returns how many tasks of a long-running step are not fully running."""
-        return len(self._interrupted_tasks(step))
-
-    def _interrupted_tasks(self, step):
-        """Returns the tasks of a long-running step that are not fully running."""
-        interrupted = []
-        for task in step.tasks:
-            worker = self.workers.get(task.worker_id)
-            is_responding = worker is not None and worker.unanswered_since is None
-            if not (is_responding and task.is_fully_running):
-                interrupted.append(task)
-        return interrupted
-
     def _report_interruption(self, task, worker, now):
         """Logs an order that ends a long-running run, and what it was decided from."""
-        answered_at = worker.answered_at
+        asked_at = worker.report_asked_at
         self._report(
             "run interrupted",
             task=task.name,
@@ -453,10 +437,10 @@
             is_repeated=task.stop_sent_at is not None,
             interrupted=[
                 other.index
-                for other in self._interrupted_tasks(task.step)
+                for other in interrupted_tasks(task.step, self.workers, now)
                 if other is not task
             ],
-            answer_age_s=None if answered_at is None else round(now - answered_at, 3),
+            report_age_s=None if asked_at is None else round(now - asked_at, 3),
         )
 
 
--- a/basilwind/scheduling/workers.py
+++ b/basilwind/scheduling/workers.py
@@ -22,6 +22,8 @@
             which the next hold acknowledges.
         pending_ack: Sequence number of an ended run that waits for the journal, and
             the number of the journal's batch that contains it; or None.
+        report_asked_at: Boot time at which the call for its last report was sent, or
+            None. The report may be as old, if this process was paused.
         reported_at: Boot time at which its last report was read, or None.
         alive_until: Boot time until which the worker is known to have run without a
             break; None while it answers.
@@ -53,6 +55,7 @@
         "last_applied_sequence",
         "acknowledged_sequence",
         "pending_ack",
+        "report_asked_at",
         "reported_at",
         "alive_until",
         "is_withheld",
@@ -82,6 +85,7 @@
         self.last_applied_sequence = 0
         self.acknowledged_sequence = 0
         self.pending_ack = None
+        self.report_asked_at = None
         self.reported_at = None
         self.alive_until = None
         self.is_withheld = False
@@ -227,6 +231,7 @@
         self.last_applied_sequence = 0
         self.acknowledged_sequence = 0
         self.pending_ack = None
+        self.report_asked_at = None
         self.reported_at = None
         self._last_worker_clock_s = None
         self._clock_read_at = None
