Start no services on hosts that the planner may be moving, after a takeover

Callers saw tasks of a service ended that had just been started elsewhere, more at a time than allowed.

Cause: the planner moves a host, or takes it down, up to 1 s after its pool's owner has reported it as empty. The owner keeps tasks off it for 3 s; but its successor, for instance when the daemon is stopped and hands its pools over at once, does not know which workers are withheld, and places tasks there.

Weighed: storing the withheld workers before each report (an append for every change of the planner's mind, and no reports while the store is slow); asking the planner at takeover (one more call between daemons, and an answer that is old when it arrives). So a new owner starts no long-running task until the planner's first call, or for 1.5 s if none comes. Short tasks start at once, as they can be repeated.

--- a/basilwind/entry/owner.py
+++ b/basilwind/entry/owner.py
@@ -173,6 +173,7 @@
         if self._previous_claim is not None:
             previous_lease_s += MAX_STORE_SILENCE_S
         self._state.previous_leases_until = now + previous_lease_s
+        self._state.expect_withheld_workers(now)
         monitor = self._services.store_monitor
         if monitor.was_silent_recently and not self._is_handed_over:
             self._state.unrecorded_runs_until = now + previous_lease_s
--- a/basilwind/scheduling/pool.py
+++ b/basilwind/scheduling/pool.py
@@ -31,6 +31,7 @@
 UNPLACED_AFTER_S = 0.5  # short tasks free capacity within a second
 STOP_RETRY_S = 0.7  # stopping takes up to 0.2 or 0.9 s, depending on the deployment
 WITHHOLD_S = 3.0  # the planner renews it every 0.4 s; a new planner needs 3 s
+UNKNOWN_WITHHOLDING_S = 1.5  # the planner relies on an owner's report for 1 s
 UNCONFIRMED_START_S = 0.3  # time for a hold to report a run whose start got no answer
 FRESH_REPORT_S = 0.05  # a run that starts later than the report is not up yet
 # Late tasks that end sooner are not stopped, as stopping takes 0.2 or 0.9 s, depending
@@ -70,10 +71,22 @@
         """
         wanted = frozenset(worker_ids)
         self._withheld_until = now + WITHHOLD_S
+        # Orders that follow from the previous owner's reports have been sent before.
+        self._withholding_unknown_until = 0.0
         for worker in self.workers.values():
             worker.is_withheld = worker.worker_id in wanted
         self._drain_withheld(now, wall_time)
 
+    def expect_withheld_workers(self, now):
+        """Keeps long-running tasks waiting after a takeover, until the planner calls.
+
+        The planner may be moving hosts that the previous owner reported as empty.
+
+        Args:
+            now: Boot time in seconds.
+        """
+        self._withholding_unknown_until = now + UNKNOWN_WITHHOLDING_S
+
     def _drain_withheld(self, now, wall_time):
         for worker in self.workers.values():
             if not worker.is_withheld:
@@ -196,6 +209,8 @@
         for step in self._rank_ready_steps(wall_time):
             if may_have_unrecorded_runs and step.job.job_id in self._jobs_known_before:
                 continue
+            if step.spec.is_lasting and now < self._withholding_unknown_until:
+                continue
             if step.job.suspects and not step.spec.is_gang:
                 # Its other tasks wait, as they may crash their workers, too.
                 placed = place_suspects(step, kept.get(step.job.job_id), now)
--- a/basilwind/scheduling/pool_jobs.py
+++ b/basilwind/scheduling/pool_jobs.py
@@ -48,6 +48,7 @@
         self._finished_job_retention_s = finished_job_retention_s
         self._report = report
         self._withheld_until = 0.0
+        self._withholding_unknown_until = 0.0
         self._arrived_work = 0.0
         self._arrived_jobs = 0
         # Steps that may have waiting tasks; a dict keeps their order.
--- a/tests/scheduling/model.py
+++ b/tests/scheduling/model.py
@@ -442,6 +442,7 @@
             state.restore(job, self.now)
         state.previous_leases_until = self.now + previous_leases_s
         state.unrecorded_runs_until = self.now + previous_leases_s
+        state.expect_withheld_workers(self.now)
         self.state = state
         self.refresh()
 
