Count machine orders that may still take effect

Callers would see: a wave that takes down one host more than the operator allows (LIMIT), and tasks ended on a host that had been given to them again. Causes: - maintenance that got no answer was not counted against the wave's maximum once the host's worker was silent, so the next host went down beside it; the platform carries orders out up to 12 s late; - a new planner knew the hosts that the previous one had ordered, but waited with these only, and took down others beside them; - a worker whose host had an unanswered order was withheld until the next plan only.

Change: unanswered maintenance counts for 13 s or until the host is listed as down, and is repeated before any other host is chosen; hosts of the previous planner's last orders count until the list must show them; a worker with an unanswered order stays withheld for 4 s (not 12: with a machine service that is down no order is answered, and one idle worker after the other would be closed).

--- a/basilwind/entry/planner.py
+++ b/basilwind/entry/planner.py
@@ -32,6 +32,10 @@
 ARRIVAL_S = 1.0  # from the end of a move until the pool's owner knows the worker
 # Owners keep tasks off a worker for 3 s, and a slow platform takes 1 s for an order.
 MAX_EMPTY_AGE_S = 1.0
+# An order without an answer may take effect up to 12 s later. Its worker is kept empty
+# for less: while the machine service is down, no order is answered.
+UNANSWERED_MOVE_S = 4.0
+UNANSWERED_MAINTENANCE_S = 13.0
 SETTLE_MARGIN_S = 0.2  # an order of the previous planner may still be in flight
 
 
@@ -75,6 +79,10 @@
         # Target pool (None for maintenance) and time of recent orders by host, since
         # the platform's list may not show their effect yet.
         self._recent_orders = {}
+        # Pool, and time of the last unanswered order for its host, by worker id.
+        self._unanswered_orders = {}
+        # Time of the last unanswered order for maintenance, by host.
+        self._unanswered_maintenance = {}
 
     @property
     def token(self):
@@ -115,7 +123,11 @@
         if ages_s is None:
             return
         log("planning handed over", recent_orders=sorted(ages_s))
-        self._services.machine_orders.wait_for(ages_s, lease_s, self._clock())
+        now = self._clock()
+        self._services.machine_orders.wait_for(ages_s, lease_s, now)
+        for host, age_s in ages_s.items():
+            # It may be going into maintenance, which the list need not show yet.
+            self._recent_orders[host] = None, now - age_s
 
     async def _load(self):
         records, _ = await read_latest_records(self._store, TOPIC)
@@ -155,8 +167,17 @@
         return await self._withhold_all(wanted)
 
     async def _withhold_all(self, wanted):
-        """Has owners withhold workers; returns the reports of those that respond."""
+        """Has owners withhold workers; returns the reports of those that respond.
+
+        Also withholds the workers whose hosts may still be moved or taken down.
+        """
         reports = {}
+        wanted, now = dict(wanted), self._clock()
+        for worker_id, (pool, ordered_at) in list(self._unanswered_orders.items()):
+            if now - ordered_at > UNANSWERED_MOVE_S:
+                del self._unanswered_orders[worker_id]
+            else:
+                wanted[pool] = wanted.get(pool, set()) | {worker_id}
 
         async def ask(pool, worker_ids):
             try:
@@ -218,12 +239,14 @@
         candidates = [
             self._create_candidate(host, reports)
             for host in remaining
-            if host.state is MachineState.UP
+            if host.state is MachineState.UP and host.name not in self._recent_orders
         ]
-        ordered_count = sum(
-            name in wave.hosts and target is None and name not in in_maintenance_names
-            for name, (target, _) in self._recent_orders.items()
-        )
+        going_down = self._hosts_going_down(in_maintenance_names, now)
+        # An order that got no answer is repeated, before any other host is chosen.
+        repeatable = going_down & {
+            candidate.host for candidate in candidates if candidate.is_answering
+        }
+        ordered_count = len((going_down - repeatable) & set(wave.hosts))
         max_down = max_hosts_down(
             wave.at_once,
             len(remaining),
@@ -237,12 +260,23 @@
             max_down - len(in_maintenance) - ordered_count,
             now - received_at,
             wave.deadline_s,
-            self._previous_choice,
+            self._previous_choice | repeatable,
         )
         self._previous_choice = frozenset(candidate.host for candidate in chosen)
         await self._empty_and_start_maintenance(wave, chosen, accepted)
         return {host.name for host in remaining}
 
+    def _hosts_going_down(self, in_maintenance_names, now):
+        """Returns the names of ordered hosts that are not listed as down yet."""
+        for host, ordered_at in list(self._unanswered_maintenance.items()):
+            is_over = now - ordered_at > UNANSWERED_MAINTENANCE_S
+            if is_over or host in in_maintenance_names:
+                del self._unanswered_maintenance[host]
+        ordered = {
+            host for host, (target, _) in self._recent_orders.items() if target is None
+        }
+        return (ordered | set(self._unanswered_maintenance)) - in_maintenance_names
+
     def _create_candidate(self, host, reports):
         report = reports.get(host.pool)
         loads = {load.worker_id: load for load in report.workers} if report else {}
@@ -312,9 +346,15 @@
             outcome = await self._machine_client.start_maintenance(
                 candidate.host, wave.number, self._services.incarnation, self._token
             )
-        except CallUnanswered:
-            # Retried in the next round, until the platform confirms it.
+        except CallUnanswered as error:
+            # Retried in later rounds, until the platform confirms it.
+            log("upkeep unanswered", machine=candidate.host, error=str(error))
+            now = self._clock()
+            self._unanswered_maintenance[candidate.host] = now
+            if candidate.worker_id:
+                self._unanswered_orders[candidate.worker_id] = candidate.pool, now
             return False
+        self._unanswered_maintenance.pop(candidate.host, None)
         self._services.report(
             "machine upkeep",
             machine=candidate.host,
@@ -448,6 +488,8 @@
         except CallUnanswered as error:
             log("host move unanswered", machine=host.name, error=str(error))
             outcome = None
+            if host.worker_id:
+                self._unanswered_orders[host.worker_id] = host.pool, self._clock()
         else:
             self._raise_if_fenced(outcome)
         if outcome in (None, OrderOutcome.DONE):
--- a/tests/utils/entry_fakes.py
+++ b/tests/utils/entry_fakes.py
@@ -132,7 +132,11 @@
         waves={},
     )
     settings = types.SimpleNamespace(
-        finished_job_retention_s=120.0, max_lease_s=10.0, move_s=1.5, machine_lease_s=3
+        finished_job_retention_s=120.0,
+        max_lease_s=10.0,
+        move_s=1.5,
+        maintenance_s=2.0,
+        machine_lease_s=3,
     )
     return Services(
         settings=settings,
