Keep workers withheld that a previous planner may be moving

Change: the workers that the previous planner withheld stay so until its last call would have lapsed, 3 s after it. test_new_planner_released_workers_that_were_about_to_be_moved failed before (the parameter did not exist, and the worker was released).

--- a/basilwind/entry/owner.py
+++ b/basilwind/entry/owner.py
@@ -414,9 +414,10 @@
         self._require_no_successor(now)
         if planner_token < self._planner_token:
             raise NotOwner(f"pool {self.pool!r} follows a later planner")
+        is_new_planner = planner_token > self._planner_token > 0
         self._planner_token = planner_token
         wall_time = self._wall_clock()
-        self._state.withhold(worker_ids, now, wall_time)
+        self._state.withhold(worker_ids, now, wall_time, is_new_planner)
         self._schedule_event.set()
         return self._state.pool_report(now, wall_time)
 
--- a/basilwind/scheduling/pool.py
+++ b/basilwind/scheduling/pool.py
@@ -58,18 +58,29 @@
 
     # Requests of the fleet planner
 
-    def withhold(self, worker_ids, now, wall_time):
+    def withhold(self, worker_ids, now, wall_time, is_new_planner=False):
         """Keeps new tasks off the given workers and moves tasks off them.
 
         Long-running tasks and late ones are stopped; other tasks run to their end. The
-        given workers replace those of the last call.
+        given workers replace those of the last call, except those of another planner:
+        its orders may still be under way.
 
         Args:
             worker_ids: Ids of the workers.
             now: Boot time in seconds.
             wall_time: Unix time in seconds.
+            is_new_planner: Whether another planner made the last call.
         """
         wanted = frozenset(worker_ids)
+        if is_new_planner:
+            self._withheld_before_until = self._withheld_until
+            self._withheld_before = frozenset(
+                worker.worker_id
+                for worker in self.workers.values()
+                if worker.is_withheld
+            )
+        if now < self._withheld_before_until:
+            wanted |= self._withheld_before
         self._withheld_until = now + WITHHOLD_S
         # Orders that follow from the previous owner's reports have been sent before.
         self._withholding_unknown_until = 0.0
--- a/basilwind/scheduling/pool_jobs.py
+++ b/basilwind/scheduling/pool_jobs.py
@@ -49,6 +49,9 @@
         self._report = report
         self._withheld_until = 0.0
         self._withholding_unknown_until = 0.0
+        # Ids of workers that the previous planner withheld.
+        self._withheld_before = frozenset()
+        self._withheld_before_until = 0.0
         self._arrived_work = 0.0
         self._arrived_jobs = 0
         # Steps that may have waiting tasks; a dict keeps their order.
--- a/tests/scheduling/test_interruptions.py
+++ b/tests/scheduling/test_interruptions.py
@@ -89,6 +89,20 @@
         model.settle()
         model.check_all_finished()
 
+    def test_new_planner_released_workers_that_were_about_to_be_moved(self):
+        model = self._running_model(workers=2)
+        empty = next(name for name, worker in model.workers.items() if not worker.runs)
+        view = model.state.workers[empty]
+        model.withhold(empty)
+        model.advance(0.1)
+        model.state.withhold([], model.now, model.now, is_new_planner=True)
+        self.assertTrue(view.is_withheld)
+        model.state.withhold([], model.now, model.now)
+        self.assertTrue(view.is_withheld)
+        model.advance(3.0)
+        model.state.withhold([], model.now, model.now)
+        self.assertFalse(view.is_withheld)
+
     def test_random_faults_by_seed(self):
         for seed in range(SEEDS):
             with self.subTest(seed=seed):
