Report workers with runs that are being stopped as not empty

A host with such runs was idle to the planner, which moved it or took it down and so ended them, long-running ones too, without a count. test_worker_with_runs_that_are_being_stopped_was_reported_as_empty failed before: 0 tasks in place of 3.

--- a/basilwind/scheduling/pool.py
+++ b/basilwind/scheduling/pool.py
@@ -140,8 +140,14 @@
                 WorkerLoad(
                     worker.worker_id,
                     worker.entry.cpu,
-                    len(worker.tasks),
-                    sum(task.spec.is_lasting for task in worker.tasks.values()),
+                    len(worker.tasks) + len(worker.unwanted_runs),
+                    sum(
+                        spec.is_lasting
+                        for spec in (
+                            *(task.spec for task in worker.tasks.values()),
+                            *worker.unwanted_runs.values(),
+                        )
+                    ),
                     worker.is_withheld,
                 )
                 for worker in self.workers.values()
--- a/tests/scheduling/test_interruptions.py
+++ b/tests/scheduling/test_interruptions.py
@@ -103,6 +103,15 @@
         model.state.withhold([], model.now, model.now)
         self.assertFalse(view.is_withheld)
 
+    def test_worker_with_runs_that_are_being_stopped_was_reported_as_empty(self):
+        model = self._running_model(workers=1)
+        model.state.cancel("lasting", model.now)
+        model.flush()
+        model.take_over()
+        model.hold(stops="lost")
+        (load,) = model.state.pool_report(model.now, model.now).workers
+        self.assertEqual((load.tasks, load.long_running), (3, 3))
+
     def test_random_faults_by_seed(self):
         for seed in range(SEEDS):
             with self.subTest(seed=seed):
