Check in the soak that services keep what they may miss

Whatever an order ends, a stop or a maintenance, is checked at that moment: the other tasks that such an order had ended, or that had not run for 4.5 s, must be fewer than the service allows. At the end all tasks have to run again.

Tests of the check itself find a stop beside an earlier one, and one beside a task that has been down for 5 s.

--- a/basilwind/standin/entry_platform.py
+++ b/basilwind/standin/entry_platform.py
@@ -1,7 +1,8 @@
 """Stand-in for the platform of entry hosts: store, workers and machine service.
 
 It implements the interfaces that ``basilwind.platform`` calls, so daemons run against
-it unchanged. The machine service lists no machines, so none are moved.
+it unchanged. The machine service lists the hosts of workers once a wave is announced;
+there is no spare pool, so none are moved.
 """
 
 import json
@@ -67,6 +68,9 @@
     run_starts: list = field(default_factory=list)
     run_ends: list = field(default_factory=list)
     version: int = 0
+    _wave_count: int = 0
+    # Highest fencing token of an order, by host.
+    _machine_tokens: dict[str, int] = field(default_factory=dict)
 
     def __post_init__(self):
         """Creates the workers and writes the first configuration."""
@@ -133,7 +137,7 @@
 
     async def run(self, task_status=anyio.TASK_STATUS_IGNORED):
         """Serves until cancelled."""
-        handlers = {self.port: self.store.handle, self.port + 1: self._list_machines}
+        handlers = {self.port: self.store.handle, self.port + 1: self._handle_machines}
         for worker in self.workers.values():
             handlers[int(worker.address.rpartition(":")[2])] = worker.handle
         async with anyio.create_task_group() as tasks:
@@ -147,8 +151,47 @@
             task_status.started()
             await anyio.sleep_forever()
 
-    async def _list_machines(self, request):
-        return json_response({"machines": [], "nextToken": None})
+    def announce_wave(self, pool, deadline_s):
+        """Requests maintenance of all hosts of a pool, one at a time."""
+        hosts = [w.host for w in self.workers.values() if w.pool == pool]
+        self._wave_count += 1
+        document = {
+            "wave": self._wave_count,
+            "machines": hosts,
+            "deadlineS": deadline_s,
+            "maximum": 1,
+        }
+        key = f"wave/{self._wave_count}"
+        self.store.write("keyed.op", key, json.dumps(document).encode())
+
+    async def _handle_machines(self, request):
+        if request.path == "/machine-upkeep":
+            return self._take_down(request)
+        workers = self.workers.values() if self._wave_count else ()
+        machines = [
+            {
+                "machine": worker.host,
+                "pool": worker.pool,
+                "state": "upkeep" if worker.is_crashed else "up",
+                "zone": "zone-a",
+                "labels": ["a", worker.rack],
+                "capacity": {"cpu": worker.cpu, "memMb": worker.memory, "gpu": 0},
+                "id": "" if worker.is_crashed else worker.worker_id,
+            }
+            for worker in workers
+        ]
+        return json_response({"machines": machines, "nextToken": None})
+
+    def _take_down(self, request):
+        worker = self.workers[json.loads(request.body)["machine"]]
+        token = int(request.headers["x-fencing-token"])
+        if token < self._machine_tokens.get(worker.host, 0):
+            return json_response({"reason": "fence"}, 409)
+        self._machine_tokens[worker.host] = token
+        if worker.is_crashed:
+            return json_response({"reason": "busy"}, 409)
+        worker.take_down()
+        return json_response({})
 
     async def _send_heartbeats(self):
         sequence = 0
--- a/basilwind/standin/entry_worker.py
+++ b/basilwind/standin/entry_worker.py
@@ -12,6 +12,7 @@
 TICK_S = 0.02  # resolution of run times and leases
 DEFAULT_WORK_S = 0.1
 UNTIL_STOPPED = -1.0  # work_s of a task that runs until it is stopped
+MAINTENANCE_S = 1.0  # time for which a host in maintenance is away
 CRASH_S = 1.0  # time for which a crashed worker is away; 3 s on the real platform
 
 
@@ -52,8 +53,9 @@
         at: When it ended, in seconds on the monotonic clock.
         task: Name of the task.
         run: Number of the run.
-        kind: How it ended: ``done``, ``stopped``, ``lapsed`` with the lease, or
-            ``lost`` with the worker, also if it was done and no owner had taken note.
+        kind: How it ended: ``done``, ``stopped``, ``lapsed`` with the lease, or with
+            the worker: by ``maintenance`` of its host, otherwise ``lost``, also if it
+            was done and no owner had taken note.
     """
 
     at: float
@@ -78,6 +80,7 @@
 
     Attributes:
         is_silent: Whether requests get no answer and heartbeats stop.
+        host: Name of its host.
         is_crashed: Whether its process has ended; its connections break.
         delay_next_s: Delay of the next order, in seconds; the order is then carried
             out but not answered.
@@ -85,7 +88,7 @@
 
     def __init__(self, worker_id, pool, address, rack, run_starts, run_ends):
         self.worker_id = worker_id
-        self._host = worker_id
+        self.host = worker_id
         self._lives = 1
         self.pool = pool
         self.address = address
@@ -125,7 +128,7 @@
                 "capacity": {"cpu": self.cpu, "memMb": self.memory, "gpu": 0},
                 "labels": ["a", self.rack],
                 "born": self.incarnation_started_ms,
-                "machine": self._host,
+                "machine": self.host,
                 "sequence": sequence,
             }
         ).encode()
@@ -150,18 +153,26 @@
 
     def crash(self):
         """Ends the worker's process; its host starts another worker later."""
+        self._go_down("lost", CRASH_S)
+
+    def take_down(self):
+        """Ends the worker for the maintenance of its host, and its runs with it."""
+        self._go_down("maintenance", MAINTENANCE_S)
+
+    def _go_down(self, kind, away_s):
         now = time.monotonic()
-        lost = {(name, run.number) for name, run in self.runs.items()}
-        lost |= {(name, number) for _, name, number, _, _ in self._ended}
+        ended = {(name, run.number) for name, run in self.runs.items()}
+        self.run_ends += [RunEnd(now, name, number, kind) for name, number in ended]
+        lost = {(name, number) for _, name, number, _, _ in self._ended}
         self.run_ends += [RunEnd(now, name, number, "lost") for name, number in lost]
-        self.is_crashed, self._back_at = True, now + CRASH_S
-        ended = self._run_ended
+        self.is_crashed, self._back_at = True, now + away_s
+        run_ended = self._run_ended
         self.restart()
-        ended.set()
+        run_ended.set()
 
     def _come_back(self):
         self._lives += 1
-        self.worker_id = f"{self._host}-{self._lives}"
+        self.worker_id = f"{self.host}-{self._lives}"
         self.is_crashed = False
         self.restart()
 
--- a/extras/soak/__main__.py
+++ b/extras/soak/__main__.py
@@ -2,19 +2,23 @@
 
 import random
 import sys
+from collections import Counter
 from pathlib import Path
 
 import anyio
 import click
 
+from basilwind.standin.entry_worker import UNTIL_STOPPED
 from extras.entry_fleet import EntryFleet
-from extras.soak.checks import find_violations
+from extras.soak.checks import Service, find_interruptions, find_violations
 from extras.soak.faults import inject_fault, make_schedule
 
 JOB_INTERVAL_S = 0.25  # short enough that some jobs are running at every fault
 COMPLETION_TIMEOUT_S = 60.0  # much longer than any lease or silence of a worker
 ACCEPTED = (200, 201, 202)
 REFUSED = (429, 503)
+SERVICE_TASKS = 3
+WAVE_DEADLINE_S = 60.0
 CRASHING_JOB_INTERVAL_S = 3.0  # a third of the time until such a job is given up
 
 
@@ -27,15 +31,23 @@
         daemons: Number of daemons.
         log_folder: Directory in which the daemons' logs are kept; not kept if None.
         crashing_jobs: Number of jobs with a task that crashes its workers.
+        services: Number of long-running jobs, of which one task may be interrupted at
+            a time while their workers' hosts go into maintenance one by one.
     """
 
-    def __init__(self, seed, faults, daemons, log_folder=None, crashing_jobs=0):
+    def __init__(
+        self, seed, faults, daemons, log_folder=None, crashing_jobs=0, services=0
+    ):
         self._schedule = make_schedule(seed, faults)
         self._random = random.Random(seed + 1)
         self._fleet = EntryFleet(daemons, log_folder)
         self._seed = seed
         self._outcomes = {}
         self._crashing_jobs = crashing_jobs
+        self._services = [
+            Service(f"5{seed:07x}{number:08x}", SERVICE_TASKS, 1)
+            for number in range(services)
+        ]
         self._are_faults_over = False
 
     async def run(self):
@@ -51,16 +63,54 @@
                 for index in range(len(fleet.ports)):
                     await fleet.start(index)
                 await fleet.wait_until_serving(0)
+                await self._start_services()
                 async with anyio.create_task_group() as activities:
                     activities.start_soon(self._submit_jobs)
                     activities.start_soon(self._submit_crashing_jobs)
                     await self._inject_faults(activities)
                 violations = await self._wait_for_jobs()
+                violations += await self._wait_for_services()
                 tasks.cancel_scope.cancel()
+            for service in self._services:
+                violations += find_interruptions(fleet.platform, service)
             return violations + find_violations(fleet.platform, self._outcomes)
         finally:
             await fleet.stop()
 
+    async def _start_services(self):
+        for service in self._services:
+            await self._fleet.submit(
+                service.job_id,
+                0,
+                work_s=UNTIL_STOPPED,
+                count=service.tasks,
+                longRunning=True,
+                mayMiss=service.may_miss,
+            )
+        await self._wait_for_services()
+        if self._services:
+            self._fleet.platform.announce_wave("pool-a", WAVE_DEADLINE_S)
+
+    async def _wait_for_services(self):
+        """Waits until all tasks of the services run; returns violations."""
+
+        async def check():
+            workers = self._fleet.platform.workers.values()
+            counts = Counter(
+                name.split(".")[0] for worker in workers for name in worker.runs
+            )
+            return all(
+                counts[service.job_id] == service.tasks for service in self._services
+            )
+
+        if not self._services:
+            return []
+        try:
+            await self._fleet.wait_until(check)
+        except TimeoutError:
+            return ["a long-running task was not restarted"]
+        return []
+
     async def _inject_faults(self, activities):
         for fault in self._schedule:
             await anyio.sleep(fault.after_s)
@@ -146,15 +196,19 @@
 @click.option(
     "--crashing", default=0, show_default=True, help="Jobs that crash their workers."
 )
+@click.option(
+    "--services", default=0, show_default=True, help="Long-running jobs, and a wave."
+)
 @click.option("--logs", type=click.Path(file_okay=False), help="Directory for logs.")
-def main(seeds, faults, daemons, crashing, logs):
+def main(seeds, faults, daemons, crashing, services, logs):
     """Run the soak test with each seed and report violated guarantees."""
     failed = 0
     for seed in parse_seeds(seeds):
         folder = Path(logs) / str(seed) if logs else None
         if folder:
             folder.mkdir(parents=True, exist_ok=True)
-        violations = anyio.run(SoakRun(seed, faults, daemons, folder, crashing).run)
+        run = SoakRun(seed, faults, daemons, folder, crashing, services)
+        violations = anyio.run(run.run)
         failed += bool(violations)
         click.echo(f"seed {seed}: {'; '.join(violations) or 'no violations'}")
     sys.exit(1 if failed else 0)
--- a/extras/soak/checks.py
+++ b/extras/soak/checks.py
@@ -4,7 +4,9 @@
 """
 
 from collections import defaultdict
+from dataclasses import dataclass
 
+NOTICE_S = 4.5  # a task that has not run for as long counts as interrupted
 MAX_CRASHES = 5  # a task is not started three times more after three crashes
 
 
@@ -50,3 +52,61 @@
                     f"{task}: run {later.run} began after run {run.run} was done"
                 )
     return violations
+
+
+@dataclass(frozen=True)
+class Service:
+    """A long-running job of one step.
+
+    Attributes:
+        job_id: Id of the job.
+        tasks: Number of its tasks.
+        may_miss: Maximum number of tasks that orders may interrupt at a time.
+    """
+
+    job_id: str
+    tasks: int
+    may_miss: int
+
+
+def find_interruptions(platform, service):
+    """Returns descriptions of orders that interrupted too many tasks of a service.
+
+    The other tasks are counted at the moment at which an order ends a run.
+
+    Args:
+        platform: ``EntryPlatformStandIn``.
+        service: ``Service``; its job was not cancelled.
+    """
+    names = [f"{service.job_id}.0.0.{index}" for index in range(service.tasks)]
+    runs = {name: [] for name in names}
+    ends = {(end.task, end.run): end for end in platform.run_ends}
+    for start in platform.run_starts:
+        if start.task in runs:
+            runs[start.task].append((start.at, ends.get((start.task, start.run))))
+    violations = []
+    for end in platform.run_ends:
+        if end.task not in runs or end.kind not in ("stopped", "maintenance"):
+            continue
+        interrupted = [
+            name
+            for name in names
+            if name != end.task and _is_interrupted(runs[name], end.at)
+        ]
+        if len(interrupted) >= service.may_miss:
+            violations.append(
+                f"{end.task} run {end.run} was ended ({end.kind}) while {interrupted}"
+                " were interrupted"
+            )
+    return violations
+
+
+def _is_interrupted(runs, at):
+    """Returns whether a task, with starts and ends of its runs, is interrupted."""
+    begun = [(started_at, end) for started_at, end in runs if started_at < at]
+    if any(end is None or end.at > at for _, end in begun):
+        return False
+    if not begun:
+        return False
+    last = max((end for _, end in begun), key=lambda end: end.at)
+    return last.kind in ("stopped", "maintenance") or at - last.at >= NOTICE_S
--- a/tests/processes/test_soak.py
+++ b/tests/processes/test_soak.py
@@ -4,7 +4,7 @@
 
 from basilwind.standin.entry_worker import RunEnd, RunStart
 from extras.soak.__main__ import SoakRun, parse_seeds
-from extras.soak.checks import find_violations
+from extras.soak.checks import Service, find_interruptions, find_violations
 from extras.soak.faults import make_schedule
 
 
@@ -31,6 +31,27 @@
         self.assertIn("refused", violations[0])
 
 
+class TestInterruptionCheck(unittest.TestCase):
+    """The other tasks are counted at the moment at which an order ends a run."""
+
+    def _find(self, *ends):
+        starts = [RunStart(1.0, f"s.0.0.{n}", 1, "w") for n in range(3)]
+        starts.append(RunStart(4.0, "s.0.0.0", 2, "w"))
+        return find_interruptions(FakePlatform(starts, ends), Service("s", 3, 1))
+
+    def test_stop_beside_an_earlier_one_is_found(self):
+        first = RunEnd(3.0, "s.0.0.0", 1, "stopped")
+        self.assertEqual(self._find(first, RunEnd(5.0, "s.0.0.1", 1, "stopped")), [])
+        (found,) = self._find(first, RunEnd(3.5, "s.0.0.1", 1, "maintenance"))
+        self.assertIn("s.0.0.1 run 1", found)
+
+    def test_task_that_failed_by_itself_counts_after_a_while(self):
+        failed = RunEnd(3.0, "s.0.0.2", 1, "lost")
+        self.assertEqual(self._find(failed, RunEnd(6.0, "s.0.0.1", 1, "stopped")), [])
+        (found,) = self._find(failed, RunEnd(8.0, "s.0.0.1", 1, "stopped"))
+        self.assertIn("s.0.0.2", found)
+
+
 class TestSoak(unittest.TestCase):
     def test_seed_determines_schedule(self):
         self.assertEqual(make_schedule(7, 20), make_schedule(7, 20))
@@ -41,3 +62,6 @@
 
     def test_short_seeded_run_with_a_crashing_job_finds_no_violations(self):
         self.assertEqual(anyio.run(SoakRun(2, 5, 2, crashing_jobs=1).run), [])
+
+    def test_short_seeded_run_with_a_service_and_a_wave_finds_no_violations(self):
+        self.assertEqual(anyio.run(SoakRun(3, 5, 2, services=1).run), [])
