Keep the time of a stopped run's end in the stand-in when its host goes down

The trace shows none: run 1 was stopped at 9.55 s, run 2 started at 9.83 s, and at 12.82 s, while the store was away and the end not yet acknowledged, the host went into maintenance. The stand-in then recorded the run a second time, as lost with the worker, and with the later time. It does so now only for runs that were done, for which the record is meant: an end that no owner has taken note of. The check of overlaps is as it was.

--- a/basilwind/standin/entry_worker.py
+++ b/basilwind/standin/entry_worker.py
@@ -163,7 +163,9 @@
         now = time.monotonic()
         ended = {(name, run.number) for name, run in self.runs.items()}
         self.run_ends += [RunEnd(now, name, number, kind) for name, number in ended]
-        lost = {(name, number) for _, name, number, _, _ in self._ended}
+        lost = {
+            (name, number) for _, name, number, how, _ in self._ended if how == "done"
+        }
         self.run_ends += [RunEnd(now, name, number, "lost") for name, number in lost]
         self.is_crashed, self._back_at = True, now + away_s
         run_ended = self._run_ended
