Repeat lost stops of runs that never started, whatever else is interrupted

Change: a stop of an unconfirmed run may leave right after a report that lacks the run, as it interrupts nothing. test_lost_stop_of_a_run_that_never_started_was_not_repeated failed before.

--- a/basilwind/scheduling/pool.py
+++ b/basilwind/scheduling/pool.py
@@ -498,6 +498,8 @@
         """
         if worker.entry.is_draining or may_interrupt(task, self.workers, now):
             return True
+        if self._is_absent(task, worker, now):
+            return True
         if task.stop_sent_at is None:
             task.is_stopping = False
         return False
@@ -515,11 +517,15 @@
             or now - task.ordered_at <= UNCONFIRMED_START_S
         ):
             return False
-        if not task.spec.is_lasting:
-            return True
+        return not task.spec.is_lasting or self._is_absent(task, worker, now)
+
+    @staticmethod
+    def _is_absent(task, worker, now):
+        """Returns whether a report that was just read lacks an unconfirmed run."""
         reported_at = worker.reported_at
         return (
-            reported_at is not None
+            task.state is TaskState.UNCONFIRMED
+            and reported_at is not None
             and reported_at - task.ordered_at > UNCONFIRMED_START_S
             and now - reported_at < FRESH_REPORT_S
         )
--- a/tests/scheduling/model.py
+++ b/tests/scheduling/model.py
@@ -344,6 +344,7 @@
             names: Names of the workers; all if None.
             stops: What happens to the stops; see ``send_stops``.
         """
+        self._record_executing()
         for name, view in list(self.state.workers.items()):
             if names is not None and name not in names:
                 continue
--- a/tests/scheduling/test_interruptions.py
+++ b/tests/scheduling/test_interruptions.py
@@ -106,6 +106,25 @@
         model.schedule()
         self.assertEqual(model.all_tasks()[0].run, 2)
 
+    def test_lost_stop_of_a_run_that_never_started_was_not_repeated(self):
+        # Found by random faults: the task stayed down while another one fit nowhere.
+        model = self._running_model(workers=1, cpu=2000)
+        first, second = model.all_tasks()[:2]
+        worker = model.workers["w0"]
+        worker.end(first.name, EndKind.FAILED)
+        model.hold()
+        model.schedule(lambda: "delayed")
+        model.withhold("w0")
+        model.state.withhold([], model.now, model.now)
+        first.is_stopping = True
+        model.send_stops("answer lost")
+        worker.end(second.name, EndKind.FAILED)
+        model.state.workers["w0"].free_cpu = 0
+        for _ in range(4):
+            model.hold()
+            model.advance(0.5)
+        self.assertIs(first.state, TaskState.WAITING)
+
     def test_new_planner_released_workers_that_were_about_to_be_moved(self):
         model = self._running_model(workers=2)
         empty = next(name for name, worker in model.workers.items() if not worker.runs)
