--- a/basilwind/entry/worker_leases.py
+++ b/basilwind/entry/worker_leases.py
@@ -15,9 +15,11 @@
     WorkerCallFailed,
     WorkerReplaced,
 )
+from basilwind.scheduling.jobs import TaskState
 
 HOLD_WAIT_S = 1.5  # short enough that a lease survives two lost answers
 SUSPECT_HOLD_WAIT_S = 0.5  # tasks on probation are cleared by a report
+UNCONFIRMED_HOLD_WAIT_S = 0.5  # lost starts of services are revoked after a report
 PACED_HOLD_WAIT_S = 0.5  # period over which serving tasks report tail latency
 JOURNAL_WAIT_S = 0.4  # a slow store takes 0.24 s; leases of 4.5 s need hold calls
 RECONNECT_DELAY_S = 0.3  # workers restart within seconds
@@ -127,8 +129,14 @@
     def _hold_wait_s(self, worker):
         """Returns how long a hold call may wait.
 
-        Less for suspects on probation and where filler tasks are paced.
+        Less for suspects on probation, for long-running tasks whose start got no answer
+        and where filler tasks are paced.
         """
+        if any(
+            task.state is TaskState.UNCONFIRMED and task.spec.is_lasting
+            for task in worker.tasks.values()
+        ):
+            return UNCONFIRMED_HOLD_WAIT_S
         if any(task in task.job.suspects for task in worker.tasks.values()):
             return SUSPECT_HOLD_WAIT_S
         has_fillers = any(task.spec.is_filler for task in worker.tasks.values())
