Keep counting maintenance whose repeat the platform rejects

Only an accepted order ends it now, or the list of machines. The new test failed before: the wave's other host went down beside it.

--- a/basilwind/entry/planner.py
+++ b/basilwind/entry/planner.py
@@ -354,7 +354,8 @@
             if candidate.worker_id:
                 self._unanswered_orders[candidate.worker_id] = candidate.pool, now
             return False
-        self._unanswered_maintenance.pop(candidate.host, None)
+        if outcome is OrderOutcome.DONE:
+            self._unanswered_maintenance.pop(candidate.host, None)
         self._services.report(
             "machine upkeep",
             machine=candidate.host,
--- a/tests/entry/test_unanswered_machine_orders.py
+++ b/tests/entry/test_unanswered_machine_orders.py
@@ -19,6 +19,7 @@
 
     def __init__(self):
         self.orders = []
+        self.repeated = OrderOutcome.DONE
 
     async def list(self):
         state = MachineState.DOWN if self.orders else MachineState.UP
@@ -47,19 +48,25 @@
         self.orders.append(machine)
         if len(self.orders) == 1:
             raise CallUnanswered("no answer")
-        return OrderOutcome.DONE
+        return self.repeated if machine == self.orders[0] else OrderOutcome.DONE
 
 
 class _Peers(FakePeers):
-    """Owners that report the idle workers, but none of an ordered host."""
+    """Owners that report the idle workers, but none of a host ordered often enough."""
 
-    def __init__(self, machines):
+    def __init__(self, machines, silent_after):
         super().__init__()
         self._machines = machines
+        self._silent_after = silent_after
 
     async def withhold(self, pool, worker_ids, token):
         self.on_withhold(worker_ids)
-        silent = {f"w{name[1:]}" for name in self._machines.orders}
+        orders = self._machines.orders
+        silent = {
+            f"w{name[1:]}"
+            for name in orders
+            if orders.count(name) >= self._silent_after
+        }
         idle = [
             WorkerLoad(f"w{n}", 8000, 0, 0)
             for n in range(1, 6)
@@ -71,14 +78,17 @@
 class TestUnansweredMachineOrders(unittest.TestCase):
     """An order for a machine gets no answer, and takes effect seconds later."""
 
-    def _run_planner(self, wave=None, recent_orders=None, run_s=2.0):
+    def _run_planner(
+        self, wave=None, recent_orders=None, run_s=2.0, repeated=None, silent_after=1
+    ):
         """Returns the orders, and the withheld workers of each call after the first."""
         clock = Clock()
         services = make_services(clock)
         machines = services.machine_client = _Machines()
+        machines.repeated = repeated or OrderOutcome.DONE
         if wave:
             services.configuration.waves = {1: (wave, clock())}
-        peers = _Peers(machines)
+        peers = _Peers(machines, silent_after)
         peers.recent_orders = recent_orders
         calls = []
 
@@ -109,6 +119,13 @@
         orders, _ = self._run_planner(wave)
         self.assertEqual(set(orders) & set(wave.hosts), {orders[0]})
 
+    def test_rejected_repeat_was_taken_for_the_outcome_of_the_first_order(self):
+        wave = Wave(1, ("m1", "m2"), 60.0, 1)
+        orders, _ = self._run_planner(
+            wave, repeated=OrderOutcome.REJECTED, silent_after=2
+        )
+        self.assertEqual(set(orders) & set(wave.hosts), {orders[0]})
+
     def test_wave_did_not_count_the_order_of_the_previous_planner(self):
         wave = Wave(1, ("m1", "m2"), 60.0, 1)
         orders, _ = self._run_planner(wave, {"m2": 0.1}, run_s=0.7)
