Start services elsewhere while a late order may end them

What may still act is kept in one place, UnsettledOrders in scheduling/machine_orders.py, in place of two dictionaries of the planner.

test_service_was_started_where_a_late_order_ends_it fails without the order of placement: both tasks are started on the worker at risk.

--- a/basilwind/entry/owner.py
+++ b/basilwind/entry/owner.py
@@ -396,12 +396,13 @@
             if self._state.dirty or self._state.dropped:
                 self._journal.request_write()
 
-    def withhold(self, worker_ids, planner_token):
+    def withhold(self, worker_ids, planner_token, at_risk=()):
         """Keeps new tasks off the given workers, and only off those.
 
         Args:
             worker_ids: Ids of the workers.
             planner_token: Fencing token of the planner that wants it.
+            at_risk: Ids of workers whose runs an order may still end.
 
         Returns:
             ``PoolReport`` after the change.
@@ -417,7 +418,7 @@
         is_new_planner = planner_token > self._planner_token > 0
         self._planner_token = planner_token
         wall_time = self._wall_clock()
-        self._state.withhold(worker_ids, now, wall_time, is_new_planner)
+        self._state.withhold(worker_ids, now, wall_time, at_risk, is_new_planner)
         self._schedule_event.set()
         return self._state.pool_report(now, wall_time)
 
--- a/basilwind/entry/peer_app.py
+++ b/basilwind/entry/peer_app.py
@@ -65,7 +65,8 @@
             wanted = decode_json(
                 request.body, WithholdRequest, request.path, RequestInvalid
             )
-            return json_response(owner.withhold(wanted.worker_ids, wanted.token))
+            report = owner.withhold(wanted.worker_ids, wanted.token, wanted.at_risk)
+            return json_response(report)
         raise RequestInvalid(f"no such call: {request.path}")
 
     def _hand_over_planning(self, body):
--- a/basilwind/entry/peer_client.py
+++ b/basilwind/entry/peer_client.py
@@ -69,13 +69,14 @@
         body = await self._call(pool, f"/queues/{pool}/{queue}")
         return decode_json(body, QueueResponse, f"queue {queue}", NotOwner)
 
-    async def withhold(self, pool, worker_ids, token):
+    async def withhold(self, pool, worker_ids, token, at_risk=()):
         """Has an owner keep new tasks off the given workers, and only off those.
 
         Args:
             pool: Name of the pool.
             worker_ids: Ids of the workers.
             token: Fencing token of the planner.
+            at_risk: Ids of workers whose runs an order may still end.
 
         Returns:
             ``PoolReport`` after the change.
@@ -85,12 +86,12 @@
         """
         owner = self._find_owner(pool)
         if owner is not None:
-            return owner.withhold(worker_ids, token)
+            return owner.withhold(worker_ids, token, at_risk)
         body = await self._call(
             pool,
             f"/withhold/{pool}",
             "POST",
-            msgspec.json.encode(WithholdRequest(worker_ids, token)),
+            msgspec.json.encode(WithholdRequest(worker_ids, token, list(at_risk))),
             PLANNER_TIMEOUT_S,
         )
         return decode_json(body, PoolReport, f"report of pool {pool}", NotOwner)
--- a/basilwind/entry/peer_messages.py
+++ b/basilwind/entry/peer_messages.py
@@ -61,10 +61,12 @@
     Attributes:
         worker_ids: Ids of the workers that should get no tasks.
         token: Fencing token of the planner.
+        at_risk: Ids of workers whose runs an order may still end.
     """
 
     worker_ids: list[str]
     token: int
+    at_risk: list[str] = []
 
 
 class HandoverRequest(msgspec.Struct):
--- a/basilwind/entry/planner.py
+++ b/basilwind/entry/planner.py
@@ -19,6 +19,7 @@
 from basilwind.platform.machines import MachineState, OrderOutcome
 from basilwind.platform.store import encode_keyed_record
 from basilwind.scheduling.capacity import CapacityPlanner
+from basilwind.scheduling.machine_orders import UnsettledOrder, UnsettledOrders
 from basilwind.scheduling.maintenance import (
     MaintenanceCandidate,
     choose_hosts,
@@ -32,10 +33,6 @@
 ARRIVAL_S = 1.0  # from the end of a move until the pool's owner knows the worker
 # Owners keep tasks off a worker for 3 s, and a slow platform takes 1 s for an order.
 MAX_EMPTY_AGE_S = 1.0
-# An order without an answer may take effect up to 12 s later. Its worker is kept empty
-# for less: while the machine service is down, no order is answered.
-UNANSWERED_MOVE_S = 4.0
-UNANSWERED_MAINTENANCE_S = 13.0
 SETTLE_MARGIN_S = 0.2  # an order of the previous planner may still be in flight
 
 
@@ -79,10 +76,7 @@
         # Target pool (None for maintenance) and time of recent orders by host, since
         # the platform's list may not show their effect yet.
         self._recent_orders = {}
-        # Pool, and time of the last unanswered order for its host, by worker id.
-        self._unanswered_orders = {}
-        # Time of the last unanswered order for maintenance, by host.
-        self._unanswered_maintenance = {}
+        self._unsettled = UnsettledOrders()
 
     @property
     def token(self):
@@ -171,18 +165,20 @@
 
         Also withholds the workers whose hosts may still be moved or taken down.
         """
+        now = self._clock()
+        wanted = dict(wanted)
+        for pool, worker_ids in self._unsettled.workers_to_withhold(now).items():
+            wanted[pool] = wanted.get(pool, set()) | worker_ids
+        at_risk = self._unsettled.workers_at_risk(now)
         reports = {}
-        wanted, now = dict(wanted), self._clock()
-        for worker_id, (pool, ordered_at) in list(self._unanswered_orders.items()):
-            if now - ordered_at > UNANSWERED_MOVE_S:
-                del self._unanswered_orders[worker_id]
-            else:
-                wanted[pool] = wanted.get(pool, set()) | {worker_id}
 
         async def ask(pool, worker_ids):
             try:
                 reports[pool] = await self._peers.withhold(
-                    pool, sorted(worker_ids), self._token
+                    pool,
+                    sorted(worker_ids),
+                    self._token,
+                    sorted(at_risk.get(pool, ())),
                 )
             except NotOwner as error:
                 log("pool report missing", pool=pool, error=str(error))
@@ -268,14 +264,13 @@
 
     def _hosts_going_down(self, in_maintenance_names, now):
         """Returns the names of ordered hosts that are not listed as down yet."""
-        for host, ordered_at in list(self._unanswered_maintenance.items()):
-            is_over = now - ordered_at > UNANSWERED_MAINTENANCE_S
-            if is_over or host in in_maintenance_names:
-                del self._unanswered_maintenance[host]
+        for host in in_maintenance_names:
+            self._unsettled.settle(host)
         ordered = {
             host for host, (target, _) in self._recent_orders.items() if target is None
         }
-        return (ordered | set(self._unanswered_maintenance)) - in_maintenance_names
+        ordered |= self._unsettled.hosts_going_down(now)
+        return ordered - in_maintenance_names
 
     def _create_candidate(self, host, reports):
         report = reports.get(host.pool)
@@ -349,13 +344,13 @@
         except CallUnanswered as error:
             # Retried in later rounds, until the platform confirms it.
             log("upkeep unanswered", machine=candidate.host, error=str(error))
-            now = self._clock()
-            self._unanswered_maintenance[candidate.host] = now
-            if candidate.worker_id:
-                self._unanswered_orders[candidate.worker_id] = candidate.pool, now
+            order = UnsettledOrder(
+                candidate.pool, candidate.worker_id, True, self._clock()
+            )
+            self._unsettled.add(candidate.host, order)
             return False
         if outcome is OrderOutcome.DONE:
-            self._unanswered_maintenance.pop(candidate.host, None)
+            self._unsettled.settle(candidate.host)
         self._services.report(
             "machine upkeep",
             machine=candidate.host,
@@ -489,10 +484,12 @@
         except CallUnanswered as error:
             log("host move unanswered", machine=host.name, error=str(error))
             outcome = None
-            if host.worker_id:
-                self._unanswered_orders[host.worker_id] = host.pool, self._clock()
+            order = UnsettledOrder(host.pool, host.worker_id, False, self._clock())
+            self._unsettled.add(host.name, order)
         else:
             self._raise_if_fenced(outcome)
+        if outcome is OrderOutcome.DONE:
+            self._unsettled.settle(host.name)
         if outcome in (None, OrderOutcome.DONE):
             self._recent_orders[host.name] = (target, self._clock())
         self._services.report(
--- a/basilwind/scheduling/placement.py
+++ b/basilwind/scheduling/placement.py
@@ -66,6 +66,7 @@
     remaining_cpu = worker.free_cpu - spec.reserved_cpu
     if spec.is_filler:
         return (
+            spec.is_lasting and worker.is_at_risk,
             is_remote,
             _count_serving(worker),
             _count_fillers(worker),
@@ -73,6 +74,7 @@
         )
     if spec.is_lasting:
         return (
+            worker.is_at_risk,
             is_remote,
             _count_serving(worker),
             _count_fillers(worker),
--- a/basilwind/scheduling/pool.py
+++ b/basilwind/scheduling/pool.py
@@ -58,7 +58,7 @@
 
     # Requests of the fleet planner
 
-    def withhold(self, worker_ids, now, wall_time, is_new_planner=False):
+    def withhold(self, worker_ids, now, wall_time, at_risk=(), is_new_planner=False):
         """Keeps new tasks off the given workers and moves tasks off them.
 
         Long-running tasks and late ones are stopped; other tasks run to their end. The
@@ -69,6 +69,8 @@
             worker_ids: Ids of the workers.
             now: Boot time in seconds.
             wall_time: Unix time in seconds.
+            at_risk: Ids of workers whose runs an order for their hosts may still end;
+                long-running tasks go elsewhere if they can.
             is_new_planner: Whether another planner made the last call.
         """
         wanted = frozenset(worker_ids)
@@ -86,6 +88,7 @@
         self._withholding_unknown_until = 0.0
         for worker in self.workers.values():
             worker.is_withheld = worker.worker_id in wanted
+            worker.is_at_risk = worker.worker_id in at_risk
         self._drain_withheld(now, wall_time)
 
     def expect_withheld_workers(self, now):
@@ -122,7 +125,7 @@
     def _expire_withholding(self, now):
         if now > self._withheld_until:
             for worker in self.workers.values():
-                worker.is_withheld = False
+                worker.is_withheld = worker.is_at_risk = False
 
     def pool_report(self, now, wall_time):
         """Returns the ``PoolReport`` for the planner."""
--- a/basilwind/scheduling/workers.py
+++ b/basilwind/scheduling/workers.py
@@ -28,6 +28,7 @@
         alive_until: Boot time until which the worker is known to have run without a
             break; None while it answers.
         is_withheld: Whether the fleet planner wants it to run no tasks.
+        is_at_risk: Whether an order for its host may still end its runs.
         is_listed: Whether the registry lists it.
         isolated_job_id: Id of the job whose suspects it was last kept for.
         unanswered_since: Boot time at which the first unanswered call was sent, or
@@ -59,6 +60,7 @@
         "reported_at",
         "alive_until",
         "is_withheld",
+        "is_at_risk",
         "is_listed",
         "isolated_job_id",
         "unanswered_since",
@@ -89,6 +91,7 @@
         self.reported_at = None
         self.alive_until = None
         self.is_withheld = False
+        self.is_at_risk = False
         self.is_listed = True
         self.isolated_job_id = ""
         self.unanswered_since = None
--- a/tests/entry/test_unanswered_machine_orders.py
+++ b/tests/entry/test_unanswered_machine_orders.py
@@ -59,7 +59,7 @@
         self._machines = machines
         self._silent_after = silent_after
 
-    async def withhold(self, pool, worker_ids, token):
+    async def withhold(self, pool, worker_ids, token, at_risk=()):
         self.on_withhold(worker_ids)
         orders = self._machines.orders
         silent = {
--- a/tests/scheduling/test_interruptions.py
+++ b/tests/scheduling/test_interruptions.py
@@ -131,7 +131,7 @@
         view = model.state.workers[empty]
         model.withhold(empty)
         model.advance(0.1)
-        model.state.withhold([], model.now, model.now, is_new_planner=True)
+        model.state.withhold([], model.now, model.now, (), True)
         self.assertTrue(view.is_withheld)
         model.state.withhold([], model.now, model.now)
         self.assertTrue(view.is_withheld)
@@ -139,6 +139,15 @@
         model.state.withhold([], model.now, model.now)
         self.assertFalse(view.is_withheld)
 
+    def test_service_was_started_where_a_late_order_ends_it(self):
+        model = PoolModel(self.fail, workers=2)
+        model.submit("lasting", make_job(count=2, is_lasting=True, may_miss=1))
+        model.hold()
+        model.state.withhold([], model.now, model.now, ["w0"])
+        model.schedule()
+        self.assertEqual(model.workers["w0"].runs, {})
+        self.assertEqual(len(model.workers["w1"].runs), 2)
+
     def test_worker_with_runs_that_are_being_stopped_was_reported_as_empty(self):
         model = self._running_model(workers=1)
         model.state.cancel("lasting", model.now)
--- a/tests/utils/entry_fakes.py
+++ b/tests/utils/entry_fakes.py
@@ -110,7 +110,7 @@
     async def hand_over_planning(self, claim, token, lease_s):
         return self.recent_orders
 
-    async def withhold(self, pool, worker_ids, token):
+    async def withhold(self, pool, worker_ids, token, at_risk=()):
         self.on_withhold(worker_ids)
         idle = [WorkerLoad(f"w{n}", 8000, 0, 0) for n in (1, 2, 3, 4)]
         return PoolReport(pool, idle, 0.0, 0.0, 0, 0, 0, 0, 0, 0.0, 0)
