Record maintenance before it is ordered, so that a later planner counts it

The platform may carry it out up to 12 s late; the next planner, which does not find the host down yet, takes others down beside it, beyond the wave's maximum. With a planner that answers the hand-over it already counts.

Change: the hosts that are about to be ordered are appended to a topic first, one append a round. A new planner reads it and counts hosts that were ordered in the last 13 s, unless their maintenance is recorded as accepted; it repeats these orders before any others. While the store is suspected to be away no maintenance is ordered, and the append waits 0.4 s at most, as moves of the same round wait for it.

Weighed: the fenced topic of the waves (its append retries until the store answers, and holds up moves in a burst). test_wave_did_not_count_the_order_of_a_planner_that_was_lost fails without the read: the other host is ordered.

--- a/tests/entry/test_unanswered_machine_orders.py
+++ b/tests/entry/test_unanswered_machine_orders.py
@@ -2,9 +2,10 @@
 
 import anyio
 
-from basilwind.entry.planner import FleetPlanner
+from basilwind.entry.planner import MAINTENANCE_TOPIC, FleetPlanner
 from basilwind.errors import CallUnanswered
 from basilwind.platform.machines import Machine, MachineState, OrderOutcome
+from basilwind.platform.store import KeyedRecord
 from basilwind.scheduling.demand import PoolReport, WorkerLoad
 from basilwind.scheduling.fleet import Wave
 from basilwind.scheduling.ownership import Claim
@@ -79,12 +80,21 @@
     """An order for a machine gets no answer, and takes effect seconds later."""
 
     def _run_planner(
-        self, wave=None, recent_orders=None, run_s=2.0, repeated=None, silent_after=1
+        self,
+        wave=None,
+        recent_orders=None,
+        run_s=2.0,
+        repeated=None,
+        silent_after=1,
+        recorded=(),
     ):
         """Returns the orders, and the withheld workers of each call after the first."""
         clock = Clock()
         services = make_services(clock)
         machines = services.machine_client = _Machines()
+        services.store.latest[MAINTENANCE_TOPIC] = [
+            KeyedRecord(0, host, str(clock() - 1.0).encode()) for host in recorded
+        ]
         machines.repeated = repeated or OrderOutcome.DONE
         if wave:
             services.configuration.waves = {1: (wave, clock())}
@@ -130,3 +140,8 @@
         wave = Wave(1, ("m1", "m2"), 60.0, 1)
         orders, _ = self._run_planner(wave, {"m2": 0.1}, run_s=0.7)
         self.assertEqual(set(orders) & set(wave.hosts), set())
+
+    def test_wave_did_not_count_the_order_of_a_planner_that_was_lost(self):
+        wave = Wave(1, ("m1", "m2"), 60.0, 1)
+        orders, _ = self._run_planner(wave, recorded=("m2",), run_s=0.7)
+        self.assertEqual(set(orders) & set(wave.hosts), {"m2"})
--- a/tests/utils/entry_fakes.py
+++ b/tests/utils/entry_fakes.py
@@ -44,7 +44,7 @@
         self.on_append = lambda topic: None
         self.latest = {}
 
-    async def append(self, topic, records, at=None, producer=None):
+    async def append(self, topic, records, at=None, producer=None, timeout_s=1.0):
         sent_at = self._clock()
         self.on_append(topic)
         self._monitor.record_answer(sent_at)
