--- a/basilwind/entry/planner.py
+++ b/basilwind/entry/planner.py
@@ -5,6 +5,7 @@
 
 from basilwind.entry.fenced_topic import FencedTopic
 from basilwind.entry.follower import PLATFORM_RETRY_S
+from basilwind.entry.maintenance_log import MaintenanceLog
 from basilwind.entry.takeover import read_latest_records
 from basilwind.errors import (
     CallUnanswered,
@@ -28,8 +29,6 @@
 from basilwind.scheduling.zones import silent_zones
 
 TOPIC = "keyed.fleet"
-MAINTENANCE_TOPIC = "keyed.maintenance"
-RECORD_TIMEOUT_S = 0.4  # a slow store takes 0.24 s, and moves wait meanwhile
 PRODUCER = "planner"  # shared by all planners, as fencing is per producer
 PLAN_INTERVAL_S = 0.2  # a move takes 1.5 s; each round costs a platform call
 ARRIVAL_S = 1.0  # from the end of a move until the pool's owner knows the worker
@@ -59,6 +58,7 @@
         self._topic = FencedTopic(
             services.store, TOPIC, PRODUCER, token, PLATFORM_RETRY_S
         )
+        self._maintenance_log = MaintenanceLog(services.store, services.wall_clock)
         self._clock = services.clock
         self._capacity_planner = None
         # Names of hosts, by wave, whose maintenance the platform has accepted.
@@ -138,22 +138,12 @@
             self._accepted_hosts[int(record.key)] = set(host_names)
             if is_completed:
                 self._completed.add(int(record.key))
-        await self._load_orders()
-
-    async def _load_orders(self):
-        """Reads which hosts a previous planner may have ordered into maintenance."""
         accepted = set().union(*self._accepted_hosts.values())
-        records, _ = await read_latest_records(self._store, MAINTENANCE_TOPIC)
-        for record in records:
-            try:
-                ordered_at = msgspec.json.decode(record.value, type=float)
-            except msgspec.DecodeError as error:
-                log("invalid record ignored", topic=MAINTENANCE_TOPIC, error=str(error))
-                continue
-            if record.key not in accepted:
-                age_s = max(0.0, self._services.wall_clock() - ordered_at)
+        ages_s = await self._maintenance_log.read_ages_s()
+        for host, age_s in ages_s.items():
+            if host not in accepted:
                 order = UnsettledOrder("", "", True, self._clock() - age_s)
-                self._unsettled.add(record.key, order)
+                self._unsettled.add(host, order)
 
     async def _plan_once(self, now):
         """Advances the waves, then moves hosts between pools."""
@@ -321,7 +311,9 @@
             for candidate in chosen
             if not candidate.worker_id or candidate.worker_id in empty_workers
         ]
-        if not ready or not await self._record_orders(ready):
+        if not ready or self._services.store_monitor.is_suspected:
+            return
+        if not await self._maintenance_log.record(c.host for c in ready):
             return
         has_new = False
         for candidate in ready:
@@ -331,25 +323,6 @@
         if has_new:
             await self._store_wave(wave.number, accepted, False)
 
-    async def _record_orders(self, candidates):
-        """Records orders for maintenance, so that a later planner counts them.
-
-        Returns:
-            Whether they are recorded; if not, they must not be given.
-        """
-        if self._services.store_monitor.is_suspected:
-            return False
-        value = msgspec.json.encode(self._services.wall_clock())
-        records = [encode_keyed_record(c.host, value) for c in candidates]
-        try:
-            await self._store.append(
-                MAINTENANCE_TOPIC, records, timeout_s=RECORD_TIMEOUT_S
-            )
-        except (PlatformUnavailable, StoreRefused, StoreUnanswered) as error:
-            log("maintenance postponed", error=str(error))
-            return False
-        return True
-
     def _may_order(self, host_name):
         """Returns whether an order for a host may be sent now, and records that it is.
 
--- a/basilwind/scheduling/pool.py
+++ b/basilwind/scheduling/pool.py
@@ -12,7 +12,7 @@
 from basilwind.scheduling.interruptions import may_interrupt
 from basilwind.scheduling.jobs import JobState, TaskState
 from basilwind.scheduling.ordering import is_late, is_overloaded, rank_step
-from basilwind.scheduling.orders import StartOrder, StopOrder
+from basilwind.scheduling.orders import StartOrder
 from basilwind.scheduling.pacing import pace_worker
 from basilwind.scheduling.placement import (
     Shortage,
@@ -24,16 +24,13 @@
     place_suspects,
 )
 from basilwind.scheduling.policy import Ticket, workers_to_ask
-from basilwind.scheduling.pool_workers import PoolWorkers
+from basilwind.scheduling.pool_stops import PoolStops
 from basilwind.scheduling.reachability import reachable_workers
 from basilwind.scheduling.reports import StartOutcome
 
 UNPLACED_AFTER_S = 0.5  # short tasks free capacity within a second
-STOP_RETRY_S = 0.7  # stopping takes up to 0.2 or 0.9 s, depending on the deployment
 WITHHOLD_S = 3.0  # the planner renews it every 0.4 s; a new planner needs 3 s
 UNKNOWN_WITHHOLDING_S = 1.5  # the planner relies on an owner's report for 1 s
-UNCONFIRMED_START_S = 0.3  # time for a hold to report a run whose start got no answer
-FRESH_REPORT_S = 0.05  # a run that starts later than the report is not up yet
 # Late tasks that end sooner are not stopped, as stopping takes 0.2 or 0.9 s, depending
 # on the deployment.
 PREEMPTION_MIN_REMAINING_S = 0.5
@@ -53,7 +50,7 @@
     running_cpu: int = 0
 
 
-class PoolState(PoolWorkers):
+class PoolState(PoolStops):
     """Schedules the jobs of a pool; see ``PoolJobs`` for the arguments."""
 
     # Requests of the fleet planner
@@ -454,81 +451,3 @@
                 run=task.run,
                 worker=order.worker.worker_id,
             )
-
-    def apply_stop_answer(self, order, now):
-        """Records that a worker accepted a stop: the run has ended or cannot start."""
-        task = order.worker.tasks.get(order.task_name)
-        if task is None or task.run != order.run:
-            return
-        # Only the first answer counts. Holds last longer than the stop retry interval,
-        # so a later answer would always be newer than the latest hold, and the task
-        # would never be released.
-        if task.stop_answered_at is None:
-            task.stop_answered_at = now
-
-    def stop_orders(self, now):
-        """Returns the ``StopOrder`` objects that are due."""
-        orders, self._pending_stops = self._pending_stops, []
-        for worker in self.workers.values():
-            orders += self.stop_orders_of(worker, now)
-        return orders
-
-    def stop_orders_of(self, worker, now):
-        """Returns the ``StopOrder`` objects that are due for the runs of a worker."""
-        if not worker.is_clock_known:
-            return []
-        orders = []
-        for task in worker.tasks.values():
-            if task.state is TaskState.STARTING:
-                continue
-            if task.stop_sent_at and now - task.stop_sent_at < STOP_RETRY_S:
-                continue
-            if not (task.is_stopping or self._is_start_lost(task, worker, now)):
-                continue
-            if task.spec.is_lasting and task.job.is_live:
-                if task.is_stopping and not self._may_send_stop(task, worker, now):
-                    continue
-                self._report_interruption(task, worker, now)
-            task.stop_sent_at = now
-            orders.append(StopOrder(task.name, task.run, worker))
-        return orders
-
-    def _may_send_stop(self, task, worker, now):
-        """Returns whether the stop of a long-running run may be sent, or sent again.
-
-        A stop that was never sent is dropped otherwise, and decided anew if the run is
-        still to be stopped. One that was sent may still take effect.
-        """
-        if worker.entry.is_draining or may_interrupt(task, self.workers, now):
-            return True
-        if self._is_absent(task, worker, now):
-            return True
-        if task.stop_sent_at is None:
-            task.is_stopping = False
-        return False
-
-    def _is_start_lost(self, task, worker, now):
-        """Returns whether a start without an answer has to be revoked by a stop.
-
-        A long-running task may be up, and the step have no interruption to spare. Its
-        start is revoked only immediately after a report that lacks the run.
-        """
-        if (
-            task.state is not TaskState.UNCONFIRMED
-            or task.stop_answered_at is not None
-            or task.token != self.token
-            or now - task.ordered_at <= UNCONFIRMED_START_S
-        ):
-            return False
-        return not task.spec.is_lasting or self._is_absent(task, worker, now)
-
-    @staticmethod
-    def _is_absent(task, worker, now):
-        """Returns whether a report that was just read lacks an unconfirmed run."""
-        reported_at = worker.reported_at
-        return (
-            task.state is TaskState.UNCONFIRMED
-            and reported_at is not None
-            and reported_at - task.ordered_at > UNCONFIRMED_START_S
-            and now - reported_at < FRESH_REPORT_S
-        )
--- a/tests/entry/test_unanswered_machine_orders.py
+++ b/tests/entry/test_unanswered_machine_orders.py
@@ -2,7 +2,8 @@
 
 import anyio
 
-from basilwind.entry.planner import MAINTENANCE_TOPIC, FleetPlanner
+from basilwind.entry import maintenance_log
+from basilwind.entry.planner import FleetPlanner
 from basilwind.errors import CallUnanswered
 from basilwind.platform.machines import Machine, MachineState, OrderOutcome
 from basilwind.platform.store import KeyedRecord
@@ -92,7 +93,7 @@
         clock = Clock()
         services = make_services(clock)
         machines = services.machine_client = _Machines()
-        services.store.latest[MAINTENANCE_TOPIC] = [
+        services.store.latest[maintenance_log.TOPIC] = [
             KeyedRecord(0, host, str(clock() - 1.0).encode()) for host in recorded
         ]
         machines.repeated = repeated or OrderOutcome.DONE
