--- a/tests/scheduling/model.py
+++ b/tests/scheduling/model.py
@@ -7,6 +7,7 @@
 allows.
 """
 
+import os
 from collections import Counter
 
 from basilwind.scheduling.fleet import Queue, WorkerEntry
@@ -61,6 +62,12 @@
     )
 
 
+def seeds_to_play(count):
+    """Returns the first seeds, or those of the environment variable SEEDS (0-22000)."""
+    first, last = os.environ.get("SEEDS", f"0-{count}").split("-")
+    return range(int(first), int(last))
+
+
 class ModelWorker:
     """A simulated worker that uses the model's clock.
 
--- a/tests/scheduling/test_interruptions.py
+++ b/tests/scheduling/test_interruptions.py
@@ -1,9 +1,10 @@
 import random
 import unittest
 
+from basilwind.scheduling.interruptions import MAX_REPORT_AGE_S
 from basilwind.scheduling.jobs import TaskState
 from basilwind.scheduling.reports import EndKind
-from tests.scheduling.model import PoolModel, make_job
+from tests.scheduling.model import PoolModel, make_entry, make_job, seeds_to_play
 from tests.scheduling.test_pool import FAULTS, apply_fault
 
 SEEDS = 600
@@ -157,8 +158,53 @@
         (load,) = model.state.pool_report(model.now, model.now).workers
         self.assertEqual((load.tasks, load.long_running), (3, 3))
 
+    def test_stop_left_after_another_worker_had_crashed(self):
+        model = self._running_model(most_per_worker=1)
+        model.withhold("w0")
+        model.workers["w1"].restart()
+        model.hold(["w1"])
+        self.assertEqual(model.workers["w0"].runs, {"lasting.0.0.0": 1})
+
+    def test_paused_owner_relied_on_old_reports(self):
+        model = self._running_model(most_per_worker=1)
+        model.now += MAX_REPORT_AGE_S
+        model.withhold("w0")
+        model.send_stops()
+        self.assertEqual(model.workers["w0"].runs, {"lasting.0.0.0": 1})
+
+    def test_successor_moved_a_task_before_all_others_were_reported(self):
+        model = self._running_model(most_per_worker=1)
+        model.workers["w2"].is_reachable = False
+        model.take_over()
+        model.hold()
+        model.withhold("w0")
+        model.hold()
+        self.assertEqual(model.workers["w0"].runs, {"lasting.0.0.0": 1})
+
+    def test_worker_that_was_to_drain_and_is_ready_again_lost_all_tasks(self):
+        model = self._running_model(workers=1)
+        worker = model.workers["w0"]
+        for is_draining in (True, False):
+            worker.entry = make_entry("w0", is_draining=is_draining)
+            model.refresh()
+        model.hold()
+        self.assertEqual(len(worker.runs), 2)
+
+    def test_leases_of_a_worker_that_left_the_registry_are_renewed(self):
+        model = self._running_model(workers=1)
+        for is_new in (False, True):
+            if is_new:
+                model.take_over()
+            model.refresh([])
+            for listed in ([], ["w0"]):
+                for _ in range(4):
+                    model.hold()
+                    model.advance(0.5)
+                model.refresh(listed)
+        self.assertEqual(set(model.workers["w0"].runs.values()), {1})
+
     def test_random_faults_by_seed(self):
-        for seed in range(SEEDS):
+        for seed in seeds_to_play(SEEDS):
             with self.subTest(seed=seed):
                 self._run_seed(seed)
 
--- a/tests/scheduling/test_pool.py
+++ b/tests/scheduling/test_pool.py
@@ -6,7 +6,13 @@
 
 from basilwind.scheduling.jobs import JobState, TaskState
 from basilwind.scheduling.reports import EndedRun, EndKind, WorkerReport
-from tests.scheduling.model import LEASE_S, PoolModel, make_entry, make_job
+from tests.scheduling.model import (
+    LEASE_S,
+    PoolModel,
+    make_entry,
+    make_job,
+    seeds_to_play,
+)
 
 FAULTS = st.sampled_from(
     (
@@ -331,20 +337,20 @@
         model.check_all_finished()
 
     def test_random_faults_by_seed(self):
-        for seed in (*range(SEEDS), *FAILED_SEEDS):
+        for seed in (*seeds_to_play(SEEDS), *FAILED_SEEDS):
             with self.subTest(seed=seed):
                 self._run_seed(seed)
 
     def test_random_faults_and_submissions_by_seed(self):
         # Jobs also arrive in outages, and while the pool has no owner.
-        for seed in (*range(SEEDS), *SUBMISSION_SEEDS):
+        for seed in (*seeds_to_play(SEEDS), *SUBMISSION_SEEDS):
             with self.subTest(seed=seed):
                 self._run_seed(seed, ("submit", "submit unread"))
 
     def test_random_faults_on_full_workers_by_seed(self):
         # Workers that start whatever they are told must not be overloaded, while their
         # capacity changes and jobs are cancelled.
-        for seed in range(SEEDS):
+        for seed in seeds_to_play(SEEDS):
             with self.subTest(seed=seed):
                 self._run_seed(seed, ("submit", "cancel", "shrink", "grow"), cpu=2000)
 
