Adopt runs of waiting tasks whatever their number

Cause: two takeovers around an outage. A worker with unrecorded runs was out of the second owner's reach, so that owner numbered its own, late starts lower. The third owner heard of the first numbers from the ends that the worker still listed, and stopped what executed as superseded, although nothing else of these tasks did.

Change: a run that a worker reports is adopted if its task waits, whatever its number, as no other run of it can exist; the highest number is kept, so that the next start gets a higher one. A run of a task that has another run is stopped, as before.

--- a/basilwind/scheduling/jobs.py
+++ b/basilwind/scheduling/jobs.py
@@ -36,6 +36,8 @@
         name: Name on the wire and in logs.
         state: ``TaskState``.
         run: Number of its latest run; 0 before the first.
+        highest_run: Highest number of an earlier run. An owner that did not know of it
+            may have numbered the latest one lower.
         worker_id: Worker of the latest run; empty if there is none.
         token: Fencing token of the owner that ordered the latest run, or that found it
             executing.
@@ -62,6 +64,7 @@
         "name",
         "state",
         "run",
+        "highest_run",
         "worker_id",
         "token",
         "failures",
@@ -85,6 +88,7 @@
         self.name = f"{step.name}.{index}"
         self.state = TaskState.WAITING
         self.run = 0
+        self.highest_run = 0
         self.worker_id = ""
         self.token = 0
         self.failures = 0
@@ -111,6 +115,11 @@
         """The ``StepSpec`` of its step."""
         return self.step.spec
 
+    @property
+    def next_run(self):
+        """Number of its next run."""
+        return max(self.run, self.highest_run) + 1
+
     @property
     def is_active(self):
         """Whether a run may exist on a worker."""
--- a/basilwind/scheduling/pool.py
+++ b/basilwind/scheduling/pool.py
@@ -340,12 +340,12 @@
         """
         if not placed:
             return []
-        gang_run = max(task.run for task in step.tasks) + 1
+        gang_run = max(task.next_run for task in step.tasks)
         checkpoint = max(task.checkpoint for task in step.tasks)
         orders = []
         for task, worker in placed:
             task.state = TaskState.STARTING
-            task.run = gang_run if step.spec.is_gang else task.run + 1
+            task.run = gang_run if step.spec.is_gang else task.next_run
             if step.spec.is_gang:
                 task.checkpoint = checkpoint
             task.worker_id = worker.worker_id
--- a/basilwind/scheduling/pool_workers.py
+++ b/basilwind/scheduling/pool_workers.py
@@ -161,12 +161,15 @@
             Whether the run was adopted; if not, it has to be stopped.
         """
         task = self._find_task(reported.task_name)
-        if task is None or reported.run <= task.run:
+        if task is None:
             return False
-        is_record_old = task.is_active and task.token < self.token
+        # The previous owner knew that the recorded run had ended.
+        is_record_old = (
+            task.is_active and task.token < self.token and reported.run > task.run
+        )
         if not is_record_old and task.state is not TaskState.WAITING:
             return False
-        # The previous owner knew that the recorded run had ended.
+        task.highest_run = max(task.highest_run, task.run)
         self._unassign(task)
         task.state = TaskState.RUNNING
         task.run = reported.run
--- a/tests/scheduling/test_pool.py
+++ b/tests/scheduling/test_pool.py
@@ -48,7 +48,8 @@
 FAILED_SEEDS = (407, 550, 551, 685, 809, 1853, 2830, 4586)
 
 # Seeds that find two runs of a task if jobs without a record are started in outages.
-SUBMISSION_SEEDS = (476, 595, 1454, 1596, 2588, 5884)
+# Tasks whose late runs had lower numbers than earlier ones were ended (1139).
+SUBMISSION_SEEDS = (476, 595, 1139, 1454, 1596, 2588, 5884)
 
 
 def apply_fault(model, fault, which):
