--- a/tests/entry/test_unanswered_machine_orders.py
+++ b/tests/entry/test_unanswered_machine_orders.py
@@ -5,76 +5,30 @@
 from basilwind.entry import maintenance_log
 from basilwind.entry.planner import FleetPlanner
 from basilwind.errors import CallUnanswered
-from basilwind.platform.machines import Machine, MachineState, OrderOutcome
+from basilwind.platform.machines import OrderOutcome
 from basilwind.platform.store import KeyedRecord
-from basilwind.scheduling.demand import PoolReport, WorkerLoad
 from basilwind.scheduling.fleet import Wave
-from basilwind.scheduling.ownership import Claim
-from tests.utils.entry_fakes import Clock, FakePeers, make_services
+from tests.entry.test_planner_handover import PREVIOUS
+from tests.utils.entry_fakes import Clock, FakeMachines, FakePeers, make_services
 
 ROUND_S = 0.2  # by which the clock advances whenever an owner is asked
-PREVIOUS = Claim("e2#1", "h2:1", 5, "a")
 
 
-class _Machines:
-    """Two idle hosts; the first order gets no answer and takes effect late."""
+class _Machines(FakeMachines):
+    """Two idle hosts; the first order gets no answer, its repeat may be rejected."""
 
-    def __init__(self):
-        self.orders = []
-        self.repeated = OrderOutcome.DONE
-
-    async def list(self):
-        state = MachineState.DOWN if self.orders else MachineState.UP
-        return [
-            self._machine("m1", "w1", MachineState.UP),
-            self._machine("m2", "w2", MachineState.UP),
-            self._machine("m3", "w3", state),
-        ]
-
-    @staticmethod
-    def _machine(name, worker_id, state):
-        return Machine(
-            *(name, "pool", state, "a", frozenset()),
-            cpu=8000,
-            memory=64000,
-            worker_id=worker_id,
-        )
+    def __init__(self, repeated):
+        super().__init__(2)
+        self._repeated = repeated
 
     async def start_maintenance(self, machine, wave, holder, token):
-        return self._order(machine)
+        return await self.move(machine, "", holder, token)
 
     async def move(self, machine, pool, holder, token):
-        return self._order(machine)
-
-    def _order(self, machine):
         self.orders.append(machine)
         if len(self.orders) == 1:
             raise CallUnanswered("no answer")
-        return self.repeated if machine == self.orders[0] else OrderOutcome.DONE
-
-
-class _Peers(FakePeers):
-    """Owners that report the idle workers, but none of a host ordered often enough."""
-
-    def __init__(self, machines, silent_after):
-        super().__init__()
-        self._machines = machines
-        self._silent_after = silent_after
-
-    async def withhold(self, pool, worker_ids, token, at_risk=()):
-        self.on_withhold(worker_ids)
-        orders = self._machines.orders
-        silent = {
-            f"w{name[1:]}"
-            for name in orders
-            if orders.count(name) >= self._silent_after
-        }
-        idle = [
-            WorkerLoad(f"w{n}", 8000, 0, 0)
-            for n in range(1, 6)
-            if f"w{n}" not in silent
-        ]
-        return PoolReport(pool, idle, 0.0, 0.0, 0, 0, 0, 0, 0, 0.0, 0)
+        return self._repeated if machine == self.orders[0] else OrderOutcome.DONE
 
 
 class TestUnansweredMachineOrders(unittest.TestCase):
@@ -85,22 +39,38 @@
         wave=None,
         recent_orders=None,
         run_s=2.0,
-        repeated=None,
+        repeated=OrderOutcome.DONE,
         silent_after=1,
         recorded=(),
     ):
-        """Returns the orders, and the withheld workers of each call after the first."""
+        """Runs a planner.
+
+        Args:
+            wave: ``Wave``, or None.
+            recent_orders: What the previous planner hands over, or None.
+            run_s: How long the planner runs, seconds.
+            repeated: Outcome of an order that is repeated.
+            silent_after: Number of orders after which a host's worker is silent.
+            recorded: Hosts that a lost planner was about to order.
+
+        Returns:
+            The ordered hosts, and the withheld workers of each call since the first.
+        """
         clock = Clock()
         services = make_services(clock)
-        machines = services.machine_client = _Machines()
+        machines = services.machine_client = _Machines(repeated)
         services.store.latest[maintenance_log.TOPIC] = [
             KeyedRecord(0, host, str(clock() - 1.0).encode()) for host in recorded
         ]
-        machines.repeated = repeated or OrderOutcome.DONE
         if wave:
             services.configuration.waves = {1: (wave, clock())}
-        peers = _Peers(machines, silent_after)
+        peers = FakePeers()
         peers.recent_orders = recent_orders
+        peers.silent = lambda: {
+            f"w{host[1:]}"
+            for host in machines.orders
+            if machines.orders.count(host) >= silent_after
+        }
         calls = []
 
         def tick(worker_ids):
--- a/tests/utils/entry_fakes.py
+++ b/tests/utils/entry_fakes.py
@@ -75,19 +75,21 @@
 
 
 class FakeMachines:
-    """A machine service with one idle host in the pool; keeps the orders."""
+    """A machine service with idle hosts in the pool, m1 and so on; keeps the orders."""
 
-    def __init__(self):
+    def __init__(self, count=1):
         self.orders = []
+        self._count = count
 
     async def list(self):
         return [
             Machine(
-                *("m1", "pool", MachineState.UP, "a", frozenset()),
+                *(f"m{n}", "pool", MachineState.UP, "a", frozenset()),
                 cpu=8000,
                 memory=64000,
-                worker_id="w1",
+                worker_id=f"w{n}",
             )
+            for n in range(1, self._count + 1)
         ]
 
     async def move(self, machine, pool, holder, token):
@@ -99,11 +101,13 @@
     """Peers that report four idle workers.
 
     Attributes:
+        silent: Returns the ids of workers that do not answer and are not reported.
         on_withhold: Called with the ids of the workers to withhold.
         recent_orders: What a previous planner hands over, or None if it is silent.
     """
 
     def __init__(self):
+        self.silent = lambda: ()
         self.on_withhold = lambda worker_ids: None
         self.recent_orders = None
 
@@ -112,7 +116,8 @@
 
     async def withhold(self, pool, worker_ids, token, at_risk=()):
         self.on_withhold(worker_ids)
-        idle = [WorkerLoad(f"w{n}", 8000, 0, 0) for n in (1, 2, 3, 4)]
+        ids = {f"w{n}" for n in (1, 2, 3, 4)} - set(self.silent())
+        idle = [WorkerLoad(worker_id, 8000, 0, 0) for worker_id in sorted(ids)]
         return PoolReport(pool, idle, 0.0, 0.0, 0, 0, 0, 0, 0, 0.0, 0)
 
 
