--- /dev/null
+++ b/tests/scheduling/test_interruptions.py
@@ -0,0 +1,112 @@
+import random
+import unittest
+
+from basilwind.scheduling.jobs import TaskState
+from tests.scheduling.model import PoolModel, make_job
+from tests.scheduling.test_pool import FAULTS, apply_fault
+
+SEEDS = 600
+MORE_FAULTS = (
+    "hold one",
+    "hold one",
+    "stop",
+    "stop answer lost",
+    "stop lost",
+    "wait",
+    "wait shortly",
+    "withhold",
+    "withhold",
+    "move",
+)
+
+
+class TestInterruptions(unittest.TestCase):
+    """No more tasks of a long-running step are interrupted than it allows."""
+
+    def _running_model(self, workers=3, **fields):
+        """Returns a model in which all tasks of a long-running step execute."""
+        model = PoolModel(self.fail, workers)
+        spec = dict(count=3, is_lasting=True, may_miss=1) | fields
+        model.submit("lasting", make_job(**spec))
+        model.hold()
+        model.schedule()
+        model.hold()
+        return model
+
+    def test_successor_ended_all_runs_that_it_had_no_record_of(self):
+        # Regression (fleetbench cordillera-flota hunt-d6b3-3, AVAIL).
+        model = self._running_model()
+        (first,) = (worker for worker in model.workers.values() if worker.runs)
+        model.is_store_unavailable = True
+        first.is_reachable = False
+        model.hold()
+        model.advance(6.0)
+        model.hold()
+        model.schedule()
+        model.take_over()
+        model.hold()
+        self.assertEqual({task.run for task in model.all_tasks()}, {2})
+        self.assertTrue(all(t.state is TaskState.RUNNING for t in model.all_tasks()))
+
+    def test_starts_without_an_answer_were_stopped_together(self):
+        model = PoolModel(self.fail)
+        model.submit("lasting", make_job(count=3, is_lasting=True, may_miss=1))
+        model.hold()
+        model.schedule(lambda: "answer lost")
+        model.advance(0.4)
+        model.send_stops()
+        model.hold()
+        self.assertEqual({task.run for task in model.all_tasks()}, {1})
+        self.assertTrue(all(t.state is TaskState.RUNNING for t in model.all_tasks()))
+
+    def test_lost_stop_was_repeated_after_another_worker_had_crashed(self):
+        model = self._running_model(most_per_worker=1)
+        model.withhold("w0")
+        model.send_stops("lost")
+        model.workers["w1"].restart()
+        for _ in range(6):
+            model.hold(stops="lost")
+            model.advance(0.9)
+        model.hold()
+        model.settle()
+        self.assertEqual(model.workers["w0"].runs, {})
+        model.check_all_finished()
+
+    def test_host_was_moved_after_a_successor_had_placed_tasks_on_it(self):
+        model = self._running_model(workers=2, count=2)
+        used, empty = sorted(model.workers, key=lambda n: not model.workers[n].runs)
+        model.withhold(empty)
+        model.take_over(previous_leases_s=0.0)
+        model.hold()
+        model.advance(0.5)
+        model.hold()
+        model.replace(used)
+        model.schedule()
+        model.advance(0.3)
+        model.move_empty_host()
+        model.hold()
+        model.settle()
+        model.check_all_finished()
+
+    def test_random_faults_by_seed(self):
+        for seed in range(SEEDS):
+            with self.subTest(seed=seed):
+                self._run_seed(seed)
+
+    def _run_seed(self, seed):
+        source = random.Random(seed)
+        model = PoolModel(self.fail)
+        model.submit("job", make_job(count=2, steps=2))
+        model.submit("lasting", make_job(count=3, is_lasting=True, may_miss=1))
+        model.hold()
+        model.schedule()
+        model.hold()
+        faults = (*FAULTS.elements, *MORE_FAULTS)
+        for _ in range(source.randint(5, 60)):
+            apply_fault(model, source.choice(faults), source.randint(0, 2))
+        model.settle()
+        model.check_all_finished()
+
+
+if __name__ == "__main__":
+    unittest.main()
