--- a/basilwind/scheduling/jobs.py
+++ b/basilwind/scheduling/jobs.py
@@ -37,7 +37,8 @@
         state: ``TaskState``.
         run: Number of its latest run; 0 before the first.
         worker_id: Worker of the latest run; empty if there is none.
-        token: Fencing token of the owner that ordered the latest run.
+        token: Fencing token of the owner that ordered the latest run, or that found it
+            executing.
         failures: Number of failed runs.
         crashes: Number of workers that crashed with a run of it.
         isolated_crashes: Number of those crashes that no other job can have caused.
--- a/basilwind/scheduling/pool.py
+++ b/basilwind/scheduling/pool.py
@@ -224,7 +224,7 @@
         orders, shortages = [], []
         may_have_unrecorded_runs = self.has_unrecorded_runs(now)
         for step in self._rank_ready_steps(wall_time):
-            if may_have_unrecorded_runs and step.job.job_id in self._jobs_known_before:
+            if may_have_unrecorded_runs and self._may_have_unrecorded_runs(step):
                 continue
             if step.spec.is_lasting and now < self._withholding_unknown_until:
                 continue
@@ -257,6 +257,15 @@
                 shortages.append(Shortage(step.spec.reserved_cpu, step.spec.memory))
         return orders
 
+    def _may_have_unrecorded_runs(self, step):
+        """Returns whether the previous owner may have started a step's waiting tasks.
+
+        It has not if their last runs were still executing after the takeover.
+        """
+        return step.job.job_id in self._jobs_known_before and any(
+            task.token < self.token for task in step.waiting()
+        )
+
     @staticmethod
     def may_start_unrecorded(order):
         """Returns whether an order may be sent before its start is recorded.
--- a/basilwind/scheduling/pool_workers.py
+++ b/basilwind/scheduling/pool_workers.py
@@ -215,6 +215,7 @@
     def _apply_progress(self, worker, task, reported, now):
         if task.state is not TaskState.RUNNING:
             task.state = TaskState.RUNNING
+            task.token = self.token
             task.confirmed_at = now
             task.progressed_at = now
         if health.update_progress(task, reported, now) and not task.is_stopping:
--- a/tests/scheduling/test_interruptions.py
+++ b/tests/scheduling/test_interruptions.py
@@ -2,6 +2,7 @@
 import unittest
 
 from basilwind.scheduling.jobs import TaskState
+from basilwind.scheduling.reports import EndKind
 from tests.scheduling.model import PoolModel, make_job
 from tests.scheduling.test_pool import FAULTS, apply_fault
 
@@ -89,6 +90,22 @@
         model.settle()
         model.check_all_finished()
 
+    def test_service_stayed_down_though_a_successor_had_seen_its_run(self):
+        # Regression (fleetbench cordillera-flota hunt-d6b3-3): for over 8 s.
+        model = self._running_model()
+        (used,) = (name for name, worker in model.workers.items() if worker.runs)
+        silent = next(name for name in model.workers if name != used)
+        model.workers[silent].is_reachable = False
+        model.take_over()
+        for _ in range(4):
+            model.hold()
+            model.advance(0.5)
+        self.assertTrue(model.state.has_unrecorded_runs(model.now))
+        model.workers[used].end("lasting.0.0.0", EndKind.FAILED)
+        model.hold()
+        model.schedule()
+        self.assertEqual(model.all_tasks()[0].run, 2)
+
     def test_new_planner_released_workers_that_were_about_to_be_moved(self):
         model = self._running_model(workers=2)
         empty = next(name for name, worker in model.workers.items() if not worker.runs)
