--- a/review/3/case.py
+++ b/review/3/case.py
@@ -11,7 +11,7 @@
 
 WORKERS = 10
 FLAP_PERIOD_S = 1.4  # gap_s of the deployments
-FLAP_S = 6.5  # for_s of the deployments
+FLAP_S = 7.6  # for_s of the deployments
 CALM_S = 12.0
 JOB = f"{0xCCCC0001:016x}"
 
--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -365,12 +365,16 @@
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def limited():
+        # The daemons are killed also if the script itself is to end.
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGTERM, asyncio.current_task().cancel
+        )
         async with asyncio.timeout(115):
             return await main(has_trouble)
 
     try:
         is_broken, text = asyncio.run(limited())
-    except (CannotRun, TimeoutError, OSError) as error:
+    except (CannotRun, TimeoutError, OSError, asyncio.CancelledError) as error:
         print(f"could not run: {type(error).__name__}: {error}")
         sys.exit(2)
     print(("BROKEN: " if is_broken else "held: ") + text)
