Review case: a hopeless job starves the late jobs of its pool

One of 60 jobs asks for an accelerator that no worker has. Each scheduling round passes over all later steps that are at least as large, so jobs that were accepted and have become late never begin.

This takes the place of the variant with long-running jobs.

--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,7 +1,8 @@
-"""A few jobs that can never run keep all workers of their pool free for themselves.
+"""One job that can never run keeps the late jobs of its pool from ever starting.
 
-The workers have no accelerators, and some of the long-running jobs ask for one. Each of
-these has one worker reserved for it, which then starts nothing else.
+The workers have no accelerators, and one job asks for one. The owner remembers the
+size of a task that fits nowhere and passes over all later steps that are at least as
+large, in each round.
 """
 
 import asyncio
@@ -10,9 +11,9 @@
 from deployment import CannotRun, Deployment, run_case
 
 WORKERS = 6
-JOBS = 126
-HOPELESS_JOBS = 6  # 0.048 of all; the site's days have a share of up to 0.056
-JOB_INTERVAL_S = 0.12
+JOBS = 60
+HOPELESS_JOBS = 1  # 0.017 of all; the site has a share of up to 0.056
+JOB_INTERVAL_S = 0.02  # a burst of several times what the pool can do at once
 FINISH_S = 14.0  # finish_s
 IDLE_S = 3.0  # LOST: "for 3 s, a job has nothing running"
 
@@ -29,18 +30,19 @@
             job_id = f"{0xABAB0000 + number:016x}"
             if number % every == 0:
                 gpu = {"gpu": 1} if has_trouble else {}
-                call = fleet.submit(
-                    job_id, 0, number, cpu=2000, memMb=8000, longRunning=True, **gpu
-                )
+                call = fleet.submit(job_id, 0.8, number, cpu=2000, memMb=4000, **gpu)
             else:
                 normal.append(job_id)
-                call = fleet.submit(job_id, 0.5, number, count=3, estimateMs=500)
+                call = fleet.submit(
+                    job_id, 0.8, number, count=6, cpu=3500, memMb=7200, estimateMs=800
+                )
             calls.append(asyncio.create_task(call))
             await asyncio.sleep(JOB_INTERVAL_S)
         accepted = await asyncio.gather(*calls)
         fleet.record.write("traffic ended", accepted=sum(accepted))
-        if not all(accepted):
-            raise CannotRun("a job was not accepted")
+        normal = [job_id for job_id in normal if job_id in fleet.jobs]
+        if len(normal) < JOBS / 2:
+            raise CannotRun("less than half of the jobs were accepted")
         await asyncio.sleep(FINISH_S)
         starts_before, used_before = len(fleet.starts), used_cpu(fleet)
         await asyncio.sleep(IDLE_S)
