--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -3,7 +3,6 @@
 import asyncio
 import json
 import os
-import random
 import signal
 import socket
 import subprocess
@@ -65,8 +64,9 @@
 
 def find_ports(count):
     """Returns the first of ``count`` consecutive free ports."""
-    for _ in range(200):
-        first = random.randrange(20000, 30000 - count)
+    # Each process tries other ports first, as they aren't held until they are used.
+    for attempt in range(100):
+        first = 20000 + (os.getpid() + attempt) % 100 * 100
         probes = []
         try:
             for port in range(first, first + count):
