Review, case 1: tasks that last are not started again after failures

Sixty tasks that last run on six sound workers and fail by themselves now and then. Workers on which two of them failed stay on probation for good, and failed tasks wait though there is room for them.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,84 +1,98 @@
-"""An owner is killed while it forgets old jobs, and its successor runs them again.
+"""Tasks that last and fail by themselves now and then leave their pool bit by bit.
 
-Jobs whose state need not be known any more are deleted from the journal first and from
-the intake by a second append. Between the two, the store has a submission without any
-sign that it was executed.
+A worker on which two runs failed counts as being on probation until a run there ends
+as done, and takes a single task meanwhile. Tasks that last never end as done, so the
+workers that hold some of them take none any more, and tasks that failed wait for good.
 """
 
 import asyncio
+import time
 from pathlib import Path
 
 from deployment import CannotRun, Deployment, run_case
 
-JOBS = 5
-STATUS_S = 45  # 120 in the deployments; shorter, as a script ends after 120 s
-FORGET_S = 15.0  # time after STATUS_S in which the owner must have forgotten a job
-SETTLE_S = 20.0
+JOBS = 12
+TASKS = 5
+CPU, MEMORY_MB = 2600, 13_500  # half of the means of the site's `nightly-parts`
+MEAN_LIFE_S = 90.0  # the site's `stay_s`
+WATCH_S = 95.0
+SAMPLE_S = 0.1
+RESTART_S = 6.0  # LOST: "from 6 s after its last run"
+IDLE_S = 3.0  # LOST: "for 3 s [...] nothing running"
 
 
 async def main(has_trouble):
     """Plays the case; returns whether the rule was broken, and a summary."""
     folder = Path(__file__).parent
     zones = ["zone-a", "zone-b", "zone-c"]
-    async with Deployment(folder, zones, zones * 2, status_s=STATUS_S) as fleet:
+    async with Deployment(folder, zones, zones * 2) as fleet:
         await fleet.wait_until_serving()
-        job_ids = [f"{0xFFFF0000 + number:016x}" for number in range(JOBS)]
+        job_ids = [f"{0xDADA0000 + number:016x}" for number in range(JOBS)]
         for number, job_id in enumerate(job_ids):
-            if not await fleet.submit(job_id, 0.3, number, count=4):
+            life_s = MEAN_LIFE_S if has_trouble else 0.0
+            if not await fleet.submit(
+                job_id,
+                0,
+                number,
+                life_s,
+                count=TASKS,
+                cpu=CPU,
+                memMb=MEMORY_MB,
+                longRunning=True,
+                estimateMs=500,
+                mayMiss=1,
+            ):
                 raise CannotRun("a job was not accepted")
-        await asyncio.sleep(3.0)
-        for number, job_id in enumerate(job_ids):
-            if await fleet.state(job_id, number) != "completed":
-                raise CannotRun("a job was not completed")
-        forgotten = asyncio.Event()
+        names = [f"{job}.0.0.{index}" for job in job_ids for index in range(TASKS)]
+        await asyncio.sleep(5.0)
+        if len(running(fleet)) < len(names) - 3:
+            raise CannotRun("the tasks were not started")
+        return await watch(fleet, names)
+
+
+def running(fleet):
+    """Returns the names of the tasks that run."""
+    return {name for worker in fleet.workers for name in worker.runs}
 
-        def on_append(port, topic, records):
-            names = {record[1 : 1 + record[0]].decode() for record in records}
-            if topic != "keyed.journal.svc-a" or not names & set(job_ids):
-                return
-            fleet.store.on_append = None
-            owner = fleet.store_ports.index(port)
-            fleet.record.write("owner forgets jobs", owner=owner, jobs=sorted(names))
-            if has_trouble:
-                # It is the process that last wrote to the store under a condition.
-                fleet.kill_daemon(owner)
-                fleet.start_daemon(owner)
-            forgotten.set()
 
-        fleet.store.on_append = on_append
-        async with asyncio.timeout(STATUS_S + FORGET_S):
-            await forgotten.wait()
-        if not has_trouble:
-            await asyncio.sleep(1.0)
-            owner = fleet.holder("pool/svc-a")
-            fleet.record.write("nobody is killed", owner=owner)
-        await asyncio.sleep(SETTLE_S)
-        return judge(fleet, job_ids)
+def has_room_for_two(worker):
+    """Returns whether a worker could run two more such tasks."""
+    cpu = sum(run["cpu"] for run in worker.runs.values())
+    memory = sum(run["memory"] for run in worker.runs.values())
+    return cpu + 2 * CPU <= worker.cpu and memory + 2 * MEMORY_MB <= worker.memory
 
 
-def judge(fleet, job_ids):
-    """Returns whether TWICE was broken, and a summary."""
-    done_at = {}
-    for end in fleet.ends:
-        if end["how"] == "done" and end["noted"]:
-            done_at.setdefault(end["task"], end["at"])
-    again = [
-        (task, run, round(at - done_at[task], 1))
-        for at, task, run, _, _ in fleet.starts
-        if task in done_at and at > done_at[task] and task.split(".")[0] in job_ids
-    ]
-    for task, run, later_s in again:
-        fleet.record.write(
-            "started after it was done", task=task, run=run, seconds_later=later_s
-        )
-    jobs = {task.split(".")[0] for task, *_ in again}
+async def watch(fleet, names):
+    """Returns whether LOST was broken, and a summary."""
+    last_seen = dict.fromkeys(names, time.monotonic())
+    room_since = None
+    lost = {}
+    deadline = time.monotonic() + WATCH_S
+    while time.monotonic() < deadline:
+        await asyncio.sleep(SAMPLE_S)
+        now = time.monotonic()
+        last_seen.update(dict.fromkeys(running(fleet) & set(names), now))
+        if not any(has_room_for_two(worker) for worker in fleet.workers):
+            room_since = None
+            continue
+        room_since = room_since or now
+        for name, seen_at in last_seen.items():
+            if now - max(seen_at + RESTART_S, room_since) > IDLE_S and name not in lost:
+                lost[name] = now
+                fleet.record.write(
+                    "not restarted", task=name, failed_s_ago=now - seen_at
+                )
+    failed = sum(end["how"] == "failed" for end in fleet.ends)
+    states = [await fleet.state(name.split(".")[0]) for name in names[::TASKS]]
+    counts = [len(worker.runs) for worker in fleet.workers]
     text = (
-        f"{len(again)} tasks of {len(jobs)} jobs were started again after an end "
-        f"'done' that was taken note of, {again[0][2] if again else 0} s later; "
-        f"{len(fleet.starts)} starts"
+        f"{failed} runs of {len(names)} tasks that last failed by themselves; "
+        f"{len(lost)} tasks were not started again for {RESTART_S + IDLE_S:g} s and "
+        f"more, with room for them; {sum(counts)} tasks run in the end, by worker "
+        f"{counts}; the jobs are shown as {sorted(set(states))}"
     )
     fleet.record.write("judged", text=text)
-    return bool(again), text
+    return bool(lost), text
 
 
 run_case(main)
--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -286,16 +286,27 @@
         )
         return answer
 
-    async def submit(self, job_id, work_s, first=0, **step):
+    async def submit(self, job_id, work_s, first=0, mean_life_s=0.0, **step):
         """Submits a job of one step, retrying at other daemons as clients do.
 
+        Args:
+            job_id: Id of the job.
+            work_s: Time that its tasks take, seconds; 0 for tasks that last.
+            first: Index of the daemon that is called first.
+            mean_life_s: Mean time after which a run of a task that lasts fails by
+                itself, seconds; 0 for never.
+            step: Fields of the step.
+
         Returns:
             Whether it was accepted.
         """
         step = {"count": 1, "cpu": 1000, "memMb": 64, **step}
         for worker in self.workers:
             worker.set_steps(job_id, [step])
-        body = {"spec": json.dumps({"work_s": work_s}), "steps": [step]}
+        spec = {"work_s": work_s}
+        if mean_life_s:
+            spec["mean_life_s"] = mean_life_s
+        body = {"spec": json.dumps(spec), "steps": [step]}
         for attempt in range(5):
             index = (first + attempt) % len(self.ports)
             answer = await self.call(index, "POST", job_id, body)
--- a/review/common/platform_standin.py
+++ b/review/common/platform_standin.py
@@ -8,6 +8,7 @@
 import asyncio
 import base64
 import json
+import random
 import struct
 import time
 from urllib.parse import parse_qsl, urlsplit
@@ -259,7 +260,8 @@
     """A worker, with leases, fencing and a list of ends.
 
     The spec of a job is a JSON object with ``work_s``, the time that its tasks take; 0
-    for tasks that last.
+    for tasks that last. With ``mean_life_s``, tasks that last fail by themselves after
+    random times of that mean.
 
     Attributes:
         starts: Shared list of tuples: time, task, run, worker id, life.
@@ -351,7 +353,7 @@
             now = time.monotonic()
             for name, run in list(self.runs.items()):
                 if run["until"] and now >= run["until"]:
-                    self._end(name, "done")
+                    self._end(name, run["end_kind"])
 
     def _log_end(self, name, run, how):
         end = {
@@ -433,12 +435,17 @@
             return self._refuse("room")
         if sum(run["memory"] for run in self.runs.values()) + memory > self.memory:
             return self._refuse("room")
-        work_s = json.loads(order["spec"])["work_s"]
+        spec = json.loads(order["spec"])
+        work_s, end_kind = spec["work_s"], "done"
+        if spec.get("mean_life_s"):
+            work_s = random.expovariate(1 / spec["mean_life_s"])
+            end_kind = "failed"
         now = time.monotonic()
         self.runs[name] = {
             "run": number,
             "from": now,
             "until": now + work_s if work_s else 0.0,
+            "end_kind": end_kind,
             "cpu": cpu,
             "memory": memory,
         }
@@ -488,7 +495,7 @@
 
     @staticmethod
     def _percent(run):
-        if not run["until"]:
+        if not run["until"] or run["end_kind"] == "failed":
             return 100
         total = run["until"] - run["from"]
         return min(99, int(100 * (time.monotonic() - run["from"]) / total))
