--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -385,7 +385,8 @@
 
     try:
         is_broken, text = asyncio.run(limited())
-    except (CannotRun, TimeoutError, OSError, asyncio.CancelledError) as error:
+    except (Exception, asyncio.CancelledError) as error:
+        # Status 1 is only for a broken rule.
         print(f"could not run: {type(error).__name__}: {error}")
         sys.exit(2)
     print(("BROKEN: " if is_broken else "held: ") + text)
