Review: case 1, a queue sent to another service runs its jobs twice

A new configuration removes a route and adds one with the same host and path that leads to another service; submissions of running jobs are repeated 3 s later, and two jobs that last are cancelled.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,103 +1,96 @@
-"""A job that repeats often enough stops its whole pool for good.
+"""A queue is sent to another service, and jobs of before run twice.
 
-The journal's record of a job lists the numbers of all occurrences that are done. Once
-it is larger than the records that the store takes, no batch with it can be written any
-more, and nothing that needs the journal happens in the pool from then on.
+A change of the configuration removes a route and adds one with the same host and path
+that leads to another service. Submissions that are repeated after it are taken for new
+jobs by the pool of the other service, and cancellations go to that pool only.
 """
 
 import asyncio
-import json
-import time
 from pathlib import Path
 
 from deployment import CannotRun, Deployment, run_case
-from platform_standin import RECORD_BYTES
 
-REPEATS = 60_000  # one a minute for six weeks
-FEW_REPEATS = 20_000
-INTERVAL_MS = 1.6  # so that the script needs minutes in place of weeks
-WORK_S = 1.0
-CPU, MEMORY_MB = 100, 64
-REPEATS_UNTIL_S = 92.0
-CHECK_S = 0.25
-STUCK_S = 2.0
-JOBS = 12
-FINISH_S = 14.0  # finish_s
-IDLE_S = 3.0  # LOST: "for 3 s, a job has nothing running"
-REPEATING = "00000000b1b10000"
+ZONES = ["zone-a", "zone-b", "zone-c"]
+JOBS = 6
+TASKS = 4
+WORK_S = 14.0
+LASTING_JOBS = 2
+BEGIN_S = 1.5
+CONFIG_APPLY_S = 2.0  # configApplyMs
+REPEAT_AFTER_S = 3.0  # "seconds after the 2xx response"
+CANCEL_S = 3.0  # cancel_ms
+STOP_S = 0.2  # stopTimeoutMs
+END_S = 14.0
 
 
 async def main(has_trouble):
     """Plays the case; returns whether the rule was broken, and a summary."""
     folder = Path(__file__).parent
-    zones = ["zone-a", "zone-b", "zone-c"]
-    async with Deployment(folder, zones, zones * 2) as fleet:
+    services = ["svc-a"] * 6 + ["svc-b"] * 6
+    async with Deployment(folder, ZONES, ZONES * 4, services=services) as fleet:
         await fleet.wait_until_serving()
-        repeats = REPEATS if has_trouble else FEW_REPEATS
-        await submit_repeating_job(fleet, repeats)
-        done = await wait_for_occurrences(fleet, repeats)
-        fleet.record.write("occurrences done", count=done, largest=fleet.store.largest)
-        if has_trouble and fleet.store.largest <= RECORD_BYTES:
-            raise CannotRun(f"only {done} occurrences in time")
-        job_ids = [f"{0xCCCC0000 + number:016x}" for number in range(JOBS)]
-        for number, job_id in enumerate(job_ids):
-            if not await fleet.submit(job_id, 0.8, number, count=6, cpu=3500):
-                raise CannotRun("a job was not accepted")
-        await asyncio.sleep(FINISH_S)
-        starts_before = len(fleet.starts)
-        used_cpu = sum(r["cpu"] for w in fleet.workers for r in w.runs.values())
-        await asyncio.sleep(IDLE_S)
-        has_started = len(fleet.starts) > starts_before
+        job_ids = [f"{0xABAB0000 + number:016x}" for number in range(JOBS)]
+        lasting_ids = [f"{0xABAC0000 + number:016x}" for number in range(LASTING_JOBS)]
+        await submit_all(fleet, job_ids, WORK_S)
+        await submit_all(fleet, lasting_ids, 0)
+        await asyncio.sleep(BEGIN_S)
+        if has_trouble:
+            fleet.configure(version=3, name="q-b", service="svc-b")
+        await asyncio.sleep(REPEAT_AFTER_S)
+        await submit_all(fleet, job_ids, WORK_S)
+        answers = [await fleet.call(0, "DELETE", job_id) for job_id in lasting_ids]
+        if any(answer is None or answer[0] != 200 for answer in answers):
+            raise CannotRun("a cancellation was not acknowledged")
+        await asyncio.sleep(CANCEL_S + STOP_S)
+        uncancelled = [
+            name
+            for worker in fleet.workers
+            for name in worker.runs
+            if name.partition(".")[0] in lasting_ids
+        ]
+        fleet.record.write("runs of cancelled jobs", runs=uncancelled)
+        await asyncio.sleep(END_S)
         states = [await fleet.state(job_id) for job_id in job_ids]
-        begun = {task.partition(".")[0] for _, task, *_ in fleet.starts}
-        waiting = [job_id for job_id in job_ids if job_id not in begun]
-        total = sum(worker.cpu for worker in fleet.workers)
-        text = (
-            f"after {done} occurrences of one job, {JOBS} other jobs were accepted, "
-            f"{states.count('completed')} completed, {len(waiting)} never began "
-            f"{FINISH_S:g} s later; {'something' if has_started else 'nothing'} was "
-            f"started in {IDLE_S:g} s, {used_cpu} of {total} thousandths of a core in "
-            f"use; the largest record sent to the store has {fleet.store.largest} "
-            f"bytes of at most {RECORD_BYTES}"
-        )
-        fleet.record.write("judged", text=text)
-        return bool(waiting and not has_started and used_cpu < total / 2), text
+        return judge(fleet, uncancelled, states)
 
 
-async def submit_repeating_job(fleet, repeats):
-    """Submits a job that repeats ``repeats`` times."""
-    step = {"count": 1, "cpu": CPU, "memMb": MEMORY_MB, "estimateMs": 1000 * WORK_S}
-    for worker in fleet.workers:
-        worker.set_steps(REPEATING, [step])
-    body = {
-        "spec": json.dumps({"work_s": WORK_S}),
-        "steps": [step],
-        "repeatCount": repeats,
-        "startTimeMs": int(time.time() * 1000) + 500,
-        "intervalMs": INTERVAL_MS,
-    }
-    answer = await fleet.call(0, "POST", REPEATING, body)
-    if answer is None or answer[0] != 200:
-        raise CannotRun("the repeating job was not accepted")
+async def submit_all(fleet, job_ids, work_s):
+    """Submits jobs; all must be accepted."""
+    for number, job_id in enumerate(job_ids):
+        if not await fleet.submit(job_id, work_s, number, count=TASKS):
+            raise CannotRun("a job was not accepted")
 
 
-async def wait_for_occurrences(fleet, repeats):
-    """Waits until all occurrences are done or none is for ``STUCK_S``.
-
-    Returns:
-        Number of the occurrences that are done.
-    """
-    done, read, changed_at = 0, 0, fleet.record.now
-    while done < repeats and fleet.record.now < REPEATS_UNTIL_S:
-        await asyncio.sleep(CHECK_S)
-        new = fleet.ends[read:]
-        read += len(new)
-        count = sum(e["how"] == "done" and e["task"].startswith(REPEATING) for e in new)
-        if count:
-            done, changed_at = done + count, fleet.record.now
-        elif done and fleet.record.now - changed_at > STUCK_S:
-            break
-    return done
+def judge(fleet, uncancelled, states):
+    """Returns whether TWICE was broken, and a summary."""
+    ends = {(e["task"], e["run"], e["worker"]): e for e in fleet.ends}
+    started = {}
+    for at, task, run, worker, _ in fleet.starts:
+        started.setdefault(task, []).append((at, run, worker))
+    twice = set()
+    for task, runs in started.items():
+        for (_, run, worker), (later_at, later_run, later_worker) in zip(
+            runs, runs[1:], strict=False
+        ):
+            end = ends.get((task, run, worker))
+            is_parallel = end is None or later_at < end["at"]
+            if is_parallel or (end["how"] == "done" and end["noted"]):
+                twice.add(task)
+                fleet.record.write(
+                    "task run twice",
+                    task=task,
+                    runs=[[run, worker], [later_run, later_worker]],
+                    at_the_same_time=is_parallel,
+                )
+    lapsed = sum(end["how"] == "lapsed" for end in fleet.ends)
+    text = (
+        f"{len(twice)} tasks had two runs at the same time, or one after an end 'done' "
+        f"that was taken note of; {len(uncancelled)} tasks of cancelled jobs ran on "
+        f"{CANCEL_S + STOP_S:g} s after the acknowledgement; {lapsed} leases lapsed; "
+        f"states {sorted(set(states))}"
+    )
+    fleet.record.write("judged", text=text)
+    return bool(twice), text
 
 
 run_case(main)
--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -93,6 +93,8 @@
         attempts: Attempts of the queue.
         early_daemons: Number of daemons that are started a little before the others.
         status_s: How long the state of an ended job must be known, seconds.
+        services: Service of each worker; all are of ``svc-a`` if left out.
+        racks: Rack of each worker; four a rack if left out.
     """
 
     def __init__(
@@ -104,6 +106,8 @@
         attempts=3,
         early_daemons=0,
         status_s=120,
+        services=None,
+        racks=None,
     ):
         self.record = Recorder(Path(folder) / "record.txt")
         self.store = Store(self.record)
@@ -111,9 +115,9 @@
         self.workers = [
             Worker(
                 f"i-{number:010x}",
-                "svc-a",
+                services[number - 1] if services else "svc-a",
                 zone,
-                f"r{number // 4}",
+                racks[number - 1] if racks else f"r{number // 4}",
                 self.record,
                 self.starts,
                 self.ends,
@@ -133,7 +137,7 @@
     async def __aenter__(self):
         first = find_ports(PORTS_PER_DAEMON * len(self._zones))
         self.ports = [first + PORTS_PER_DAEMON * n for n in range(len(self._zones))]
-        self.store.put("keyed.op", "config", self._configuration())
+        self.configure()
         for _ in self._zones:
             ports = []
             server = await serve(self.store.handler(lambda p=ports: p[0]))
@@ -163,21 +167,32 @@
         self._temporary.cleanup()
         self.record.close()
 
-    def _configuration(self):
+    def configure(self, version=1, name="q-a", service="svc-a"):
+        """Writes a configuration as the operator does.
+
+        Args:
+            version: Its version.
+            name: Name of the only route.
+            service: Service of that route.
+        """
         route = {
-            "name": "q-a",
+            "name": name,
             "host": HOST,
             "pathPrefix": "/a/",
-            "service": "svc-a",
+            "service": service,
             "timeoutMs": 3000,
             "targetDurationMs": 600,
             "priority": 0,
             "attempts": self._attempts,
             "stretch": 1.6,
         }
-        service = {"name": "svc-a", "rejectsOverload": True}
-        document = {"version": 1, "routes": [route], "services": [service]}
-        return json.dumps(document).encode()
+        services = [
+            {"name": name, "rejectsOverload": True}
+            for name in sorted({worker.service for worker in self.workers})
+        ]
+        document = {"version": version, "routes": [route], "services": services}
+        self.store.put("keyed.op", "config", json.dumps(document).encode())
+        self.record.write("configuration", version=version, route=name, service=service)
 
     async def _handle_machines(self, method, path, query, headers, body):
         if path != "/machines":
