--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,8 +1,8 @@
 """One job that can never be done stops the jobs that wait behind it for good.
 
 A gang that is larger than its pool counts as a shortage of capacity for its task size.
-Every step that is ranked after it and whose tasks are at least as large is skipped then,
-although it would fit.
+Every step that is ranked after it and whose tasks are at least as large is skipped
+then, although it would fit.
 """
 
 import asyncio
