Expect unrecorded runs after each takeover that is not proved clean

Cause: an outage that other duty holders confirmed counted as proof that no daemon can take over, and a successor expected runs without a record only if it had been without the store itself.

Change: a successor expects them unless the duty was handed over by a holder that knew all runs, or each daemon that can have confirmed an outage says that it had the store. Those remember the takeover and confirm none afterwards. Owners also ask daemons without a duty; one that the store serves rules an outage out. Unknown jobs are no longer denied in a confirmed outage.

--- a/basilwind/entry/daemon.py
+++ b/basilwind/entry/daemon.py
@@ -16,6 +16,7 @@
 from basilwind.entry.intake_router import IntakeRouter
 from basilwind.entry.metrics import EntryMetrics
 from basilwind.entry.outage_detector import OutageDetector
+from basilwind.entry.outage_witnesses import OutageWitnesses
 from basilwind.entry.owner import PoolOwner
 from basilwind.entry.peer_app import PeerApp
 from basilwind.entry.peer_client import PeerClient
@@ -66,9 +67,15 @@
             settings.zone,
             self._store_monitor,
             self._shared_services.duties.current_claims,
-            self._peers.store_silence_s,
+            self._shared_services.duties.known_daemons,
+            self._peers.query_daemon,
             boot_time,
         )
+        self._shared_services.outage_witnesses = OutageWitnesses(
+            self._shared_services.duties,
+            self._store_monitor,
+            self._peers.announce_takeover,
+        )
         self._caller_app = CallerApp(
             self._shared_services,
             self._peers,
@@ -269,7 +276,14 @@
         """Journals every start for the next owners, then releases the duties."""
         for owner in self._pool_owners():
             await owner.flush()
-        await self._shared_services.duties.release_all()
+        await self._shared_services.duties.release_all(self._is_settled)
+
+    def _is_settled(self, duty):
+        """Returns whether all runs of a duty's previous holders are known here."""
+        if not duty.startswith(POOL_PREFIX):
+            return True
+        owner = self._duty_runner.find(duty)
+        return owner is not None and owner.knows_all_runs
 
     async def _stop_serving(self):
         await anyio.sleep(BALANCER_REMOVAL_S)
--- a/basilwind/entry/duties.py
+++ b/basilwind/entry/duties.py
@@ -21,6 +21,7 @@
 POOL_PREFIX = "pool/"
 _CLAIM_PREFIX = "claim/"
 _RELEASE_PREFIX = "release/"
+_UNSETTLED_PREFIX = "unsettled/"  # a release after an unfinished takeover
 CLAIM_CHECK_S = 0.1  # a tenth of the time that changing a holder may take
 PAUSE_S = 0.6  # between two checks; a claim takes some ms, and 0.4 s on a slow store
 CLAIM_RETRY_S = 0.3  # store outages last seconds
@@ -36,6 +37,11 @@
     zone: str = ""
 
 
+class _HeartbeatRecord(msgspec.Struct, array_like=True):
+    address: str
+    zone: str
+
+
 class DutyManager:
     """Claims, renews and releases this daemon's duties.
 
@@ -67,6 +73,8 @@
         # Boot time at which free duties were last looked for.
         self._checked_at = clock()
         self._is_stopping = False
+        # Offset of the newest heartbeat and ``Claim`` of each daemon, by host.
+        self._daemons = {}
         self._follower = KeyedFollower(
             store, TOPIC, self._apply_records, self._apply_records, clock
         )
@@ -96,6 +104,19 @@
         """Returns the newest ``Claim`` of each duty."""
         return list(self._table.claims.values())
 
+    def known_daemons(self):
+        """Returns a ``Claim`` of no duty for each other daemon that ever started."""
+        return [
+            claim
+            for _, (_, claim) in sorted(self._daemons.items())
+            if claim.holder != self._incarnation
+        ]
+
+    def outage_witnesses(self, duty):
+        """Returns the claims of daemons that can have confirmed an outage of the store
+        to previous holders of a duty."""
+        return self._table.outage_witnesses(duty, self._clock())
+
     def previous_claim(self, duty):
         """Returns the claim that the newest one replaced.
 
@@ -156,25 +177,39 @@
         self._table.apply_answer(claim.holder, incarnation, store_silence_s, asked_at)
 
     async def send_heartbeats(self):
-        """Appends heartbeats while this daemon holds any duty."""
+        """Appends a first heartbeat, and more while this daemon holds any duty.
+
+        The first one tells the other daemons where this one can be reached.
+        """
+        value = msgspec.json.encode(_HeartbeatRecord(self._address, self._zone))
+        record = encode_keyed_record(self._incarnation, value)
+        is_known = False
         while True:
-            if self.held_tokens():
-                record = encode_keyed_record(self._incarnation, b"1")
+            if self.held_tokens() or not is_known:
                 try:
                     await self._store.append(HEARTBEATS_TOPIC, [record])
+                    is_known = True
                 except PlatformError as error:
                     log("heartbeat failed", error=str(error))
             await anyio.sleep(HEARTBEAT_S)
 
-    async def release_all(self):
+    async def release_all(self, is_settled=lambda duty: True):
         """Releases all duties, so that other daemons claim them immediately.
 
         The duties stay held until the store has recorded the release.
+
+        Args:
+            is_settled: Returns whether everything that previous holders of a duty
+                started is known here.
         """
         self._is_stopping = True
         while held := self.held_tokens():
+            settled = {duty for duty in held if is_settled(duty)}
             records = [
-                encode_keyed_record(_RELEASE_PREFIX + duty, str(token).encode())
+                encode_keyed_record(
+                    (_RELEASE_PREFIX if duty in settled else _UNSETTLED_PREFIX) + duty,
+                    str(token).encode(),
+                )
                 for duty, token in held.items()
             ]
             try:
@@ -184,14 +219,21 @@
                 await anyio.sleep(RELEASE_RETRY_S)
                 continue
             for duty, token in held.items():
-                self._apply_release(duty, token)
+                self._apply_release(duty, token, duty in settled)
 
-    def _apply_release(self, duty, token):
+    def _apply_release(self, duty, token, is_settled):
         claim = self._table.claims.get(duty)
         if claim is None or claim.token != token or not claim.holder:
             return
-        log("duty released", duty=duty, token=token, holder=claim.holder)
-        self._table.apply_claim(duty, Claim("", "", token), self._clock())
+        log(
+            "duty released",
+            duty=duty,
+            token=token,
+            holder=claim.holder,
+            is_settled=is_settled,
+        )
+        release = Claim("", "", token, is_settled=is_settled)
+        self._table.apply_claim(duty, release, self._clock())
         self._on_change()
 
     def _update_heartbeats_reliable_since(self):
@@ -237,9 +279,12 @@
             if record.key.startswith(_CLAIM_PREFIX) and record.value:
                 self._apply_claim(record)
         for record in records:
-            if record.key.startswith(_RELEASE_PREFIX) and record.value.isdigit():
-                duty = record.key[len(_RELEASE_PREFIX) :]
-                self._apply_release(duty, int(record.value))
+            for prefix in (_RELEASE_PREFIX, _UNSETTLED_PREFIX):
+                if record.key.startswith(prefix) and record.value.isdigit():
+                    duty = record.key[len(prefix) :]
+                    self._apply_release(
+                        duty, int(record.value), prefix == _RELEASE_PREFIX
+                    )
 
     def _apply_claim(self, record):
         try:
@@ -253,6 +298,20 @@
         now = self._clock()
         for record in records:
             self._table.apply_heartbeat(record.key, now)
+            self._remember_daemon(record)
+
+    def _remember_daemon(self, record):
+        """Keeps the address of a daemon from the newest heartbeat of its host."""
+        host = record.key.partition("#")[0]
+        if host in self._daemons and self._daemons[host][0] > record.offset:
+            return
+        try:
+            heartbeat = msgspec.json.decode(record.value, type=_HeartbeatRecord)
+        except msgspec.DecodeError:
+            # Daemons of earlier versions don't tell where they are.
+            return
+        claim = Claim(record.key, heartbeat.address, 0, heartbeat.zone)
+        self._daemons[host] = record.offset, claim
 
 
 def _encode_claim(duty, record):
--- a/basilwind/entry/owner.py
+++ b/basilwind/entry/owner.py
@@ -3,6 +3,7 @@
 import anyio
 
 from basilwind.entry.auto_reset_event import AutoResetEvent
+from basilwind.entry.duties import POOL_PREFIX
 from basilwind.entry.follower import PLATFORM_RETRY_S
 from basilwind.entry.intake import cancelled_job_id, decode_submitted_job, intake_topic
 from basilwind.entry.journal import JobJournal
@@ -17,7 +18,7 @@
     RetentionGap,
 )
 from basilwind.scheduling.jobs import JobState
-from basilwind.scheduling.ownership import MAX_STORE_SILENCE_S
+from basilwind.scheduling.ownership import MAX_STORE_SILENCE_S, has_reached_store
 from basilwind.scheduling.pool import PoolState
 from basilwind.scheduling.reports import StartOutcome
 
@@ -99,6 +100,11 @@
         """Whether the jobs of previous owners have been restored."""
         return self._is_loaded
 
+    @property
+    def knows_all_runs(self):
+        """Whether no run of a previous owner can be unknown here."""
+        return self._is_loaded and self._state.knows_all_runs(self._clock())
+
     async def run(self):
         """Owns the pool until cancelled or fenced.
 
@@ -108,6 +114,7 @@
         await self._load()
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
+            tasks.start_soon(self._rule_out_unrecorded_runs)
             tasks.start_soon(self._journal.run)
             tasks.start_soon(self._follow_intake)
             tasks.start_soon(self._schedule)
@@ -123,7 +130,11 @@
         """
         job = self._state.jobs.get(job_id)
         if job is None:
-            self._require_no_successor(self._clock())
+            if not has_reached_store(
+                self._services.store_monitor.confirmed_at, self._clock()
+            ):
+                # A daemon that the store serves may have accepted it meanwhile.
+                raise NotOwner(f"pool {self.pool!r}: the store did not answer lately")
             return None
         if not job.is_live:
             await self._journal.flush()
@@ -174,10 +185,11 @@
             previous_lease_s += MAX_STORE_SILENCE_S
         self._state.previous_leases_until = now + previous_lease_s
         self._state.expect_withheld_workers(now)
-        monitor = self._services.store_monitor
-        if monitor.was_silent_recently and not self._is_handed_over:
+        if not self._is_handed_over:
             self._state.unrecorded_runs_until = now + previous_lease_s
-            self._state.registry_complete_at = monitor.silence_ended_at + REAPPEAR_S
+            self._state.registry_complete_at = (
+                self._services.store_monitor.silence_ended_at + REAPPEAR_S
+            )
         self._is_loaded = True
         self._report(
             "pool taken over",
@@ -188,6 +200,15 @@
             seconds=round(now - started_at, 3),
         )
 
+    async def _rule_out_unrecorded_runs(self):
+        """Stops expecting unrecorded runs if no previous owner can have started any."""
+        if self._is_handed_over:
+            return
+        duty = POOL_PREFIX + self.pool
+        if await self._services.outage_witnesses.rule_out_outage(duty):
+            self._state.unrecorded_runs_until = 0.0
+            self._schedule_event.set()
+
     # Intake
 
     async def _follow_intake(self):
--- a/basilwind/entry/peer_app.py
+++ b/basilwind/entry/peer_app.py
@@ -4,6 +4,7 @@
 from basilwind.entry.peer_messages import (
     HANDOVER_PATH,
     HOST_PATH,
+    TAKEOVER_PATH,
     DaemonResponse,
     HandoverRequest,
     HandoverResponse,
@@ -47,8 +48,10 @@
 
     async def _route(self, request):
         if request.path == HOST_PATH:
-            silence_s = self._services.store_monitor.silence_s
-            return json_response(DaemonResponse(self._services.incarnation, silence_s))
+            return self._describe_daemon()
+        if request.path == TAKEOVER_PATH:
+            self._services.store_monitor.record_takeover()
+            return self._describe_daemon()
         if request.path == HANDOVER_PATH:
             return self._hand_over_planning(request.body)
         kind, pool, *rest = request.path.strip("/").split("/")
@@ -69,6 +72,17 @@
             return json_response(report)
         raise RequestInvalid(f"no such call: {request.path}")
 
+    def _describe_daemon(self):
+        monitor = self._services.store_monitor
+        return json_response(
+            DaemonResponse(
+                self._services.incarnation,
+                monitor.silence_s,
+                monitor.was_silent_recently,
+                monitor.takeover_age_s,
+            )
+        )
+
     def _hand_over_planning(self, body):
         request = decode_json(body, HandoverRequest, HANDOVER_PATH, RequestInvalid)
         ages_s = self._services.machine_orders.hand_over(
--- a/basilwind/entry/peer_client.py
+++ b/basilwind/entry/peer_client.py
@@ -6,6 +6,7 @@
 from basilwind.entry.peer_messages import (
     HANDOVER_PATH,
     HOST_PATH,
+    TAKEOVER_PATH,
     DaemonResponse,
     HandoverRequest,
     HandoverResponse,
@@ -143,14 +144,16 @@
             return None
         return answer.ages_s
 
-    async def store_silence_s(self, claim):
-        """Returns the time since the store last answered a holder, or None.
+    async def announce_takeover(self, claim):
+        """Tells a duty holder that this daemon has taken over a duty.
 
         Args:
             claim: The holder's ``Claim``.
+
+        Returns:
+            Its ``DaemonResponse``, or None.
         """
-        answer = await self.query_daemon(claim)
-        return answer.store_silence_s if answer else None
+        return await self._call_daemon(claim, "POST", TAKEOVER_PATH, DaemonResponse)
 
     async def query_daemon(self, claim):
         """Returns the ``DaemonResponse`` of the daemon at a claim's address, or None.
--- a/basilwind/entry/peer_messages.py
+++ b/basilwind/entry/peer_messages.py
@@ -9,6 +9,7 @@
 
 HOST_PATH = "/host"
 HANDOVER_PATH = "/planner/handover"
+TAKEOVER_PATH = "/takeover"
 
 
 class JobResponse(msgspec.Struct):
@@ -35,10 +36,15 @@
     Attributes:
         incarnation: Id of this run of the daemon.
         store_silence_s: Seconds since the store last answered it.
+        was_store_silent: Whether the store did not answer it for a while, now or within
+            the time for which unrecorded runs may execute.
+        takeover_age_s: Seconds since another daemon told it of a takeover, or None.
     """
 
     incarnation: str
     store_silence_s: float
+    was_store_silent: bool = True
+    takeover_age_s: float | None = None
 
 
 class RelayedRecord(msgspec.Struct):
--- a/basilwind/entry/services.py
+++ b/basilwind/entry/services.py
@@ -6,6 +6,7 @@
 from basilwind.entry.configuration import ConfigurationWatcher
 from basilwind.entry.duties import DutyManager
 from basilwind.entry.outage_detector import OutageDetector
+from basilwind.entry.outage_witnesses import OutageWitnesses
 from basilwind.entry.registry import WorkerRegistry
 from basilwind.entry.store_monitor import StoreMonitor
 from basilwind.platform.advice import AdviceClient
@@ -40,6 +41,7 @@
         on_fenced: Called with a pool's name and the token after an order of its
             owner was fenced.
         outage: ``OutageDetector``; set after the peer client is created.
+        outage_witnesses: ``OutageWitnesses``; set after the peer client is created.
         machine_orders: ``MachineOrders`` that this daemon has given.
     """
 
@@ -59,6 +61,7 @@
     store_monitor: StoreMonitor
     on_fenced: Callable
     outage: OutageDetector | None = None
+    outage_witnesses: OutageWitnesses | None = None
     machine_orders: MachineOrders = field(default_factory=MachineOrders)
 
     def is_sole_holder(self, now):
--- a/basilwind/entry/store_monitor.py
+++ b/basilwind/entry/store_monitor.py
@@ -28,6 +28,7 @@
         self._confirmed_at = self._answered_at
         # The store may have been unavailable before this daemon started.
         self._silence_ended_at = self._answered_at
+        self._takeover_heard_at = None
 
     @property
     def confirmed_at(self):
@@ -61,8 +62,24 @@
 
     @property
     def was_silent_recently(self):
-        """Whether runs from a recent outage may be missing from the journal."""
-        return self._clock() - self._silence_ended_at < UNRECORDED_RUN_MAX_S
+        """Whether runs from a recent outage may be missing from the journal.
+
+        If not, this daemon has confirmed no outage to any pool's owner whose unrecorded
+        runs may still execute.
+        """
+        silence_ended_s = self._clock() - self._silence_ended_at
+        return self.is_suspected or silence_ended_s < UNRECORDED_RUN_MAX_S
+
+    @property
+    def takeover_age_s(self):
+        """Seconds since another daemon announced a takeover, or None."""
+        if self._takeover_heard_at is None:
+            return None
+        return self._clock() - self._takeover_heard_at
+
+    def record_takeover(self):
+        """Records that another daemon has taken over a duty, so the store serves it."""
+        self._takeover_heard_at = self._clock()
 
     @property
     def is_suspected(self):
--- a/basilwind/scheduling/ownership.py
+++ b/basilwind/scheduling/ownership.py
@@ -32,6 +32,7 @@
 LOST_DUTY_DELAY_S = 0.5  # limits how often a persistent error repeats
 UNKNOWN_HOLDER = "?"  # a later claim exists that has not been read yet
 CLAIM_JITTER_S = 0.2  # spreads the claims of otherwise equal daemons
+PAST_CLAIM_S = 15.0  # longer than the runs of a previous owner without a record last
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,26 +44,31 @@
         address: HOST:PORT of the daemon for calls of its peers.
         token: Fencing token.
         zone: The holder's availability zone.
+        is_settled: Whether a holder that released the duty knew all that previous ones
+            had started.
     """
 
     holder: str
     address: str
     token: int
     zone: str = ""
+    is_settled: bool = True
 
 
 def may_still_be_active(previous, claim):
     """Returns whether a duty's previous holder may still act on it.
 
-    It does not if it released the duty, or if the new holder is a later incarnation of
-    the same daemon.
+    It does not if it released the duty and knew what others before it had started, or
+    if the new holder is a later incarnation of the same daemon.
 
     Args:
         previous: ``Claim`` of the previous holder.
         claim: ``Claim`` of the new holder.
     """
-    if not previous.holder or not claim.holder:
+    if not claim.holder:
         return False
+    if not previous.holder:
+        return not previous.is_settled
     return previous.holder.partition("#")[0] != claim.holder.partition("#")[0]
 
 
@@ -80,6 +86,17 @@
     return now - confirmed_at < MAX_STORE_SILENCE_S
 
 
+def has_reached_store(confirmed_at, now):
+    """Returns whether the store answered so lately that no duty was taken over since.
+
+    Args:
+        confirmed_at: Boot time at which the latest call that the store answered was
+            sent.
+        now: Boot time in seconds.
+    """
+    return now - confirmed_at < UNRESPONSIVE_HOLDER_SILENCE_S
+
+
 def is_sole_holder(confirmed_at, is_outage_confirmed, now):
     """Returns whether no other daemon can have taken over this daemon's duties.
 
@@ -90,7 +107,7 @@
             either, so that none can claim a duty.
         now: Boot time in seconds.
     """
-    if now - confirmed_at < UNRESPONSIVE_HOLDER_SILENCE_S:
+    if has_reached_store(confirmed_at, now):
         return True
     return is_outage_confirmed and may_extend_leases(confirmed_at, now)
 
@@ -139,6 +156,8 @@
     _unresponsive_at: dict[str, float] = field(default_factory=dict)
     # Holders that have been replaced by a later incarnation.
     _replaced: set[str] = field(default_factory=set)
+    # Duty, ``Claim`` and boot time of its replacement, the oldest first.
+    _past_claims: list[tuple[str, Claim, float]] = field(default_factory=list)
 
     def apply_claim(self, duty, claim, now):
         """Applies a claim or a release, unless a later claim is known."""
@@ -151,10 +170,11 @@
             self.previous_claims[duty] = known
         elif claim.holder:
             self.previous_claims.pop(duty, None)
-        if claim.holder and (known is None or not known.holder):
+        if claim.holder and (known is None or (not known.holder and known.is_settled)):
             self.handed_over.add(duty)
         elif claim.holder:
             self.handed_over.discard(duty)
+        self._remember_past_claim(duty, now)
         self.claims[duty] = claim
         self._free_since.pop(duty, None)
         self.last_heartbeat_at.setdefault(claim.holder, now)
@@ -163,6 +183,37 @@
                 self.last_heartbeat_at[claim.holder], now
             )
 
+    def _remember_past_claim(self, duty, now):
+        self._past_claims = [
+            past for past in self._past_claims if now - past[2] < PAST_CLAIM_S
+        ]
+        known = self.claims.get(duty)
+        if known is not None:
+            self._past_claims.append((duty, known, now))
+
+    def outage_witnesses(self, duty, now):
+        """Returns the claims of daemons that can have confirmed an outage to previous
+        holders of a duty: recent holders of any duty, except in their own zone.
+
+        Args:
+            duty: Name of the duty.
+            now: Boot time in seconds.
+        """
+        past = [past for past in self._past_claims if now - past[2] < PAST_CLAIM_S]
+        zones = {claim.zone for name, claim, _ in past if name == duty and claim.holder}
+        excluded_zone = zones.pop() if len(zones) == 1 else ""
+        claims = [claim for _, claim, _ in past] + list(self.claims.values())
+        witnesses = {
+            claim.holder: claim
+            for claim in claims
+            if claim.address and claim.holder != self.incarnation
+        }
+        return [
+            claim
+            for claim in witnesses.values()
+            if not excluded_zone or claim.zone != excluded_zone
+        ]
+
     def mark_lost(self, duty, now):
         """Drops this daemon's claim; its token was refused or its work failed.
 
@@ -170,6 +221,7 @@
         claimed it meanwhile.
         """
         claim = self.claims[duty]
+        self._remember_past_claim(duty, now)
         self.claims[duty] = Claim(UNKNOWN_HOLDER, "", claim.token)
         self._free_since[duty] = now + LOST_DUTY_DELAY_S
 
--- a/basilwind/scheduling/pool_workers.py
+++ b/basilwind/scheduling/pool_workers.py
@@ -215,6 +215,19 @@
             return True
         return not all(worker.is_clock_known for worker in self.workers.values())
 
+    def knows_all_runs(self, now):
+        """Returns whether no run of a previous owner can be unknown."""
+        if self.has_unrecorded_runs(now):
+            return False
+        if now >= self.previous_leases_until:
+            return True
+        return all(worker.is_clock_known for worker in self.workers.values()) and all(
+            task.worker_id in self.workers
+            for job in self.jobs.values()
+            for task in job.tasks()
+            if task.is_active
+        )
+
     def _apply_progress(self, worker, task, reported, now):
         if task.state is not TaskState.RUNNING:
             task.state = TaskState.RUNNING
--- /dev/null
+++ b/tests/entry/test_partial_outage.py
@@ -0,0 +1,211 @@
+"""The store turns some daemons away and serves the others."""
+
+import dataclasses
+import types
+import unittest
+
+import anyio
+import msgspec
+
+from basilwind.entry.duties import FLEET_DUTY, DutyManager
+from basilwind.entry.intake import intake_topic
+from basilwind.entry.journal import journal_topic
+from basilwind.entry.outage_witnesses import OutageWitnesses
+from basilwind.entry.owner import PoolOwner
+from basilwind.entry.peer_messages import DaemonResponse
+from basilwind.entry.store_monitor import StoreMonitor
+from basilwind.errors import NotOwner
+from basilwind.platform.store import KeyedRecord
+from basilwind.scheduling.outages import SUSPECT_AFTER_S, UNRECORDED_RUN_MAX_S
+from basilwind.scheduling.ownership import (
+    HOLDER_SILENCE_S,
+    PAST_CLAIM_S,
+    Claim,
+    DutyTable,
+)
+from basilwind.scheduling.records import JobRecord, SubmissionRecord
+from basilwind.scheduling.reports import ReportedRun, WorkerReport
+from tests.scheduling.model import QUEUE, make_entry, make_job
+from tests.utils.entry_fakes import Clock, FakeStore, make_services, serve_for_s
+
+JOB = "a" * 16
+TASK = f"{JOB}.0.0.0"
+REPORT_DELAY_S = 0.3  # of the worker that executes the unrecorded run
+PREVIOUS = Claim("e2#1", "e2:1", 5, "a")
+
+
+class TestSuccessor(unittest.TestCase):
+    """The previous owner started a task of a recorded job without a record.
+
+    Regression (review/3): its successor, which the store had served all the while,
+    started the task again on a worker that reported earlier.
+    """
+
+    def _starts(self, has_ruled_out, run_s=1.0, is_handed_over=False):
+        clock = Clock()
+        services = make_services(clock)
+        entries = {name: make_entry(name) for name in ("w1", "w2")}
+        services.registry.entries_of_pool = lambda pool: entries
+        services.outage_witnesses.has_ruled_out = has_ruled_out
+        serve_for_s(services.store_monitor, clock, UNRECORDED_RUN_MAX_S)
+        submission = SubmissionRecord(QUEUE.name, clock(), make_job(count=1), QUEUE)
+        services.store.latest[intake_topic("pool")] = [
+            KeyedRecord(0, JOB, msgspec.json.encode(submission))
+        ]
+        services.store.latest[journal_topic("pool")] = [
+            KeyedRecord(0, JOB, msgspec.json.encode(JobRecord("pending")))
+        ]
+
+        async def hold(address, worker_id, *arguments):
+            await anyio.sleep(REPORT_DELAY_S if worker_id == "w2" else 0.01)
+            run = ReportedRun(TASK, 1, "", 10, 0)
+            return WorkerReport(clock(), 1, (run,) if worker_id == "w2" else (), ())
+
+        services.worker_control.hold = hold
+
+        async def main():
+            with anyio.move_on_after(run_s):
+                await PoolOwner("pool", 7, services, PREVIOUS, is_handed_over).run()
+
+        anyio.run(main)
+        return services.worker_control.starts
+
+    def test_successor_that_saw_no_silence_adopts_the_unrecorded_run(self):
+        self.assertEqual(self._starts(has_ruled_out=False), [])
+
+    def test_successor_starts_at_once_if_nobody_can_have_confirmed_an_outage(self):
+        run_s = REPORT_DELAY_S * 0.7
+        self.assertEqual(self._starts(True, run_s), [(TASK, 1)])
+        self.assertEqual(self._starts(False, run_s, is_handed_over=True), [(TASK, 1)])
+
+    def test_owner_does_not_deny_jobs_while_others_may_accept_them(self):
+        clock = Clock()
+        services = make_services(clock, is_outage=True)
+
+        async def main():
+            owner = PoolOwner("pool", 7, services, is_handed_over=True)
+            clock.now += HOLDER_SILENCE_S
+            with self.assertRaises(NotOwner):
+                await owner.job_state("b" * 16)
+
+        anyio.run(main)
+
+
+class TestWitnesses(unittest.TestCase):
+    def setUp(self):
+        self.clock = Clock()
+        self.monitor = StoreMonitor(self.clock)
+        serve_for_s(self.monitor, self.clock, UNRECORDED_RUN_MAX_S)
+
+    def _rules_out(self, *answers):
+        """Returns whether the successor rules out an outage.
+
+        Args:
+            *answers: ``DaemonResponse`` of each witness.
+        """
+        claims = [Claim(f"e{n}#1", str(n), 1, "b") for n in range(len(answers))]
+
+        async def announce(claim):
+            return answers[int(claim.address)]
+
+        duties = types.SimpleNamespace(outage_witnesses=lambda duty: claims)
+        witnesses = OutageWitnesses(duties, self.monitor, announce)
+        return anyio.run(witnesses.rule_out_outage, "pool/a")
+
+    def test_all_witnesses_that_had_the_store_rule_out_an_outage(self):
+        served = DaemonResponse("e#1", 0.1, False)
+        self.assertTrue(self._rules_out(served, served))
+        self.assertFalse(self._rules_out(served, DaemonResponse("e#1", 0.1, True)))
+        self.assertFalse(self._rules_out(served, None))
+
+    def test_daemon_that_lost_the_store_rules_out_nothing(self):
+        self.assertTrue(self._rules_out())
+        self.clock.now += SUSPECT_AFTER_S + 0.1
+        self.assertFalse(self._rules_out())
+        self.monitor.record_answer(self.clock.now)
+        self.assertFalse(self._rules_out())
+
+
+class TestWitnessesOfDuty(unittest.TestCase):
+    """Daemons e1 in zone a to e3 in zone c; e1 is this daemon."""
+
+    def setUp(self):
+        self.table = DutyTable("e1#1", "e1")
+        for token, (duty, number, zone) in enumerate(
+            (("pool/a", 2, "b"), ("pool/b", 3, "c"), ("pool/c", 4, "b")), 1
+        ):
+            self._claim(duty, number, zone, token, 100.0)
+
+    def _claim(self, duty, number, zone, token, now):
+        claim = Claim(f"e{number}#1", f"h{number}", token, zone)
+        self.table.apply_claim(duty, claim, now)
+
+    def _witnesses(self, now):
+        return {claim.address for claim in self.table.outage_witnesses("pool/a", now)}
+
+    def test_holders_in_other_zones_than_the_previous_one_are_witnesses(self):
+        self._claim("pool/a", 1, "a", 10, 101.0)
+        self.assertEqual(self._witnesses(101.0), {"h3"})
+
+    def test_holders_of_a_moment_ago_are_witnesses(self):
+        self._claim("pool/b", 5, "c", 9, 101.0)
+        self._claim("pool/a", 1, "a", 10, 102.0)
+        self.assertEqual(self._witnesses(102.0), {"h3", "h5"})
+        self.assertEqual(self._witnesses(101.5 + PAST_CLAIM_S), {"h5"})
+
+    def test_previous_owners_in_two_zones_have_witnesses_in_all(self):
+        self._claim("pool/a", 6, "c", 9, 101.0)
+        self._claim("pool/a", 1, "a", 10, 102.0)
+        self.assertEqual(self._witnesses(102.0), {"h2", "h3", "h4", "h6"})
+
+
+class TestRelease(unittest.TestCase):
+    """A daemon takes a pool over and stops before all workers have reported to it."""
+
+    def _manager(self, clock, name="e1"):
+        settings = types.SimpleNamespace(cpu_cores=1.0, zone="a", name=name)
+        return DutyManager(
+            FakeStore(clock, StoreMonitor(clock)),
+            settings,
+            f"{name}#1",
+            f"{name}:1",
+            clock,
+            lambda: None,
+            None,
+        )
+
+    def _claims(self, is_settled):
+        """Returns the successor's duty manager after the release."""
+        clock = Clock()
+        previous, successor = self._manager(clock), self._manager(clock, "e3")
+        appended = []
+
+        async def append(topic, records, **options):
+            appended.extend(records)
+
+        previous._store.append = append
+        claim = types.SimpleNamespace(holder="e1#1", address="e1:1", token=5, zone="a")
+        for manager in (previous, successor):
+            manager._record_claim("pool/a", claim)
+            manager._record_claim(FLEET_DUTY, claim)
+        anyio.run(previous.release_all, lambda duty: is_settled or duty == FLEET_DUTY)
+        records = []
+        for framed in appended:
+            end = 5 + framed[4]
+            records.append(KeyedRecord(9, framed[5:end].decode(), framed[end:]))
+        successor._apply_records(records)
+        claim = dataclasses.replace(PREVIOUS, holder="e3#1", token=11)
+        successor._record_claim("pool/a", claim)
+        successor._record_claim(FLEET_DUTY, claim)
+        return successor
+
+    def test_release_hands_over_what_the_holder_knew(self):
+        successor = self._claims(is_settled=True)
+        self.assertTrue(successor.is_handed_over("pool/a"))
+        self.assertIsNone(successor.previous_claim("pool/a"))
+
+    def test_release_during_a_takeover_is_no_hand_over(self):
+        successor = self._claims(is_settled=False)
+        self.assertFalse(successor.is_handed_over("pool/a"))
+        self.assertIsNotNone(successor.previous_claim("pool/a"))
+        self.assertTrue(successor.is_handed_over(FLEET_DUTY))
--- a/tests/utils/entry_fakes.py
+++ b/tests/utils/entry_fakes.py
@@ -9,6 +9,7 @@
 from basilwind.platform.machines import Machine, MachineState, OrderOutcome
 from basilwind.scheduling.demand import PoolReport, WorkerLoad
 from basilwind.scheduling.fleet import Configuration, Pool, RequestLimits
+from basilwind.scheduling.outages import SUSPECT_AFTER_S
 from basilwind.scheduling.reports import StartOutcome, WorkerReport
 from tests.scheduling.model import QUEUE, make_entry
 
@@ -30,6 +31,14 @@
         return self.now
 
 
+def serve_for_s(monitor, clock, seconds):
+    """Advances the clock while the store answers all the time."""
+    end = clock.now + seconds
+    while clock.now < end:
+        clock.now += SUSPECT_AFTER_S / 2
+        monitor.record_answer(clock.now)
+
+
 class FakeStore:
     """A store that accepts everything.
 
@@ -59,16 +68,21 @@
 
 
 class FakeWorkers:
-    """Workers that accept every order; keeps the starts and the answered holds."""
+    """Workers that accept every order; keeps the starts and the stops."""
 
     def __init__(self, clock):
         self._clock = clock
         self.starts = []
+        self.stops = []
 
     async def start(self, address, worker_id, task, run, *rest):
         self.starts.append((task, run))
         return StartOutcome.STARTED, self._clock()
 
+    async def stop(self, address, worker_id, task, run, *rest):
+        self.stops.append((task, run))
+        return True
+
     async def hold(self, *arguments):
         await anyio.sleep(0.01)
         return WorkerReport(self._clock(), 1, (), ())
@@ -121,6 +135,20 @@
         return PoolReport(pool, idle, 0.0, 0.0, 0, 0, 0, 0, 0, 0.0, 0)
 
 
+class FakeWitnesses:
+    """Daemons that can have confirmed an outage to previous owners.
+
+    Attributes:
+        has_ruled_out: Whether none of them was without the store.
+    """
+
+    def __init__(self):
+        self.has_ruled_out = True
+
+    async def rule_out_outage(self, duty):
+        return self.has_ruled_out
+
+
 def make_services(clock, report=lambda event, **fields: None, is_outage=False):
     """Returns ``Services`` with fakes, as a duty holder gets them."""
     monitor = StoreMonitor(clock)
@@ -160,4 +188,5 @@
         store_monitor=monitor,
         on_fenced=lambda pool, token: None,
         outage=types.SimpleNamespace(is_confirmed=is_outage),
+        outage_witnesses=FakeWitnesses(),
     )
