Ask all pools of a path before a job is accepted or cancelled

Cause: which pool has a job was taken from the configuration in force. Nothing kept the pools to which a path had led before.

Change: routes are recorded before their first job. The owners of a path's other pools decline a job, durably and by version, before it is stored; late submissions of daemons with the old configuration are passed on. Cancellations go to all pools of the path, and waiting jobs of all its routes count.

--- a/basilwind/entry/caller_app.py
+++ b/basilwind/entry/caller_app.py
@@ -14,6 +14,7 @@
     send_response,
 )
 from basilwind.entry.intake import CANCEL_VALUE, cancellation_key
+from basilwind.entry.pool_arbiter import OWNER_RETRY_S
 from basilwind.errors import NotOwner, NotStarted, OutcomeUnknown, RequestInvalid
 from basilwind.platform.jobs import decode_job
 from basilwind.scheduling.admission import retry_after_s
@@ -22,7 +23,6 @@
 JOB_ID = re.compile(r"[0-9a-f]{16}\Z", re.IGNORECASE)
 DEFAULT_DEADLINE_S = 3.0  # the callers' deadline in every deployment
 RESPONSE_MARGIN_S = 0.15  # a response takes some ms, and more on a slow host
-OWNER_RETRY_S = 0.1  # a pool gets a new owner within seconds
 RETRY_AFTER_S = 1  # owner changes and store outages last seconds
 QUEUE_CACHE_S = 0.5  # callers accept counts that are up to 2 s old
 ADMISSION_TIMEOUT_S = 0.1  # an owner answers in 2 ms; a missing owner is not waited for
@@ -95,12 +95,14 @@
         queue = configuration.find_queue(request.headers.get("host", ""), request.path)
         if queue is None:
             return _error_response(404, "no queue has this host and path")
-        response = await self._route_queue(queue, request, started_at)
+        response = await self._route_queue(
+            queue, configuration.version, request, started_at
+        )
         seconds = self._services.clock() - started_at
         self._count_response(queue.name, request.method, response.status, seconds)
         return response
 
-    async def _route_queue(self, queue, request, started_at):
+    async def _route_queue(self, queue, version, request, started_at):
         deadline = started_at + _caller_timeout_s(request, queue) - RESPONSE_MARGIN_S
         name = request.path[len(queue.path_prefix) :]
         if not name:
@@ -112,26 +114,28 @@
         if not JOB_ID.match(name):
             return _error_response(404, "a job's id has 16 hexadecimal digits")
         if request.method == "POST":
-            return await self._submit(queue, name, request, deadline)
+            return await self._submit(queue, version, name, request, deadline)
         if request.method == "GET":
             return await self._get_state(queue, name, deadline)
         if request.method == "DELETE":
             return await self._cancel(queue, name, deadline)
         return _error_response(405, "use POST, GET or DELETE")
 
-    async def _submit(self, queue, job_id, request, deadline):
+    async def _submit(self, queue, version, job_id, request, deadline):
         try:
             spec = decode_job(request.body)
         except RequestInvalid as error:
             return _error_response(400, str(error))
         record = msgspec.json.encode(
-            SubmissionRecord(queue.name, self._services.wall_clock(), spec, queue)
+            SubmissionRecord(
+                queue.name, self._services.wall_clock(), spec, queue, version
+            )
         )
         if len(record) + 64 > self._services.settings.store_record_bytes:
             return _error_response(413, "the job is larger than the store's records")
         response = await self._admission_refusal(queue, job_id)
         if response is None:
-            response = await self._store(queue, job_id, record, deadline)
+            response = await self._accept(queue, version, job_id, record, deadline)
         if response.status in REFUSALS and await self._is_accepted(queue, job_id):
             # The job was accepted on an earlier attempt, so a refusal would be wrong.
             response = json_response({})
@@ -140,6 +144,21 @@
         )
         return response
 
+    async def _accept(self, queue, version, job_id, record, deadline):
+        """Stores a submission unless another pool of its path has the job."""
+        try:
+            await self._services.routes.record(queue)
+        except NotStarted as error:
+            return _unavailable_response(str(error))
+        try:
+            if await self._services.arbiter.is_in_other_pool(
+                queue, queue.pool, job_id, version, deadline
+            ):
+                return json_response({})
+        except NotOwner as error:
+            return _error_response(504, f"the job may have been accepted: {error}")
+        return await self._store(queue.pool, queue, job_id, record, deadline)
+
     async def _is_accepted(self, queue, job_id):
         """Returns whether the owner has the job from an earlier attempt."""
         with anyio.move_on_after(ADMISSION_TIMEOUT_S):
@@ -152,14 +171,23 @@
 
     async def _cancel(self, queue, job_id, deadline):
         key = cancellation_key(job_id)
-        response = await self._store(queue, key, CANCEL_VALUE, deadline)
+        responses = []
+
+        async def store(pool):
+            response = await self._store(pool, queue, key, CANCEL_VALUE, deadline)
+            responses.append(response)
+
+        async with anyio.create_task_group() as tasks:
+            for pool in {queue.pool} | self._services.routes.pools(queue):
+                tasks.start_soon(store, pool)
+        response = max(responses, key=lambda response: response.status)
         self._services.report(
             "job cancel", job=job_id, queue=queue.name, status=response.status
         )
         return response
 
-    async def _store(self, queue, key, value, deadline):
-        """Stores a record and returns a response about its outcome.
+    async def _store(self, pool, queue, key, value, deadline):
+        """Stores a record of a pool and returns a response about its outcome.
 
         The response is 503 if the record certainly is not stored, and 504 if it may
         still be stored.
@@ -167,7 +195,7 @@
         patience_s = max(0.0, deadline - self._services.clock())
         with anyio.move_on_after(patience_s):
             try:
-                await self._intake_router.store(queue, key, value, patience_s)
+                await self._intake_router.store(pool, queue, key, value, patience_s)
             except NotStarted as error:
                 return _unavailable_response(str(error))
             except OutcomeUnknown as error:
@@ -204,10 +232,15 @@
         if state is not None:
             return state
         # The queue may have been assigned to another pool after the job was submitted.
-        for pool in self._services.configuration.current.pools.values():
-            if pool.name == queue.pool or pool.is_spare:
+        configured = self._services.configuration.current.pools
+        others = self._services.routes.pools(queue) | configured.keys()
+        for pool in others - {queue.pool}:
+            try:
+                state = await self._peers.job_state(pool, job_id)
+            except NotOwner:
+                if self._services.arbiter.has_owner(pool):
+                    raise
                 continue
-            state = await self._peers.job_state(pool.name, job_id)
             if state is not None:
                 return state
         return None
@@ -225,6 +258,10 @@
         if cached is not None and self._services.clock() - cached[0] < QUEUE_CACHE_S:
             return cached[1]
         answer = await self._peers.queue(queue.pool, queue.name)
+        for route in self._services.routes.other_routes(queue):
+            if self._services.arbiter.has_owner(route.pool):
+                other = await self._peers.queue(route.pool, route.queue)
+                answer.waiting += other.waiting
         self._queue_cache[queue.name] = (self._services.clock(), answer)
         return answer
 
--- a/basilwind/entry/daemon.py
+++ b/basilwind/entry/daemon.py
@@ -21,7 +21,9 @@
 from basilwind.entry.peer_app import PeerApp
 from basilwind.entry.peer_client import PeerClient
 from basilwind.entry.planner import FleetPlanner
+from basilwind.entry.pool_arbiter import PoolArbiter
 from basilwind.entry.registry import WorkerRegistry
+from basilwind.entry.route_history import RouteHistory
 from basilwind.entry.services import Services
 from basilwind.entry.settings_reloader import SettingsReloader
 from basilwind.entry.store_monitor import StoreMonitor
@@ -71,6 +73,12 @@
             self._peers.query_daemon,
             boot_time,
         )
+        self._shared_services.arbiter = PoolArbiter(
+            self._shared_services.routes,
+            self._shared_services.configuration,
+            self._peers.decline,
+            boot_time,
+        )
         self._shared_services.outage_witnesses = OutageWitnesses(
             self._shared_services.duties,
             self._store_monitor,
@@ -114,6 +122,7 @@
             ),
             ("outage detector", self._shared_services.outage.run),
             ("configuration", self._shared_services.configuration.run),
+            ("routes", self._shared_services.routes.run),
             ("registry", self._shared_services.registry.run),
             ("claims", duties.follow_claims),
             ("heartbeats", duties.follow_heartbeats),
@@ -147,6 +156,7 @@
             configuration=ConfigurationWatcher(
                 store, boot_time, self._on_configuration
             ),
+            routes=RouteHistory(store, boot_time),
             registry=WorkerRegistry(
                 store, boot_time, self._on_registry, lambda: bool(self._pool_owners())
             ),
@@ -263,6 +273,7 @@
         return (
             not self._is_stopping
             and self._shared_services.configuration.current is not None
+            and self._shared_services.routes.is_loaded
             and not self._store_monitor.is_unavailable
         )
 
--- a/basilwind/entry/intake.py
+++ b/basilwind/entry/intake.py
@@ -36,7 +36,9 @@
 
 
 def decode_submitted_job(record, remember_queue, report):
-    """Returns the new ``Job`` that an intake record submits, or None.
+    """Returns the new ``Job`` of an intake record and its version, or None.
+
+    The version is that of the configuration by which the job was submitted.
 
     Args:
         record: ``KeyedRecord`` of the intake.
@@ -52,7 +54,8 @@
         return None
     if submission.accepted_queue is not None:
         remember_queue(submission.accepted_queue)
-    return Job(record.key, submission.queue, submission.spec, submission.accepted_at)
+    job = Job(record.key, submission.queue, submission.spec, submission.accepted_at)
+    return job, submission.version
 
 
 class _PendingRecord:
--- a/basilwind/entry/intake_router.py
+++ b/basilwind/entry/intake_router.py
@@ -37,10 +37,11 @@
         self._get_relays = get_relays
         self._relay = relay
 
-    async def store(self, queue, key, value, patience_s):
+    async def store(self, pool, queue, key, value, patience_s):
         """Stores a record; waits for as long as its outcome is open.
 
         Args:
+            pool: Name of the pool.
             queue: ``Queue`` that the record belongs to.
             key: Key of the record.
             value: Value of the record.
@@ -55,33 +56,35 @@
             raise NotStarted("the caller does not wait long enough")
         started_at = anyio.current_time()
         if self._store_monitor.is_suspected and await self._store_at_peer(
-            queue, key, value
+            pool, queue, key, value
         ):
             return
         patience_s -= anyio.current_time() - started_at
-        attempt = _LocalAttempt(self._get_intake(queue.pool))
+        attempt = _LocalAttempt(self._get_intake(pool))
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(attempt.run, key, value, patience_s - REFUSAL_MARGIN_S)
             with anyio.move_on_after(SETTLE_AFTER_S):
                 await attempt.ended.wait()
-            if not attempt.ended.is_set() and await self._settle(queue, key, value):
+            if not attempt.ended.is_set() and await self._settle(
+                pool, queue, key, value
+            ):
                 tasks.cancel_scope.cancel()
                 return
         if attempt.refusal is not None:
             raise attempt.refusal
 
-    async def _settle(self, queue, key, value):
+    async def _settle(self, pool, queue, key, value):
         """Returns whether a peer stored a record whose append has no answer here.
 
         Otherwise the outcome stays open until the append is answered.
         """
         try:
-            return await self._store_at_peer(queue, key, value)
+            return await self._store_at_peer(pool, queue, key, value)
         except OutcomeUnknown as error:
             log("record unsettled", key=key, error=str(error))
             return False
 
-    async def _store_at_peer(self, queue, key, value):
+    async def _store_at_peer(self, pool, queue, key, value):
         """Returns whether a peer stored a record.
 
         Raises:
@@ -89,7 +92,7 @@
         """
         for claim in islice(self._get_relays(), MAX_RELAYS):
             try:
-                await self._relay(claim, queue, key, value)
+                await self._relay(claim, pool, queue, key, value)
             except NotStarted:
                 continue
             return True
--- a/basilwind/entry/journal.py
+++ b/basilwind/entry/journal.py
@@ -1,6 +1,7 @@
 """The journal of a pool's jobs: batched, fenced appends to the store."""
 
 import anyio
+import msgspec
 
 from basilwind.entry.auto_reset_event import AutoResetEvent
 from basilwind.entry.fenced_topic import FencedTopic
@@ -12,6 +13,7 @@
 PRODUCER = "owner"  # shared by all owners, as fencing is per producer
 BATCH_DELAY_S = 0.02  # each call costs money; an append alone takes 10 ms
 RETRY_S = 0.15  # a busy store rejects calls for some tenths of a second
+DECLINE_PREFIX = "~"  # never the first character of a job id
 MAX_CALL_BYTES = 1_000_000  # below the store's limit of 2 MB per call
 
 
@@ -94,7 +96,18 @@
             for job_id in job_ids
             if job_id in state.jobs
         ]
-        records += [encode_keyed_record(job_id, b"") for job_id in dropped]
+        records += [
+            encode_keyed_record(
+                DECLINE_PREFIX + job_id, msgspec.json.encode(state.declined[job_id])
+            )
+            for job_id in job_ids
+            if job_id in state.declined
+        ]
+        records += [
+            encode_keyed_record(prefix + job_id, b"")
+            for job_id in dropped
+            for prefix in ("", DECLINE_PREFIX)
+        ]
         for chunk in _split_by_size(records):
             await self._topic.append(chunk)
         for job_id in job_ids:
--- a/basilwind/entry/owner.py
+++ b/basilwind/entry/owner.py
@@ -1,6 +1,7 @@
 """Runs one pool: accepts jobs, starts their tasks and renews the workers' leases."""
 
 import anyio
+import msgspec
 
 from basilwind.entry.auto_reset_event import AutoResetEvent
 from basilwind.entry.duties import POOL_PREFIX
@@ -17,9 +18,11 @@
     PlatformError,
     RetentionGap,
 )
+from basilwind.platform.store import encode_keyed_record
 from basilwind.scheduling.jobs import JobState
 from basilwind.scheduling.ownership import MAX_STORE_SILENCE_S, has_reached_store
 from basilwind.scheduling.pool import PoolState
+from basilwind.scheduling.records import decode_submission
 from basilwind.scheduling.reports import StartOutcome
 
 LEASE_S = 4.5  # outlasts 1.7 s of silence, 1 s of takeover and a hold call of 1.5 s
@@ -77,6 +80,8 @@
         self._tasks = None
         self._intake_offset = 0
         self._is_loaded = False
+        # Restored submissions that other pools get.
+        self._to_forward = []
         # Highest fencing token of a planner that has called.
         self._planner_token = 0
 
@@ -114,6 +119,8 @@
         await self._load()
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
+            for record in self._to_forward:
+                tasks.start_soon(self._forward, record)
             tasks.start_soon(self._rule_out_unrecorded_runs)
             tasks.start_soon(self._journal.run)
             tasks.start_soon(self._follow_intake)
@@ -171,7 +178,7 @@
         """Restores the jobs and computes how long previous owners' leases may last."""
         started_at = self._clock()
         await self._journal.fence()
-        self._intake_offset = await restore_jobs(
+        self._intake_offset, elsewhere = await restore_jobs(
             self._state,
             self._store,
             self._services.configuration.remember_queue,
@@ -179,6 +186,7 @@
             self._wall_clock,
             self._report,
         )
+        self._to_forward = elsewhere
         now = self._clock()
         previous_lease_s = self._lease_s * DRIFT_ALLOWANCE
         if self._previous_claim is not None:
@@ -237,10 +245,15 @@
             self._state.cancel(cancelled, self._clock())
         if record.key in self._state.jobs:
             return
-        job = decode_submitted_job(
+        submitted = decode_submitted_job(
             record, self._services.configuration.remember_queue, self._report
         )
-        if job is not None:
+        if submitted is None:
+            return
+        job, version = submitted
+        if self._state.find_decline(record.key, version):
+            self._tasks.start_soon(self._forward, record)
+        else:
             self._state.submit(
                 job.job_id,
                 job.queue,
@@ -250,6 +263,51 @@
                 self._wall_clock(),
             )
 
+    async def _forward(self, record):
+        """Submits a declined job to the pool that gets it, unless another has it."""
+        while True:
+            submission = decode_submission(record.value)
+            declined = self._state.find_decline(record.key, submission.version)
+            if declined is None:
+                return
+            submission.version = declined.version
+            try:
+                if not await self._services.arbiter.is_in_other_pool(
+                    submission.accepted_queue,
+                    declined.target,
+                    record.key,
+                    declined.version,
+                    self._clock(),
+                ):
+                    value = msgspec.json.encode(submission)
+                    await self._store.append(
+                        intake_topic(declined.target),
+                        [encode_keyed_record(record.key, value)],
+                    )
+            except (PlatformError, NotOwner):
+                await anyio.sleep(PLATFORM_RETRY_S)
+                continue
+            self._report("job forwarded", job=record.key, target=declined.target)
+            return
+
+    async def decline(self, job_id, version, target):
+        """Leaves a job to another pool unless this one has it.
+
+        Args:
+            job_id: Id of the job.
+            version: Version of the configuration by which its path leads to the other.
+            target: Name of the other pool.
+
+        Returns:
+            The job's ``JobState`` if this pool has it, or None if it never will, except
+            by a later configuration.
+        """
+        if job_id not in self._state.jobs:
+            self._state.decline(job_id, version, target, self._wall_clock())
+            await self._journal.flush()
+        job = self._state.jobs.get(job_id)
+        return job.state if job else None
+
     # Scheduling
 
     async def _schedule(self):
@@ -412,6 +470,7 @@
             self._services.registry.expire_missing(now)
             self._state.expire_leases(now)
             self._state.drop_ended_jobs(now)
+            self._state.drop_declines(self._wall_clock())
             for order in self._state.pace_orders(now):
                 self._tasks.start_soon(self._send_pace, order)
             if self._state.dirty or self._state.dropped:
--- a/basilwind/entry/peer_app.py
+++ b/basilwind/entry/peer_app.py
@@ -6,6 +6,7 @@
     HOST_PATH,
     TAKEOVER_PATH,
     DaemonResponse,
+    DeclineRequest,
     HandoverRequest,
     HandoverResponse,
     JobResponse,
@@ -64,6 +65,12 @@
             return json_response(await job_response(owner, rest[0]))
         if kind == "queues" and rest:
             return json_response(queue_response(owner, rest[0]))
+        if kind == "decline":
+            decline = decode_json(
+                request.body, DeclineRequest, request.path, RequestInvalid
+            )
+            state = await owner.decline(decline.job_id, decline.version, decline.target)
+            return json_response(JobResponse(state))
         if kind == "withhold":
             wanted = decode_json(
                 request.body, WithholdRequest, request.path, RequestInvalid
@@ -94,8 +101,9 @@
         record = decode_json(body, RelayedRecord, "relayed record", RequestInvalid)
         configuration = self._services.configuration.current
         queue = configuration.queues.get(record.queue) if configuration else None
-        if queue is None or queue.pool != pool:
-            # The peer has an earlier configuration.
+        is_current = queue is not None and queue.pool == pool
+        if not is_current and not self._services.routes.has_pool(pool):
+            # The peer has another configuration.
             raise NotStarted(f"no queue {record.queue!r} of pool {pool!r}")
         await self._get_intake(pool).store(record.key, record.value)
         return HttpResponse(200)
--- a/basilwind/entry/peer_client.py
+++ b/basilwind/entry/peer_client.py
@@ -8,6 +8,7 @@
     HOST_PATH,
     TAKEOVER_PATH,
     DaemonResponse,
+    DeclineRequest,
     HandoverRequest,
     HandoverResponse,
     JobResponse,
@@ -58,6 +59,33 @@
         answer = decode_json(body, JobResponse, f"state of job {job_id}", NotOwner)
         return answer.state
 
+    async def decline(self, pool, job_id, version, target):
+        """Has an owner leave a job to another pool unless its own pool has it.
+
+        Args:
+            pool: Name of the pool.
+            job_id: Id of the job.
+            version: Version of the configuration by which its path leads to the other.
+            target: Name of the other pool.
+
+        Returns:
+            The job's ``JobState`` if the pool has it, or None.
+
+        Raises:
+            NotOwner: No owner answered.
+        """
+        owner = self._find_owner(pool)
+        if owner is not None:
+            return await owner.decline(job_id, version, target)
+        body = await self._call(
+            pool,
+            f"/decline/{pool}",
+            "POST",
+            msgspec.json.encode(DeclineRequest(job_id, version, target)),
+        )
+        answer = decode_json(body, JobResponse, f"decline of job {job_id}", NotOwner)
+        return answer.state
+
     async def queue(self, pool, queue):
         """Returns the ``QueueResponse`` of a queue.
 
@@ -97,11 +125,12 @@
         )
         return decode_json(body, PoolReport, f"report of pool {pool}", NotOwner)
 
-    async def relay(self, claim, queue, key, value):
+    async def relay(self, claim, pool, queue, key, value):
         """Has a peer store a record in a pool's intake topic.
 
         Args:
             claim: ``Claim`` of the peer.
+            pool: Name of the pool.
             queue: ``Queue`` that the record belongs to.
             key: Key of the record.
             value: Value of the record.
@@ -110,7 +139,7 @@
             NotStarted: The peer did not store it and never will.
             OutcomeUnknown: The peer may store it.
         """
-        url = f"http://{claim.address}/intake/{queue.pool}"
+        url = f"http://{claim.address}/intake/{pool}"
         body = msgspec.json.encode(RelayedRecord(queue.name, key, value))
         try:
             status, _ = await self._transport.call("POST", url, RELAY_TIMEOUT_S, body)
--- a/basilwind/entry/peer_messages.py
+++ b/basilwind/entry/peer_messages.py
@@ -30,6 +30,20 @@
     refuse_for_s: float = 0.0
 
 
+class DeclineRequest(msgspec.Struct):
+    """Request to a pool's owner to leave a job to another pool.
+
+    Attributes:
+        job_id: Id of the job.
+        version: Version of the configuration by which its path leads to the other.
+        target: Name of the other pool.
+    """
+
+    job_id: str
+    version: int
+    target: str
+
+
 class DaemonResponse(msgspec.Struct):
     """Status of a daemon.
 
--- a/basilwind/entry/services.py
+++ b/basilwind/entry/services.py
@@ -7,7 +7,9 @@
 from basilwind.entry.duties import DutyManager
 from basilwind.entry.outage_detector import OutageDetector
 from basilwind.entry.outage_witnesses import OutageWitnesses
+from basilwind.entry.pool_arbiter import PoolArbiter
 from basilwind.entry.registry import WorkerRegistry
+from basilwind.entry.route_history import RouteHistory
 from basilwind.entry.store_monitor import StoreMonitor
 from basilwind.platform.advice import AdviceClient
 from basilwind.platform.entry_host_settings import EntryHostSettings
@@ -32,6 +34,7 @@
         machine_client: ``MachineClient``.
         advice_client: ``AdviceClient``.
         configuration: ``ConfigurationWatcher``.
+        routes: ``RouteHistory``.
         registry: ``WorkerRegistry``.
         duties: ``DutyManager``.
         clock: Returns boot time.
@@ -41,6 +44,7 @@
         on_fenced: Called with a pool's name and the token after an order of its
             owner was fenced.
         outage: ``OutageDetector``; set after the peer client is created.
+        arbiter: ``PoolArbiter``; set after the peer client is created.
         outage_witnesses: ``OutageWitnesses``; set after the peer client is created.
         machine_orders: ``MachineOrders`` that this daemon has given.
     """
@@ -53,6 +57,7 @@
     machine_client: MachineClient
     advice_client: AdviceClient
     configuration: ConfigurationWatcher
+    routes: RouteHistory
     registry: WorkerRegistry
     duties: DutyManager
     clock: Callable[[], float]
@@ -61,6 +66,7 @@
     store_monitor: StoreMonitor
     on_fenced: Callable
     outage: OutageDetector | None = None
+    arbiter: PoolArbiter | None = None
     outage_witnesses: OutageWitnesses | None = None
     machine_orders: MachineOrders = field(default_factory=MachineOrders)
 
--- a/basilwind/entry/takeover.py
+++ b/basilwind/entry/takeover.py
@@ -5,10 +5,14 @@
 
 from basilwind.entry.follower import PLATFORM_RETRY_S
 from basilwind.entry.intake import cancelled_job_id, decode_submitted_job, intake_topic
-from basilwind.entry.journal import journal_topic
+from basilwind.entry.journal import DECLINE_PREFIX, journal_topic
 from basilwind.errors import PlatformError
 from basilwind.logs import log
-from basilwind.scheduling.records import decode_job_record, restore_job
+from basilwind.scheduling.records import (
+    decode_decline,
+    decode_job_record,
+    restore_job,
+)
 
 
 async def read_latest_records(store, topic):
@@ -40,16 +44,23 @@
         report: Logs and counts an event.
 
     Returns:
-        Offset from which to follow the intake.
+        Offset from which to follow the intake, and the records of submissions that
+        other pools get.
     """
     records, _ = await read_latest_records(store, journal_topic(state.name))
     submissions, follow_from = await read_latest_records(
         store, intake_topic(state.name)
     )
     job_records = {record.key: record.value for record in records if record.value}
+    _restore_declines(state, job_records, wall_clock(), report)
+    elsewhere = []
     for record in submissions:
-        job = decode_submitted_job(record, remember_queue, report)
-        if job is None:
+        submitted = decode_submitted_job(record, remember_queue, report)
+        if submitted is None:
+            continue
+        job, version = submitted
+        if record.key not in job_records and state.find_decline(record.key, version):
+            elsewhere.append(record)
             continue
         job_record = job_records.get(record.key)
         if job_record:
@@ -60,7 +71,18 @@
         job_id = cancelled_job_id(record)
         if job_id is not None:
             state.cancel(job_id, clock())
-    return follow_from
+    return follow_from, elsewhere
+
+
+def _restore_declines(state, job_records, wall_time, report):
+    for key, value in job_records.items():
+        if not key.startswith(DECLINE_PREFIX):
+            continue
+        try:
+            state.declined[key[len(DECLINE_PREFIX) :]] = decode_decline(value)
+        except msgspec.DecodeError as error:
+            report("job record damaged", job=key, error=str(error))
+    state.drop_declines(wall_time)
 
 
 def _apply_job_record(job, job_record, now, report):
--- a/basilwind/scheduling/pool_jobs.py
+++ b/basilwind/scheduling/pool_jobs.py
@@ -3,6 +3,9 @@
 from basilwind.scheduling.crashes import CrashTracker
 from basilwind.scheduling.estimates import RunTimes
 from basilwind.scheduling.jobs import Job, JobState, TaskState
+from basilwind.scheduling.records import DeclineRecord
+
+DECLINE_VALID_S = 60.0  # callers repeat a submission within seconds
 
 
 class PoolJobs:
@@ -24,6 +27,7 @@
         run_times: ``RunTimes`` learned from finished tasks.
         dirty: Ids of jobs to write to the journal.
         dropped: Ids of ended jobs to delete from the store.
+        declined: ``DeclineRecord`` by id of jobs that another pool may have.
         previous_leases_until: Boot time until which leases of previous owners may be
             valid on workers that cannot be reached.
         unrecorded_runs_until: Boot time until which runs may exist that the previous
@@ -39,6 +43,7 @@
         self.run_times = RunTimes()
         self.dirty = set()
         self.dropped = []
+        self.declined = {}
         self.previous_leases_until = 0.0
         self.unrecorded_runs_until = 0.0
         self.registry_complete_at = 0.0
@@ -85,6 +90,44 @@
             self._early_cancels.discard(job_id)
             self._end_job(job, JobState.CANCELLED, now)
 
+    def decline(self, job_id, version, target, wall_time):
+        """Leaves a job to another pool unless it is known here.
+
+        A path leads to one pool in each version of the configuration. A pool that a
+        later version sends a job to has all others decline it, so only one has it.
+
+        Args:
+            job_id: Id of the job.
+            version: Version of the configuration by which its path leads elsewhere.
+            target: Name of the pool to which it leads.
+            wall_time: Unix time in seconds.
+        """
+        known = self.declined.get(job_id)
+        if job_id in self.jobs or (known is not None and known.version >= version):
+            return
+        self.declined[job_id] = DeclineRecord(version, target, wall_time)
+        self.dirty.add(job_id)
+
+    def find_decline(self, job_id, version):
+        """Returns the ``DeclineRecord`` that excludes a submission, or None.
+
+        Args:
+            job_id: Id of the job.
+            version: Version of the configuration by which it was submitted.
+        """
+        declined = self.declined.get(job_id)
+        if declined is None or version > declined.version or job_id in self.jobs:
+            return None
+        return declined
+
+    def drop_declines(self, wall_time):
+        """Drops the records of jobs that were declined long ago."""
+        for job_id, declined in list(self.declined.items()):
+            if abs(wall_time - declined.declined_at) > DECLINE_VALID_S:
+                del self.declined[job_id]
+                if job_id not in self.jobs:
+                    self.dropped.append(job_id)
+
     def restore(self, job, wall_time):
         """Adds a job that was submitted to a previous owner.
 
--- a/basilwind/scheduling/records.py
+++ b/basilwind/scheduling/records.py
@@ -79,16 +79,34 @@
         accepted_queue: ``Queue`` as it was when the job was accepted; None in records
             of earlier versions. An owner that has not seen the queue's configuration,
             as it was removed before, schedules the job by it.
+        version: Version of the configuration by which its path led to the pool; 0 in
+            records of earlier versions.
     """
 
     queue: str
     accepted_at: float
     spec: JobSpec
     accepted_queue: Queue | None = None
+    version: int = 0
+
+
+class DeclineRecord(msgspec.Struct, array_like=True):
+    """A job that its pool does not accept, as its path leads to another pool now.
+
+    Attributes:
+        version: Version of the configuration by which its path leads there.
+        target: Name of that pool.
+        declined_at: Unix time in seconds.
+    """
+
+    version: int
+    target: str
+    declined_at: float
 
 
 _JOB_RECORDS = msgspec.json.Decoder(JobRecord)
 _SUBMISSIONS = msgspec.json.Decoder(SubmissionRecord)
+_DECLINES = msgspec.json.Decoder(DeclineRecord)
 
 
 def encode_job(job):
@@ -154,6 +172,15 @@
     return submission
 
 
+def decode_decline(data):
+    """Decodes the journal's record of a declined job.
+
+    Raises:
+        msgspec.DecodeError: The record does not parse.
+    """
+    return _DECLINES.decode(data)
+
+
 def restore_job(job, record, now):
     """Restores a job's state from its record.
 
--- a/tests/entry/test_intake_router.py
+++ b/tests/entry/test_intake_router.py
@@ -47,7 +47,7 @@
         self.relay_errors = []
 
     def _store(self, timeout_s=5.0, patience_s=2.85):
-        async def relay(claim, queue, key, value):
+        async def relay(claim, pool, queue, key, value):
             self.relayed.append(claim.holder)
             if self.relay_errors:
                 raise self.relay_errors.pop(0)
@@ -58,7 +58,7 @@
 
         async def main():
             with anyio.fail_after(timeout_s):
-                await router.store(QUEUE, JOB, b"job", patience_s)
+                await router.store(QUEUE.pool, QUEUE, JOB, b"job", patience_s)
 
         anyio.run(main)
 
@@ -132,7 +132,7 @@
             return answer, b""
 
         client = PeerClient(types.SimpleNamespace(call=call), None, None)
-        anyio.run(client.relay, PEERS[0], QUEUE, JOB, b"job")
+        anyio.run(client.relay, PEERS[0], QUEUE.pool, QUEUE, JOB, b"job")
 
     def test_outcomes_of_a_relay(self):
         self._relay(200)
--- /dev/null
+++ b/tests/entry/test_moved_route.py
@@ -0,0 +1,351 @@
+"""A path leads to another pool than the one that accepted its jobs.
+
+Regression (review/1): a repeated submission started the job's tasks a second time in
+the new pool, and cancellations did not reach the pool that ran the job.
+"""
+
+import dataclasses
+import random
+import types
+import unittest
+
+import anyio
+import msgspec
+from hypothesis import given
+from hypothesis import strategies as st
+
+from basilwind.entry.caller_app import CallerApp
+from basilwind.entry.intake import cancellation_key, intake_topic
+from basilwind.entry.journal import DECLINE_PREFIX, journal_topic
+from basilwind.entry.owner import PoolOwner
+from basilwind.entry.peer_messages import QueueResponse
+from basilwind.entry.route_history import TOPIC, PastRoute, RouteHistory
+from basilwind.entry.store_monitor import StoreMonitor
+from basilwind.errors import NotOwner, NotStarted, StoreRefused
+from basilwind.platform.store import KeyedRecord
+from basilwind.scheduling.fleet import Pool
+from basilwind.scheduling.jobs import JobState
+from basilwind.scheduling.pool import PoolState
+from basilwind.scheduling.pool_jobs import DECLINE_VALID_S
+from basilwind.scheduling.records import DeclineRecord, SubmissionRecord
+from tests.scheduling.model import QUEUE, make_job
+from tests.utils.entry_fakes import Clock, FakeStore, make_services
+
+JOB = "a" * 16
+PATH = f"{QUEUE.path_prefix}{JOB}"
+BODY = b'{"spec":"x","steps":[{"count":1,"cpu":100,"memMb":10}]}'
+OLD = PastRoute("old", "q-old")
+
+
+class FakePeers:
+    """Owners of the pools.
+
+    Attributes:
+        states: State of the job by pool; a pool without one has no owner.
+        declined: Pools that were asked to leave the job to another.
+    """
+
+    def __init__(self):
+        self.states = {"pool": None, "old": None}
+        self.declined = []
+
+    async def job_state(self, pool, job_id):
+        if pool not in self.states:
+            raise NotOwner(pool)
+        return self.states[pool]
+
+    async def decline(self, pool, job_id, version, target):
+        state = await self.job_state(pool, job_id)
+        self.declined.append((pool, version, target))
+        return state
+
+    async def queue(self, pool, queue):
+        return QueueResponse(3 if pool == "old" else 2)
+
+
+class TestCallers(unittest.TestCase):
+    def setUp(self):
+        self.clock = Clock()
+        self.peers = FakePeers()
+        self.services = make_services(self.clock, decline=self.peers.decline)
+        self.services.settings.store_record_bytes = 262144
+        configuration = self.services.configuration.current
+        pools = configuration.pools | {"old": Pool("old", True, False, "/")}
+        self.services.configuration.current = dataclasses.replace(
+            configuration, pools=pools
+        )
+        self.services.routes.others = {OLD}
+        self.stored = []
+
+    def _call(self, method, path=PATH):
+        """Returns the status and the body of a response."""
+
+        async def store(pool, queue, key, value, patience_s):
+            self.stored.append((pool, key))
+
+        app = CallerApp(
+            self.services,
+            self.peers,
+            types.SimpleNamespace(store=store),
+            lambda: False,
+            lambda *_: None,
+        )
+        scope = {
+            "method": method,
+            "path": path,
+            "headers": [(b"host", b"host"), (b"x-deadline-ms", b"400")],
+            "query_string": b"",
+        }
+        sent = []
+
+        async def receive():
+            return {"type": "http.request", "body": BODY if method == "POST" else b""}
+
+        async def send(message):
+            sent.append(message)
+
+        async def main():
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(app, scope, receive, send)
+                for _ in range(100):
+                    await anyio.sleep(0.001)
+                    self.clock.now += 0.02
+
+        anyio.run(main)
+        return sent[0]["status"], sent[1]["body"]
+
+    def test_repeated_submission_is_not_accepted_by_the_new_pool(self):
+        self.peers.states["old"] = JobState.RUNNING
+        self.assertEqual(self._call("POST")[0], 200)
+        self.assertEqual(self.stored, [])
+
+    def test_new_submission_is_stored_once_the_old_pool_declined_it(self):
+        self.assertEqual(self._call("POST")[0], 200)
+        self.assertEqual(self.peers.declined, [("old", 1, "pool")])
+        self.assertEqual(self.stored, [("pool", JOB)])
+
+    def test_outcome_is_unknown_while_the_old_pool_has_no_owner(self):
+        del self.peers.states["old"]
+        self.assertEqual(self._call("POST")[0], 504)
+        self.assertEqual(self.stored, [])
+
+    def test_pool_that_never_gets_an_owner_again_is_not_waited_for(self):
+        del self.peers.states["old"]
+        self.services.configuration.current.pools.pop("old")
+        self.assertEqual(self._call("POST")[0], 200)
+        self.assertEqual(self.stored, [("pool", JOB)])
+        self.assertEqual(self._call("GET")[0], 410)
+
+    def test_cancellation_reaches_each_pool_of_the_path(self):
+        self.assertEqual(self._call("DELETE")[0], 200)
+        key = cancellation_key(JOB)
+        self.assertEqual(set(self.stored), {("pool", key), ("old", key)})
+
+    def test_waiting_jobs_of_earlier_routes_count(self):
+        status, body = self._call("GET", QUEUE.path_prefix)
+        self.assertEqual((status, body), (200, b'{"waiting":5}'))
+
+    def test_refused_submission_that_the_old_pool_has_is_accepted(self):
+        async def queue(pool, name):
+            return QueueResponse(0, 20.0)
+
+        self.peers.queue = queue
+        self.assertEqual(self._call("POST")[0], 429)
+        self.peers.states["old"] = JobState.PENDING
+        self.assertEqual(self._call("POST")[0], 200)
+
+
+class TestOwner(unittest.TestCase):
+    """The pool that the path led to before, and a daemon with the old configuration."""
+
+    def setUp(self):
+        self.clock = Clock()
+        self.services = make_services(self.clock)
+        self.appended = []
+
+        async def append(topic, records, at=None, producer=None, timeout_s=1.0):
+            self.appended += [(topic, record) for record in records]
+            return 0
+
+        self.services.store.append = append
+
+    def _submission(self, version):
+        submission = SubmissionRecord("q", 0.0, make_job(count=1), QUEUE, version)
+        return KeyedRecord(0, JOB, msgspec.json.encode(submission))
+
+    def _run(self, scenario, token=7):
+        async def main():
+            owner = PoolOwner("pool", token, self.services, is_handed_over=True)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(owner.run)
+                while not owner.is_loaded:
+                    await anyio.sleep(0.01)
+                await scenario(owner)
+                await anyio.sleep(0.2)
+                tasks.cancel_scope.cancel()
+
+        anyio.run(main)
+
+    def _records(self, topic):
+        records = []
+        for name, framed in self.appended:
+            end = 5 + framed[4]
+            if name == topic:
+                records.append((framed[5:end].decode(), framed[end:]))
+        return records
+
+    def _forwarded_versions(self):
+        return [
+            msgspec.json.decode(value, type=SubmissionRecord).version
+            for _, value in self._records(intake_topic("new"))
+        ]
+
+    def test_declined_job_is_forwarded_when_its_submission_arrives_late(self):
+        async def scenario(owner):
+            self.assertIsNone(await owner.decline(JOB, 2, "new"))
+            owner._apply_intake_record(self._submission(1))
+
+        self._run(scenario)
+        self.assertEqual(self.services.worker_control.starts, [])
+        self.assertEqual(self._forwarded_versions(), [2])
+        self.assertIn(DECLINE_PREFIX + JOB, dict(self._records(journal_topic("pool"))))
+
+    def test_decline_survives_a_change_of_owner(self):
+        decline = DeclineRecord(2, "new", self.clock())
+        self.services.store.latest = {
+            intake_topic("pool"): [self._submission(1)],
+            journal_topic("pool"): [
+                KeyedRecord(1, DECLINE_PREFIX + JOB, msgspec.json.encode(decline))
+            ],
+        }
+
+        async def scenario(owner):
+            self.assertNotIn(JOB, owner.state.jobs)
+
+        self._run(scenario)
+        self.assertEqual(self._forwarded_versions(), [2])
+
+    def test_job_that_the_pool_has_is_not_declined(self):
+        async def scenario(owner):
+            owner._apply_intake_record(self._submission(1))
+            self.assertIsNotNone(await owner.decline(JOB, 2, "new"))
+
+        self._run(scenario)
+        self.assertEqual(self.services.worker_control.starts, [(f"{JOB}.0.0.0", 1)])
+
+    def test_path_that_leads_back_brings_its_jobs_back(self):
+        async def scenario(owner):
+            await owner.decline(JOB, 2, "new")
+            owner._apply_intake_record(self._submission(3))
+
+        self._run(scenario)
+        self.assertEqual(self.services.worker_control.starts, [(f"{JOB}.0.0.0", 1)])
+        self.assertEqual(self._forwarded_versions(), [])
+
+    def test_decline_is_dropped_after_a_while(self):
+        state = PoolState("pool", 1, lambda name: QUEUE, 60.0, lambda *_, **__: None)
+        state.decline(JOB, 2, "new", 1000.0)
+        state.drop_declines(1000.0 + DECLINE_VALID_S)
+        self.assertIsNotNone(state.find_decline(JOB, 2))
+        state.drop_declines(1001.0 + DECLINE_VALID_S)
+        self.assertIsNone(state.find_decline(JOB, 2))
+        self.assertEqual(state.dropped, [JOB])
+
+
+class TestOnePoolHasAJob(unittest.TestCase):
+    """Daemons with different configurations accept the same job at the same time."""
+
+    @given(st.lists(st.integers(0, 2), min_size=1, max_size=5), st.randoms())
+    def test_exactly_one_pool_accepts_it(self, pools_by_version, order):
+        self._play(pools_by_version, order)
+
+    def test_path_that_leads_back_and_forth(self):
+        for seed in range(200):
+            self._play([0, 1, 0, 1, 2], random.Random(seed))
+
+    def _play(self, pools_by_version, order):
+        """Plays one attempt by each version, in any order of their calls.
+
+        Args:
+            pools_by_version: Pool to which each version of the configuration leads.
+            order: ``random.Random`` that chooses the next call.
+        """
+        states = [
+            PoolState(str(n), 1, lambda name: QUEUE, 60.0, lambda *_, **__: None)
+            for n in range(3)
+        ]
+        in_flight = []  # submissions that a pool's owner has not read yet
+
+        def attempt(version, pool):
+            for other in set(pools_by_version) - {pool}:
+                yield
+                states[other].decline(JOB, version, str(pool), 0.0)
+                if JOB in states[other].jobs:
+                    return
+            yield
+            in_flight.append((pool, version))
+
+        attempts = [attempt(*pair) for pair in enumerate(pools_by_version, 1)]
+        reads = 0
+        while attempts or in_flight:
+            reads += 1
+            self.assertLess(reads, 200, "a submission is forwarded for ever")
+            if attempts and (not in_flight or order.random() < 0.6):
+                chosen = attempts[order.randrange(len(attempts))]
+                if next(chosen, True):
+                    attempts.remove(chosen)
+                continue
+            pool, version = in_flight.pop(order.randrange(len(in_flight)))
+            declined = states[pool].find_decline(JOB, version)
+            if declined is not None:
+                attempts.append(attempt(declined.version, int(declined.target)))
+            else:
+                states[pool].submit(JOB, "q", make_job(count=1), 0.0, 0.0, 0.0)
+        self.assertEqual(sum(JOB in state.jobs for state in states), 1)
+
+
+class TestRouteHistory(unittest.TestCase):
+    def setUp(self):
+        clock = Clock()
+        self.store = FakeStore(clock, StoreMonitor(clock))
+        self.history = RouteHistory(self.store, clock)
+
+    def _load(self):
+        async def main():
+            with anyio.move_on_after(0.05):
+                await self.history.run()
+
+        anyio.run(main)
+
+    def test_route_is_recorded_once_before_its_first_job(self):
+        topics = []
+        self.store.on_append = topics.append
+        with self.assertRaises(NotStarted):
+            anyio.run(self.history.record, QUEUE)
+        self._load()
+        anyio.run(self.history.record, QUEUE)
+        anyio.run(self.history.record, QUEUE)
+        self.assertEqual(topics, [TOPIC])
+
+    def test_job_is_refused_if_its_route_can_not_be_recorded(self):
+        self._load()
+
+        def refuse(topic):
+            raise StoreRefused("away")
+
+        self.store.on_append = refuse
+        with self.assertRaises(NotStarted):
+            anyio.run(self.history.record, QUEUE)
+
+    def test_other_routes_of_a_path_are_found(self):
+        moved = dataclasses.replace(QUEUE, name="q-2", pool="other")
+        elsewhere = dataclasses.replace(QUEUE, path_prefix="/x/", pool="third")
+        self._load()
+        for queue in (QUEUE, moved, elsewhere):
+            anyio.run(self.history.record, queue)
+        self.assertEqual(self.history.pools(moved), {QUEUE.pool, "other"})
+        self.assertEqual(
+            self.history.other_routes(moved), {PastRoute(QUEUE.pool, QUEUE.name)}
+        )
+        self.assertTrue(self.history.has_pool("third"))
+        self.assertFalse(self.history.has_pool("fourth"))
--- a/tests/utils/entry_fakes.py
+++ b/tests/utils/entry_fakes.py
@@ -4,6 +4,7 @@
 
 import anyio
 
+from basilwind.entry.pool_arbiter import PoolArbiter
 from basilwind.entry.services import Services
 from basilwind.entry.store_monitor import StoreMonitor
 from basilwind.platform.machines import Machine, MachineState, OrderOutcome
@@ -135,6 +136,29 @@
         return PoolReport(pool, idle, 0.0, 0.0, 0, 0, 0, 0, 0, 0.0, 0)
 
 
+class FakeRoutes:
+    """List of routes by which jobs may have been accepted.
+
+    Attributes:
+        others: ``PastRoute`` objects of each path besides its current route.
+    """
+
+    def __init__(self):
+        self.others = set()
+
+    async def record(self, queue):
+        pass
+
+    def pools(self, queue):
+        return {route.pool for route in self.others}
+
+    def other_routes(self, queue):
+        return self.others
+
+    def has_pool(self, pool):
+        return any(route.pool == pool for route in self.others)
+
+
 class FakeWitnesses:
     """Daemons that can have confirmed an outage to previous owners.
 
@@ -149,7 +173,12 @@
         return self.has_ruled_out
 
 
-def make_services(clock, report=lambda event, **fields: None, is_outage=False):
+def make_services(
+    clock,
+    report=lambda event, **fields: None,
+    is_outage=False,
+    decline=lambda *arguments: None,
+):
     """Returns ``Services`` with fakes, as a duty holder gets them."""
     monitor = StoreMonitor(clock)
     registry = types.SimpleNamespace(
@@ -171,6 +200,7 @@
         maintenance_s=2.0,
         machine_lease_s=3,
     )
+    routes = FakeRoutes()
     return Services(
         settings=settings,
         incarnation="e1#1",
@@ -180,6 +210,7 @@
         machine_client=FakeMachines(),
         advice_client=None,
         configuration=configuration,
+        routes=routes,
         registry=registry,
         duties=None,
         clock=clock,
@@ -189,4 +220,5 @@
         on_fenced=lambda pool, token: None,
         outage=types.SimpleNamespace(is_confirmed=is_outage),
         outage_witnesses=FakeWitnesses(),
+        arbiter=PoolArbiter(routes, configuration, decline, clock),
     )
