Do not take runs beyond the first page of a worker's ends for lost

Cause: a worker lists at most 500 ended runs. The owner took runs that were neither in that page nor executing for lost, and a successor took such a report for complete.

Change: a full page makes a report incomplete. Missing runs stay until the next pages, a successor waits for a complete report of each worker, and a service's task that is neither executing nor on the page counts as interrupted. Reads of newest records, records and machines no longer take a broken page for the end of the list.

--- a/basilwind/platform/machines.py
+++ b/basilwind/platform/machines.py
@@ -119,9 +119,11 @@
             )
             page = decode_json(body, _Page, "machine list", PlatformUnavailable)
             machines += [_decode_machine(entry) for entry in page.machines]
-            token = page.next_token
-            if not token:
+            if not page.next_token:
                 return machines
+            if page.next_token == token:
+                raise PlatformUnavailable("machine list: a page refers to itself")
+            token = page.next_token
 
     async def move(self, machine, pool, holder, token):
         """Orders the move of a machine to another pool, which ends its tasks.
--- a/basilwind/platform/store.py
+++ b/basilwind/platform/store.py
@@ -114,6 +114,9 @@
     while position + _LENGTH.size <= len(data):
         (length,) = _LENGTH.unpack_from(data, position)
         position += _LENGTH.size
+        if position + length > len(data):
+            # The next read begins with this record.
+            break
         content = data[position : position + length]
         position += length
         name_end = 1 + content[0] if content else 0
@@ -269,8 +272,10 @@
             if follow_from is None:
                 follow_from = page.end
             records += [_decode_latest(item) for item in page.items]
-            if not page.has_more or not page.items:
+            if not page.has_more:
                 return records, follow_from
+            if not page.items:
+                raise StoreRefused(f"latest records of topic {topic}: an empty page")
             after = page.items[-1].key
 
     async def _call(self, name, method, path, timeout_s, body=None):
--- a/basilwind/platform/workers.py
+++ b/basilwind/platform/workers.py
@@ -24,6 +24,7 @@
 STOP_TIMEOUT_S = 2.0  # the longest stop in the deployments, 0.9 s, over a slow link
 HOLD_MARGIN_S = 0.7  # added to the wait of a hold, for the answer over a slow link
 PACE_TIMEOUT_S = 1.0  # as for a start
+MAX_LISTED_ENDS = 500  # in one answer to a hold
 
 
 _END_KINDS = {
@@ -269,7 +270,13 @@
         except (IndexError, TypeError) as error:
             # Acting on a part of the report could restart runs that it lists.
             raise WorkerCallFailed(f"{what}: malformed row: {error}") from error
-        return WorkerReport(lists.clock_ms / 1000, lists.born, running, ended)
+        return WorkerReport(
+            lists.clock_ms / 1000,
+            lists.born,
+            running,
+            ended,
+            is_complete=len(ended) < MAX_LISTED_ENDS,
+        )
 
     async def _post(self, address, worker_id, path, order, timeout_s):
         return await self._transport.call(
--- a/basilwind/scheduling/pool_workers.py
+++ b/basilwind/scheduling/pool_workers.py
@@ -47,7 +47,7 @@
                 worker.is_listed = False
                 # A worker that never answered may have unrecorded runs.
                 may_have_unrecorded_runs = (
-                    now < self.unrecorded_runs_until and not worker.is_clock_known
+                    now < self.unrecorded_runs_until and not worker.has_reported_fully
                 )
                 if not worker.tasks and not may_have_unrecorded_runs:
                     del self.workers[worker_id]
@@ -141,7 +141,12 @@
             if reported is not None:
                 self._apply_progress(worker, task, reported, now)
             elif self._is_missing(task, sent_at):
-                self._requeue(task)
+                if report.is_complete:
+                    self._requeue(task)
+                else:
+                    # Its end follows on a later page; until then its outcome is open.
+                    task.progress_percent = 0
+        worker.has_reported_fully |= report.is_complete
         unwanted = {}
         for (name, run), reported in reported_runs.items():
             if not self._adopt_run(worker, reported, now):
@@ -208,12 +213,16 @@
         )
 
     def has_unrecorded_runs(self, now):
-        """Returns whether workers that never answered may have unrecorded runs."""
+        """Returns whether workers may have unrecorded runs that they did not report."""
         if now >= self.unrecorded_runs_until:
-            return False
+            # Leases have expired elsewhere, but runs may have ended before.
+            return self.unrecorded_runs_until > 0.0 and any(
+                worker.is_clock_known and not worker.has_reported_fully
+                for worker in self.workers.values()
+            )
         if now < self.registry_complete_at:
             return True
-        return not all(worker.is_clock_known for worker in self.workers.values())
+        return not all(worker.has_reported_fully for worker in self.workers.values())
 
     def knows_all_runs(self, now):
         """Returns whether no run of a previous owner can be unknown."""
@@ -221,7 +230,9 @@
             return False
         if now >= self.previous_leases_until:
             return True
-        return all(worker.is_clock_known for worker in self.workers.values()) and all(
+        return all(
+            worker.has_reported_fully for worker in self.workers.values()
+        ) and all(
             task.worker_id in self.workers
             for job in self.jobs.values()
             for task in job.tasks()
--- a/basilwind/scheduling/reports.py
+++ b/basilwind/scheduling/reports.py
@@ -88,10 +88,13 @@
         worker_clock_s: The worker's own clock, seconds.
         incarnation_started_ms: Start of its incarnation, Unix milliseconds.
         running: Runs that it executes.
-        ended: Ended runs that the owner has not acknowledged.
+        ended: Ended runs that the owner has not acknowledged, the oldest first.
+        is_complete: Whether ``ended`` lists all of them; if not, the others follow once
+            these are acknowledged.
     """
 
     worker_clock_s: float
     incarnation_started_ms: int
     running: tuple[ReportedRun, ...]
     ended: tuple[EndedRun, ...]
+    is_complete: bool = True
--- a/basilwind/scheduling/workers.py
+++ b/basilwind/scheduling/workers.py
@@ -22,6 +22,8 @@
             which the next hold acknowledges.
         pending_ack: Sequence number of an ended run that waits for the journal, and
             the number of the journal's batch that contains it; or None.
+        has_reported_fully: Whether all its runs, executing and ended, were reported to
+            this owner at least once.
         report_asked_at: Boot time at which the call for its last report was sent, or
             None. The report may be as old, if this process was paused.
         reported_at: Boot time at which its last report was read, or None.
@@ -56,6 +58,7 @@
         "last_applied_sequence",
         "acknowledged_sequence",
         "pending_ack",
+        "has_reported_fully",
         "report_asked_at",
         "reported_at",
         "alive_until",
@@ -87,6 +90,7 @@
         self.last_applied_sequence = 0
         self.acknowledged_sequence = 0
         self.pending_ack = None
+        self.has_reported_fully = False
         self.report_asked_at = None
         self.reported_at = None
         self.alive_until = None
@@ -234,6 +238,7 @@
         self.last_applied_sequence = 0
         self.acknowledged_sequence = 0
         self.pending_ack = None
+        self.has_reported_fully = False
         self.report_asked_at = None
         self.reported_at = None
         self._last_worker_clock_s = None
--- a/tests/platform/test_workers.py
+++ b/tests/platform/test_workers.py
@@ -3,7 +3,7 @@
 import anyio
 
 from basilwind.errors import ProducerFenced, WorkerReplaced
-from basilwind.platform.workers import WorkerControlClient
+from basilwind.platform.workers import MAX_LISTED_ENDS, WorkerControlClient
 from basilwind.scheduling.reports import EndKind, StartOutcome
 
 
@@ -42,6 +42,13 @@
             self.assertIs(answer, outcome)
             self.assertEqual(worker_clock_s, 1.5 if status in (200, 409) else None)
 
+    def test_hold_with_a_full_page_of_ends_is_not_complete(self):
+        rows = [f'[{n},"t{n}",1,"done",""]' for n in range(1, MAX_LISTED_ENDS + 1)]
+        for count in (MAX_LISTED_ENDS - 1, MAX_LISTED_ENDS):
+            body = f'{{"clockMs":1,"ended":[{",".join(rows[:count])}]}}'
+            report = self._call("hold", 200, body.encode(), 7, 0, None, 0.0)
+            self.assertEqual(report.is_complete, count < MAX_LISTED_ENDS)
+
     def test_hold_decodes_runs_and_raises_on_rejection(self):
         body = (
             b'{"clockMs":2000,"born":5,"running":[["t",2,"c",41,300]],'
--- a/tests/scheduling/model.py
+++ b/tests/scheduling/model.py
@@ -82,10 +82,12 @@
         end_count: Number of runs that ended in this incarnation.
         highest_token: Highest fencing token that it has seen.
         lease_until: End of its lease.
+        page_size: Most ended runs that a report lists.
     """
 
-    def __init__(self, entry):
+    def __init__(self, entry, page_size=500):
         self.entry = entry
+        self.page_size = page_size
         self.incarnation = 1
         self.is_reachable = True
         self.is_crashed = False
@@ -145,7 +147,9 @@
             ReportedRun(name, run, "", *reported_progress.get(name, (100, -1)))
             for name, run in self.runs.items()
         )
-        return WorkerReport(now, self.incarnation, running, tuple(self.ended))
+        listed = tuple(self.ended[: self.page_size])
+        is_complete = len(listed) < self.page_size
+        return WorkerReport(now, self.incarnation, running, listed, is_complete)
 
     def expire(self, now):
         """Ends all runs if the lease has expired."""
@@ -162,9 +166,10 @@
         workers: Number of workers.
         cpu: CPU of each worker, millicores.
         startup_s: Time from a run's start until it is up, seconds.
+        page_size: Most ended runs that a worker's report lists.
     """
 
-    def __init__(self, fail, workers=3, cpu=8000, startup_s=0.0):
+    def __init__(self, fail, workers=3, cpu=8000, startup_s=0.0, page_size=500):
         self._fail = fail
         self._startup_s = startup_s
         self.now = 1000.0
@@ -177,7 +182,8 @@
         # Time at which the owner last reported a worker as empty, by name.
         self._reported_empty = {}
         self.workers = {
-            f"w{n}": ModelWorker(make_entry(f"w{n}", cpu)) for n in range(workers)
+            f"w{n}": ModelWorker(make_entry(f"w{n}", cpu), page_size)
+            for n in range(workers)
         }
         self.submitted = {}
         self.journal = {}
--- a/tests/scheduling/test_pool.py
+++ b/tests/scheduling/test_pool.py
@@ -355,10 +355,48 @@
             with self.subTest(seed=seed):
                 self._run_seed(seed, ("submit", "cancel", "shrink", "grow"), cpu=2000)
 
-    def _run_seed(self, seed, more_faults=(), cpu=8000):
+    def test_random_faults_with_more_ends_than_a_report_lists_by_seed(self):
+        # Regression (review/2): tasks whose ends were on later pages ran again.
+        # A service's task counted as up while its end was on a later page (2544).
+        for seed in (*seeds_to_play(SEEDS), 2544):
+            with self.subTest(seed=seed):
+                self._run_seed(seed, ("submit", "finish", "finish"), page_size=1)
+
+    def test_ends_beyond_the_first_page_are_not_taken_for_lost_runs(self):
+        # Regression (review/2): 900 of 1600 tasks ran again after an outage.
+        model = PoolModel(self.fail, workers=1, page_size=2)
+        model.submit("job", make_job(count=6))
+        model.hold()
+        model.schedule()
+        model.is_store_unavailable = True
+        model.hold()
+        model.end_runs()
+        model.hold()
+        model.hold()
+        model.schedule()
+        self.assertEqual({task.run for task in model.all_tasks()}, {1})
+        model.settle()
+        self.assertEqual(set(model.starts.values()), {1})
+
+    def test_successor_reads_all_ends_before_it_starts_what_may_have_run(self):
+        # Regression (review/2): the owner was killed at the end of the outage.
+        model = PoolModel(self.fail, workers=2, page_size=2)
+        model.submit("job", make_job(count=6))
+        model.hold()
+        model.is_store_unavailable = True
+        model.schedule()
+        model.end_runs()
+        model.take_over()
+        for _ in range(6):
+            model.hold()
+            model.schedule()
+            model.advance(LEASE_S)
+        self.assertEqual(set(model.starts.values()), {1})
+
+    def _run_seed(self, seed, more_faults=(), cpu=8000, page_size=500):
         """Applies random faults, with store outages more often than the others."""
         source = random.Random(seed)
-        model = PoolModel(self.fail, cpu=cpu)
+        model = PoolModel(self.fail, cpu=cpu, page_size=page_size)
         for number in range(source.randint(1, 3)):
             model.submit(f"job{number}", make_job(count=2, steps=2))
         model.submit("lasting", make_job(count=2, is_lasting=True, may_miss=1))
