Hold tasks back only for a step that can be placed later

Also 429 to all callers of an idle pool beside one huge job.

Cause: each unplaced step counted as a shortage of room for one of its tasks, whatever it lacked; admission counted all unfinished work as backlog.

Change: only a step that fits once finite tasks have ended holds others back, and only such a service keeps a worker free. sameRack steps that no rack can hold run on several. Admission counts what goes before a new job; demand for hosts leaves out what no host can run.

--- a/basilwind/scheduling/admission.py
+++ b/basilwind/scheduling/admission.py
@@ -14,12 +14,28 @@
 RETRY_SPREAD_S = 3  # callers retry within as many seconds after the wait
 
 
+def work_ahead(work, running_work, slack_s, cores):
+    """Returns how much of a job's work goes before that of a new job, core-seconds.
+
+    Jobs that are late go behind new ones, and so does what a job has left when it
+    becomes late. Its running tasks go on.
+
+    Args:
+        work: Unfinished work of the job that its pool can do, core-seconds.
+        running_work: Work of its running tasks, core-seconds.
+        slack_s: Time until it is late, seconds.
+        cores: Cores of the pool's usable workers.
+    """
+    before_late = max(0.0, slack_s) * cores * POOL_GROWTH_FACTOR
+    return min(work, running_work + before_late)
+
+
 def refuse_for_s(queue, backlog, cores, run_times):
     """Returns the seconds for which to refuse a queue's new jobs; 0 to accept.
 
     Args:
         queue: ``Queue``.
-        backlog: Unfinished work of its pool, core-seconds.
+        backlog: Work of its pool that goes before a new job, core-seconds.
         cores: Cores of the pool's usable workers.
         run_times: ``RunTimes``.
     """
--- a/basilwind/scheduling/eligibility.py
+++ b/basilwind/scheduling/eligibility.py
@@ -1,4 +1,4 @@
-"""Whether a worker may run a task, apart from its present capacity."""
+"""Whether a worker may run a task, and whether a step can ever be placed."""
 
 from basilwind.scheduling.health import is_on_probation
 
@@ -20,5 +20,62 @@
     return not (is_on_probation(worker) and len(worker.tasks) >= PROBATION_TASKS)
 
 
+def count_fitting(spec, free_cpu, free_memory, free_gpu):
+    """Returns how many tasks of a step fit into a worker's free capacity.
+
+    Args:
+        spec: ``StepSpec``.
+        free_cpu: CPU, millicores.
+        free_memory: Memory, megabytes.
+        free_gpu: Accelerators.
+    """
+    fits = min(
+        (free // need if need else spec.count)
+        for free, need in (
+            (free_cpu, spec.reserved_cpu),
+            (free_memory, spec.memory),
+            (free_gpu, spec.gpu),
+        )
+    )
+    if spec.most_per_worker:
+        fits = min(fits, spec.most_per_worker)
+    return max(0, fits)
+
+
+def count_fitting_later(step, worker):
+    """Returns how many tasks of a step fit once all tasks that end have ended.
+
+    Args:
+        step: ``StepRun``.
+        worker: ``WorkerView``.
+    """
+    spec = step.spec
+    if spec.required_label and spec.required_label not in worker.entry.labels:
+        return 0
+    ending = [
+        task.spec
+        for task in worker.tasks.values()
+        if not task.spec.is_lasting or task.step is step
+    ]
+    fits = count_fitting(
+        spec,
+        worker.free_cpu + sum(other.reserved_cpu for other in ending),
+        worker.free_memory + sum(other.memory for other in ending),
+        worker.free_gpu + sum(other.gpu for other in ending),
+    )
+    return min(fits, PROBATION_TASKS) if is_on_probation(worker) else fits
+
+
+def can_be_placed_later(step, workers):
+    """Returns whether a step fits once all tasks that end have ended.
+
+    Args:
+        step: ``StepRun``.
+        workers: ``WorkerView`` objects that may get tasks.
+    """
+    fits = sum(count_fitting_later(step, worker) for worker in workers)
+    return fits >= (step.unfinished if step.spec.is_gang else 1)
+
+
 def _tasks_of_step(worker, step):
     return sum(task.step is step for task in worker.tasks.values())
--- a/basilwind/scheduling/ordering.py
+++ b/basilwind/scheduling/ordering.py
@@ -107,6 +107,11 @@
 
 def is_late(job, queue, run_times, wall_time):
     """Returns whether all started occurrences of a job will miss their objective."""
+    return slack_s(job, queue, run_times, wall_time) < 0.0
+
+
+def slack_s(job, queue, run_times, wall_time):
+    """Returns the time until all started occurrences of a job are late, seconds."""
     latest = job.latest_start
     if latest is None or not 0 <= wall_time - latest[1] < ESTIMATE_MAX_AGE_S:
         latest_starts = [
@@ -116,7 +121,7 @@
             for occurrence in job.occurrences
         ]
         latest = job.latest_start = (max(latest_starts, default=0.0), wall_time)
-    return latest[0] < wall_time
+    return latest[0] - wall_time
 
 
 def _release_time(job, occurrence):
--- a/basilwind/scheduling/placement.py
+++ b/basilwind/scheduling/placement.py
@@ -9,12 +9,18 @@
 from dataclasses import dataclass
 
 from basilwind.scheduling.crashes import is_quiet
-from basilwind.scheduling.eligibility import may_run
+from basilwind.scheduling.eligibility import (
+    count_fitting,
+    count_fitting_later,
+    may_run,
+)
 from basilwind.scheduling.health import is_on_probation
 from basilwind.scheduling.jobs import TaskState
 from basilwind.scheduling.policy import valid_ticket
 
 MAX_SILENCE_S = 1.2  # a hold is answered within 1 s and its margin of 0.7 s
+# Tasks on several racks take up to 3 times as long.
+RACK_PATIENCE_S = 1.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -24,14 +30,20 @@
     Attributes:
         cpu: CPU, millicores.
         memory: Memory, megabytes.
+        gpu: Accelerators.
     """
 
     cpu: int
     memory: int
+    gpu: int = 0
 
     def covers(self, spec):
         """Returns whether a step's tasks are at least as large and so cannot fit."""
-        return spec.reserved_cpu >= self.cpu and spec.memory >= self.memory
+        return (
+            spec.reserved_cpu >= self.cpu
+            and spec.memory >= self.memory
+            and spec.gpu >= self.gpu
+        )
 
 
 def is_usable(worker, now):
@@ -83,10 +95,12 @@
     return (is_remote, is_on_probation(worker), 0, remaining_cpu)
 
 
-def _choose_rack(step, workers):
-    """Returns the rack for a step that needs a single one, or None if none fits.
+def _restrict_to_rack(step, workers, now):
+    """Returns the workers for a step that is to run in one rack, or None to wait.
 
     That is the rack of its running tasks, or the tightest one that fits the whole step.
+    If none ever will, or not for a while, the tasks run on several racks: that takes
+    them longer, while waiting might take for ever.
     """
     used_racks = {
         worker.entry.rack
@@ -94,27 +108,38 @@
         for task in worker.tasks.values()
         if task.step is step
     }
-    if used_racks:
-        return next(iter(used_racks))
-    capacity = {}
+    if len(used_racks) > 1:
+        return workers
+    racks = {}
     for worker in workers:
-        if not may_run(step, worker):
-            continue
-        spec = step.spec
-        fits = min(
-            (free // need if need else spec.count)
-            for free, need in (
-                (worker.free_cpu, spec.reserved_cpu),
-                (worker.free_memory, spec.memory),
-                (worker.free_gpu, spec.gpu),
+        racks.setdefault(worker.entry.rack, []).append(worker)
+    if used_racks:
+        (rack,) = used_racks
+    else:
+        capacity = {
+            rack: sum(
+                count_fitting(
+                    step.spec, worker.free_cpu, worker.free_memory, worker.free_gpu
+                )
+                for worker in members
+                if may_run(step, worker)
             )
-        )
-        if spec.most_per_worker:
-            fits = min(fits, spec.most_per_worker)
-        rack = worker.entry.rack
-        capacity[rack] = capacity.get(rack, 0) + max(0, fits)
-    fitting = [rack for rack, tasks in capacity.items() if tasks >= step.spec.count]
-    return min(fitting, key=lambda rack: (capacity[rack], rack), default=None)
+            for rack, members in racks.items()
+        }
+        fitting = [rack for rack, fits in capacity.items() if fits >= step.unfinished]
+        rack = min(fitting, key=lambda rack: (capacity[rack], rack), default=None)
+        if rack is not None:
+            return racks[rack]
+    is_patient = (
+        step.unplaced_since is None or now - step.unplaced_since < RACK_PATIENCE_S
+    )
+    possible = [racks[rack]] if used_racks else racks.values()
+    if is_patient and any(
+        sum(count_fitting_later(step, worker) for worker in members) >= step.unfinished
+        for members in possible
+    ):
+        return racks[rack] if used_racks else None
+    return workers
 
 
 def place_step(step, workers, now):
@@ -137,10 +162,9 @@
             if valid_ticket(step, worker.worker_id, now) is not None
         ]
     if spec.needs_one_rack:
-        rack = _choose_rack(step, candidates)
-        if rack is None:
+        candidates = _restrict_to_rack(step, candidates, now)
+        if candidates is None:
             return [], True
-        candidates = [worker for worker in candidates if worker.entry.rack == rack]
     placed = []
     is_short = False
     for task in step.waiting():
@@ -203,9 +227,7 @@
     fitting = [
         worker
         for worker in workers
-        if worker.entry.memory >= step.spec.memory
-        and worker.entry.cpu >= step.spec.reserved_cpu
-        and may_run(step, worker)
+        if count_fitting_later(step, worker) and may_run(step, worker)
     ]
     if step.reserved_worker in fitting:
         return step.reserved_worker
--- a/basilwind/scheduling/pool.py
+++ b/basilwind/scheduling/pool.py
@@ -7,11 +7,18 @@
 from dataclasses import dataclass
 
 from basilwind.scheduling import health
-from basilwind.scheduling.admission import refuse_for_s
+from basilwind.scheduling.admission import refuse_for_s, work_ahead
 from basilwind.scheduling.demand import PoolReport, WorkerLoad
+from basilwind.scheduling.eligibility import can_be_placed_later
 from basilwind.scheduling.interruptions import may_interrupt
 from basilwind.scheduling.jobs import JobState, TaskState
-from basilwind.scheduling.ordering import is_late, is_overloaded, rank_step
+from basilwind.scheduling.largest_workers import LargestWorkers
+from basilwind.scheduling.ordering import (
+    is_late,
+    is_overloaded,
+    rank_step,
+    slack_s,
+)
 from basilwind.scheduling.orders import StartOrder
 from basilwind.scheduling.pacing import pace_worker
 from basilwind.scheduling.placement import (
@@ -35,6 +42,10 @@
 # on the deployment.
 PREEMPTION_MIN_REMAINING_S = 0.5
 BACKLOG_MAX_AGE_S = 0.2  # every daemon asks twice a second for each queue
+# More hosts are asked for a step that is too large for its pool, and arrive within a
+# few seconds if there are any. After that, they are asked for only now and then.
+GROWTH_PATIENCE_S = 10.0
+GROWTH_RETRY_S = 60.0
 
 
 @dataclass(slots=True)
@@ -126,13 +137,14 @@
 
     def pool_report(self, now, wall_time):
         """Returns the ``PoolReport`` for the planner."""
-        urgent, late = self._measure_demand(wall_time)
+        urgent, late = self._measure_demand(now, wall_time)
+        largest = self._largest_workers()
         long_running = [
             task
             for job in self.jobs.values()
             if job.is_live
             for task in job.tasks()
-            if task.spec.is_lasting
+            if task.spec.is_lasting and self._is_in_demand(task.step, largest, now)
         ]
         return PoolReport(
             pool=self.name,
@@ -173,10 +185,29 @@
             arrived_jobs=self._arrived_jobs,
         )
 
-    def _measure_demand(self, wall_time):
+    def _largest_workers(self):
+        return LargestWorkers(
+            worker.entry for worker in self.workers.values() if worker.is_listed
+        )
+
+    @staticmethod
+    def _is_in_demand(step, largest, now):
+        """Returns whether a step's tasks call for workers.
+
+        Those that are too large for the pool do so for a while only, as it may be that
+        no host can run them.
+        """
+        if largest.can_fit_step(step.spec):
+            return True
+        if not largest.can_fit_grown(step.spec):
+            return False
+        unplaced_since = now if step.unplaced_since is None else step.unplaced_since
+        return (now - unplaced_since) % GROWTH_RETRY_S < GROWTH_PATIENCE_S
+
+    def _measure_demand(self, now, wall_time):
         """Returns the ``JobDemand`` of urgent work, and of late work."""
         # Ranking updates the totals of waiting work.
-        self._rank_ready_steps(wall_time)
+        self._rank_ready_steps(now, wall_time)
         urgent, late = JobDemand(self._urgent_waiting), JobDemand(self._late_waiting)
         for worker in self.workers.values():
             for task in worker.tasks.values():
@@ -198,9 +229,24 @@
         cores = sum(worker.entry.cpu for worker in self._usable_workers(now)) / 1000
         if now - self._backlog_measured_at > BACKLOG_MAX_AGE_S:
             self._backlog_measured_at = now
-            self._cached_backlog = self._measure_backlog()
+            self._cached_backlog = self._measure_backlog(cores, wall_time)
         return refuse_for_s(queue, self._cached_backlog, cores, self.run_times)
 
+    def _measure_backlog(self, cores, wall_time):
+        """Returns the work that goes before a new job, core-seconds."""
+        largest = self._largest_workers()
+        backlog = 0.0
+        for job in self.jobs.values():
+            queue = self._find_queue(job.queue) if job.is_live else None
+            if queue is not None:
+                backlog += work_ahead(
+                    self._unfinished_work(job, largest.can_fit),
+                    self._running_work(job),
+                    slack_s(job, queue, self.run_times, wall_time),
+                    cores,
+                )
+        return backlog
+
     # Orders
 
     def schedule(self, now, wall_time):
@@ -223,7 +269,7 @@
         workers, kept = self._crashes.isolate(workers, now)
         orders, shortages = [], []
         may_have_unrecorded_runs = self.has_unrecorded_runs(now)
-        for step in self._rank_ready_steps(wall_time):
+        for step in self._rank_ready_steps(now, wall_time):
             if may_have_unrecorded_runs and self._may_have_unrecorded_runs(step):
                 continue
             if step.spec.is_lasting and now < self._withholding_unknown_until:
@@ -249,12 +295,19 @@
                 continue
             if step.unplaced_since is None:
                 step.unplaced_since = now
+            can_be_placed = can_be_placed_later(step, workers)
             if step.spec.is_lasting:
-                reserved = choose_reserved_worker(step, workers)
+                reserved = (
+                    choose_reserved_worker(step, workers) if can_be_placed else None
+                )
                 step.reserved_worker = reserved
                 workers = [worker for worker in workers if worker is not reserved]
-            elif not (step.spec.required_label or step.spec.most_per_worker):
-                shortages.append(Shortage(step.spec.reserved_cpu, step.spec.memory))
+            elif can_be_placed and not (
+                step.spec.required_label or step.spec.most_per_worker
+            ):
+                shortages.append(
+                    Shortage(step.spec.reserved_cpu, step.spec.memory, step.spec.gpu)
+                )
         return orders
 
     def _may_have_unrecorded_runs(self, step):
@@ -304,12 +357,13 @@
             for step in self.jobs[job_id].start_due_occurrences(wall_time):
                 self._ready[step] = None
 
-    def _rank_ready_steps(self, wall_time):
+    def _rank_ready_steps(self, now, wall_time):
         """Returns the steps with waiting tasks, the most urgent first.
 
         Also drops steps without waiting tasks and updates the totals of waiting work.
         """
         ranked = []
+        largest = self._largest_workers()
         self._urgent_waiting = self._late_waiting = 0.0
         for step in list(self._ready):
             waiting = len(step.waiting())
@@ -325,6 +379,8 @@
                 step, queue, self.run_times, wall_time, self._is_overloaded
             )
             ranked.append((rank, step))
+            if not self._is_in_demand(step, largest, now):
+                continue
             work = waiting * self._task_work(step.job.queue, step.spec)
             if rank.is_late:
                 self._late_waiting += work
@@ -375,7 +431,7 @@
         if not any(step.tickets is not None for step in self._ready):
             return None
         workers = self._usable_workers(now)
-        for step in self._rank_ready_steps(wall_time):
+        for step in self._rank_ready_steps(now, wall_time):
             if step.tickets is None:
                 continue
             worker_ids = workers_to_ask(step, workers, now)
--- a/basilwind/scheduling/pool_jobs.py
+++ b/basilwind/scheduling/pool_jobs.py
@@ -259,21 +259,30 @@
         if task.job.is_live:
             self._ready[task.step] = None
 
-    def _measure_backlog(self):
-        """Returns the unfinished work of all live jobs, core-seconds."""
-        return sum(
-            self._unfinished_work(job) for job in self.jobs.values() if job.is_live
-        )
-
     def _task_work(self, queue, step):
         """Returns the expected work of one task, core-seconds; 0 if long-running."""
         if step.is_lasting:
             return 0.0
         return step.cpu / 1000 * self.run_times.expected_s(queue, step.estimate_s)
 
-    def _unfinished_work(self, job):
+    def _unfinished_work(self, job, can_fit=lambda spec: True):
+        """Returns the work that is left of a job, core-seconds.
+
+        Args:
+            job: ``Job``.
+            can_fit: Returns whether tasks of a ``StepSpec`` count.
+        """
         return sum(
             step.unfinished * self._task_work(job.queue, step.spec)
             for steps in job.occurrences.values()
             for step in steps
+            if can_fit(step.spec)
+        )
+
+    def _running_work(self, job):
+        """Returns the work of a job's tasks that occupy workers, core-seconds."""
+        return sum(
+            self._task_work(job.queue, task.spec)
+            for task in job.tasks()
+            if task.is_active
         )
