--- a/basilwind/control/records.py
+++ b/basilwind/control/records.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from basilwind.checked_json import decode_json
 from basilwind.errors import RecordInvalid
 
 CONTROL_STREAM = "control"
@@ -131,8 +132,6 @@
 
 ControlRecord = SettingsRecord | HostRecord | WaveRecord | SnapshotRecord
 
-_decoder = msgspec.json.Decoder(ControlRecord)
-
 
 def decode_record(data):
     """Parses a record of the control stream.
@@ -146,10 +145,7 @@
     if len(data) > MAX_RECORD_BYTES:
         message = f"record of {len(data)} bytes exceeds {MAX_RECORD_BYTES}"
         raise RecordInvalid(message)
-    try:
-        return _decoder.decode(data)
-    except (msgspec.DecodeError, RecursionError) as error:
-        raise RecordInvalid(f"not a valid record: {error}") from error
+    return decode_json(data, ControlRecord, "control record", RecordInvalid)
 
 
 def encode_record(record):
--- a/basilwind/control/snapshot.py
+++ b/basilwind/control/snapshot.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from basilwind.checked_json import decode_json
 from basilwind.control.records import SnapshotRecord
 from basilwind.control.state import ControlState, HostPhase, HostState, WaveState
 from basilwind.errors import RecordInvalid
@@ -72,10 +73,7 @@
         RecordInvalid: The text is not a snapshot, or its settings do not declare all
             of its hosts.
     """
-    try:
-        snapshot = msgspec.json.decode(text, type=_Snapshot)
-    except msgspec.DecodeError as error:
-        raise RecordInvalid(f"not a valid snapshot: {error}") from error
+    snapshot = decode_json(text, _Snapshot, "snapshot", RecordInvalid)
     state = ControlState(
         next_offset=snapshot.next_offset,
         digest=snapshot.digest,
--- a/basilwind/entry/caller_app.py
+++ b/basilwind/entry/caller_app.py
@@ -22,6 +22,7 @@
 
 JOB_ID = re.compile(r"[0-9a-f]{16}\Z", re.IGNORECASE)
 DEFAULT_DEADLINE_S = 3.0  # the callers' deadline in every deployment
+MAX_DEADLINE_S = 3600.0
 RESPONSE_MARGIN_S = 0.15  # a response takes some ms, and more on a slow host
 RETRY_AFTER_S = 1  # owner changes and store outages last seconds
 QUEUE_CACHE_S = 0.5  # callers accept counts that are up to 2 s old
@@ -293,6 +294,8 @@
         requested_s = float(request.headers.get("x-deadline-ms", "")) / 1000
     except ValueError:
         requested_s = DEFAULT_DEADLINE_S
+    if not 0.0 <= requested_s <= MAX_DEADLINE_S:
+        requested_s = DEFAULT_DEADLINE_S
     return min(requested_s, queue.timeout_s) if queue.timeout_s > 0 else requested_s
 
 
--- a/basilwind/entry/duties.py
+++ b/basilwind/entry/duties.py
@@ -7,8 +7,9 @@
 import anyio
 import msgspec
 
+from basilwind.checked_json import Count, check_address, check_name, decode_json
 from basilwind.entry.follower import KeyedFollower
-from basilwind.errors import PlatformError, StoreConflict
+from basilwind.errors import PlatformError, RecordInvalid, StoreConflict
 from basilwind.logs import log
 from basilwind.platform.store import encode_keyed_record
 from basilwind.scheduling.ownership import HEARTBEAT_S, Claim, DutyTable
@@ -27,13 +28,14 @@
 CLAIM_RETRY_S = 0.3  # store outages last seconds
 HEARTBEAT_POLL_S = 0.25  # limits reads, as all holders append heartbeats
 HEARTBEAT_WAIT_S = 0.6  # heartbeats arrive every 0.5 s; silence means a dead connection
+MAX_TOKEN_DIGITS = 15
 RELEASE_RETRY_S = 0.1  # shutdown takes seconds, and other daemons wait for it
 
 
 class _ClaimRecord(msgspec.Struct, array_like=True):
     holder: str
     address: str
-    token: int
+    token: Count
     zone: str = ""
 
 
@@ -280,16 +282,19 @@
                 self._apply_claim(record)
         for record in records:
             for prefix in (_RELEASE_PREFIX, _UNSETTLED_PREFIX):
-                if record.key.startswith(prefix) and record.value.isdigit():
+                if record.key.startswith(prefix) and _is_token(record.value):
                     duty = record.key[len(prefix) :]
                     self._apply_release(
                         duty, int(record.value), prefix == _RELEASE_PREFIX
                     )
 
     def _apply_claim(self, record):
+        what = f"claim {record.key!r}"
         try:
-            claim = msgspec.json.decode(record.value, type=_ClaimRecord)
-        except msgspec.DecodeError as error:
+            claim = decode_json(record.value, _ClaimRecord, what, RecordInvalid)
+            check_name(claim.holder, what, RecordInvalid)
+            check_address(claim.address, what, RecordInvalid)
+        except RecordInvalid as error:
             log("invalid record ignored", topic=TOPIC, error=str(error))
             return
         self._record_claim(record.key[len(_CLAIM_PREFIX) :], claim)
@@ -305,14 +310,20 @@
         host = record.key.partition("#")[0]
         if host in self._daemons and self._daemons[host][0] > record.offset:
             return
+        what = f"heartbeat of {record.key!r}"
         try:
-            heartbeat = msgspec.json.decode(record.value, type=_HeartbeatRecord)
-        except msgspec.DecodeError:
+            heartbeat = decode_json(record.value, _HeartbeatRecord, what, RecordInvalid)
+            check_address(heartbeat.address, what, RecordInvalid)
+        except RecordInvalid:
             # Daemons of earlier versions don't tell where they are.
             return
         claim = Claim(record.key, heartbeat.address, 0, heartbeat.zone)
         self._daemons[host] = record.offset, claim
 
 
+def _is_token(value):
+    return value.isdigit() and len(value) <= MAX_TOKEN_DIGITS
+
+
 def _encode_claim(duty, record):
     return encode_keyed_record(_CLAIM_PREFIX + duty, msgspec.json.encode(record))
--- a/basilwind/entry/follower.py
+++ b/basilwind/entry/follower.py
@@ -3,6 +3,8 @@
 A keyed topic keeps the newest record of each key.
 """
 
+import traceback
+
 import anyio
 
 from basilwind.errors import PlatformError, RetentionGap
@@ -10,9 +12,16 @@
 
 PLATFORM_RETRY_S = 0.25  # store outages last seconds
 IDLE_POLL_S = 0.05  # a new pool owner needs the worker list immediately
+MAX_KEY_LENGTH = 100  # of a record in a log line
+MAX_TRACEBACK_LENGTH = 2000
 WAIT_S = 1.5  # with a read timeout of 1.5 s more, a dead connection shows within 3 s
 
 
+def _describe(error):
+    """Returns the end of an error's traceback."""
+    return "".join(traceback.format_exception(error))[-MAX_TRACEBACK_LENGTH:]
+
+
 class KeyedFollower:
     """Reads the newest record of each key, then every later record.
 
@@ -83,6 +92,30 @@
                 self._failed_at = self._clock()
                 await anyio.sleep(PLATFORM_RETRY_S)
 
+    def _deliver(self, apply, records):
+        """Passes records on; one that the reader fails on is left out.
+
+        Otherwise a follower that is started again would meet the same record for ever.
+        """
+        try:
+            apply(records)
+        except Exception as error:
+            log("records failed", topic=self._topic, error=_describe(error))
+            for record in records:
+                self._deliver_one(record)
+
+    def _deliver_one(self, record):
+        try:
+            self._apply([record])
+        except Exception as error:
+            log(
+                "record left out",
+                topic=self._topic,
+                key=record.key[:MAX_KEY_LENGTH],
+                offset=record.offset,
+                error=_describe(error),
+            )
+
     def _has_recovered(self):
         return self._read_at is not None and self._read_at > self._failed_at
 
@@ -91,12 +124,12 @@
             records, position = await self._store.read_latest(self._topic)
             # Set before the callback runs, since the callback may read the position.
             self._position = position
-            self._reset(records)
+            self._deliver(self._reset, records)
         else:
             records = await self._store.read(self._topic, self._position, self._wait_s)
             if records:
                 self._position = records[-1].offset + 1
-                self._apply(records)
+                self._deliver(self._apply, records)
         if self._failed_at is not None and not self._has_recovered():
             log("store reachable again", topic=self._topic)
         self._read_at = self._clock()
--- a/basilwind/entry/intake.py
+++ b/basilwind/entry/intake.py
@@ -4,10 +4,14 @@
 """
 
 import anyio
-import msgspec
 
 from basilwind.entry.auto_reset_event import AutoResetEvent
-from basilwind.errors import NotStarted, StoreRefused, StoreUnanswered
+from basilwind.errors import (
+    NotStarted,
+    RecordInvalid,
+    StoreRefused,
+    StoreUnanswered,
+)
 from basilwind.platform.store import Producer, encode_keyed_record
 from basilwind.scheduling.jobs import Job
 from basilwind.scheduling.records import decode_submission
@@ -49,7 +53,7 @@
         return None
     try:
         submission = decode_submission(record.value)
-    except msgspec.DecodeError as error:
+    except RecordInvalid as error:
         report("submission damaged", job=record.key, error=str(error))
         return None
     if submission.accepted_queue is not None:
--- a/basilwind/entry/maintenance_log.py
+++ b/basilwind/entry/maintenance_log.py
@@ -2,8 +2,9 @@
 
 import msgspec
 
+from basilwind.checked_json import Number, decode_json
 from basilwind.entry.takeover import read_latest_records
-from basilwind.errors import PlatformError
+from basilwind.errors import PlatformError, RecordInvalid
 from basilwind.logs import log
 from basilwind.platform.store import encode_keyed_record
 
@@ -47,8 +48,10 @@
         records, _ = await read_latest_records(self._store, TOPIC)
         for record in records:
             try:
-                ordered_at = msgspec.json.decode(record.value, type=float)
-            except msgspec.DecodeError as error:
+                ordered_at = decode_json(
+                    record.value, Number, "time of an order", RecordInvalid
+                )
+            except RecordInvalid as error:
                 log("invalid record ignored", topic=TOPIC, error=str(error))
                 continue
             # Clocks of daemons differ, and may jump.
--- a/basilwind/entry/owner.py
+++ b/basilwind/entry/owner.py
@@ -1,5 +1,7 @@
 """Runs one pool: accepts jobs, starts their tasks and renews the workers' leases."""
 
+import traceback
+
 import anyio
 import msgspec
 
@@ -235,7 +237,15 @@
                 continue
             for record in records:
                 self._intake_offset = max(self._intake_offset, record.offset + 1)
-                self._apply_intake_record(record)
+                try:
+                    self._apply_intake_record(record)
+                except Exception as error:
+                    # A new owner would fail on the same record.
+                    self._report(
+                        "submission damaged",
+                        job=record.key,
+                        error="".join(traceback.format_exception(error)),
+                    )
             if records:
                 self._schedule_event.set()
 
--- a/basilwind/entry/peer_app.py
+++ b/basilwind/entry/peer_app.py
@@ -1,6 +1,15 @@
 """Serves calls of other daemons, mostly to the owner of a pool."""
 
-from basilwind.api.asgi import HttpResponse, json_response, read_request, send_response
+import traceback
+
+from basilwind.api.asgi import (
+    ClientDisconnected,
+    HttpResponse,
+    json_response,
+    read_request,
+    send_response,
+)
+from basilwind.checked_json import decode_json
 from basilwind.entry.peer_messages import (
     HANDOVER_PATH,
     HOST_PATH,
@@ -15,7 +24,6 @@
     WithholdRequest,
 )
 from basilwind.errors import NotOwner, NotStarted, RequestInvalid
-from basilwind.platform.transport import decode_json
 
 NOT_OWNER = 421
 
@@ -45,6 +53,15 @@
             response = HttpResponse(503, str(error).encode(), "text/plain")
         except RequestInvalid as error:
             response = HttpResponse(400, str(error).encode(), "text/plain")
+        except ClientDisconnected:
+            return
+        except Exception as error:
+            self._services.report(
+                "peer request failed",
+                path=scope["path"],
+                error="".join(traceback.format_exception(error)),
+            )
+            response = HttpResponse(500)
         await send_response(send, response)
 
     async def _route(self, request):
@@ -55,7 +72,8 @@
             return self._describe_daemon()
         if request.path == HANDOVER_PATH:
             return self._hand_over_planning(request.body)
-        kind, pool, *rest = request.path.strip("/").split("/")
+        kind, _, path = request.path.strip("/").partition("/")
+        pool, *rest = path.split("/")
         if kind == "intake":
             return await self._store_record(pool, request.body)
         owner = self._find_owner(pool)
--- a/basilwind/entry/peer_client.py
+++ b/basilwind/entry/peer_client.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from basilwind.checked_json import decode_json
 from basilwind.entry.peer_app import queue_response
 from basilwind.entry.peer_messages import (
     HANDOVER_PATH,
@@ -22,9 +23,9 @@
     NotOwner,
     NotStarted,
     OutcomeUnknown,
+    PeerError,
 )
 from basilwind.logs import log
-from basilwind.platform.transport import decode_json
 from basilwind.scheduling.demand import PoolReport
 
 CALL_TIMEOUT_S = 1.0  # a third of the callers' deadline of 3 s
@@ -199,13 +200,13 @@
                 method, f"http://{claim.address}{path}", PLANNER_TIMEOUT_S, body
             )
             if status == 200:
-                return msgspec.json.decode(answer, type=kind)
+                return decode_json(answer, kind, path, PeerError)
             log(
                 "unexpected response from duty holder",
                 holder=claim.holder,
                 status=status,
             )
-        except (CallRefused, CallUnanswered, msgspec.DecodeError) as error:
+        except (CallRefused, CallUnanswered, PeerError) as error:
             log("duty holder did not respond", holder=claim.holder, error=str(error))
         return None
 
--- a/basilwind/entry/peer_messages.py
+++ b/basilwind/entry/peer_messages.py
@@ -3,14 +3,20 @@
 The field names are part of the messages.
 """
 
+from typing import Annotated
+
 import msgspec
 
+from basilwind.checked_json import Count, Duration, Name
 from basilwind.scheduling.jobs import JobState
 
 HOST_PATH = "/host"
 HANDOVER_PATH = "/planner/handover"
 TAKEOVER_PATH = "/takeover"
 
+JobId = Annotated[str, msgspec.Meta(pattern=r"^[0-9A-Fa-f]{16}\Z")]
+IntakeKey = Annotated[str, msgspec.Meta(pattern=r"^!?[0-9A-Fa-f]{16}\Z")]
+
 
 class JobResponse(msgspec.Struct):
     """State of a job; ``state`` is None if the owner has no such job."""
@@ -26,8 +32,8 @@
         refuse_for_s: For how many seconds new jobs are refused; 0 to accept them.
     """
 
-    waiting: int
-    refuse_for_s: float = 0.0
+    waiting: Count
+    refuse_for_s: Duration = 0.0
 
 
 class DeclineRequest(msgspec.Struct):
@@ -39,9 +45,9 @@
         target: Name of the other pool.
     """
 
-    job_id: str
-    version: int
-    target: str
+    job_id: JobId
+    version: Count
+    target: Name
 
 
 class DaemonResponse(msgspec.Struct):
@@ -56,9 +62,9 @@
     """
 
     incarnation: str
-    store_silence_s: float
+    store_silence_s: Duration
     was_store_silent: bool = True
-    takeover_age_s: float | None = None
+    takeover_age_s: Duration | None = None
 
 
 class RelayedRecord(msgspec.Struct):
@@ -71,7 +77,7 @@
     """
 
     queue: str
-    key: str
+    key: IntakeKey
     value: bytes
 
 
@@ -85,7 +91,7 @@
     """
 
     worker_ids: list[str]
-    token: int
+    token: Count
     at_risk: list[str] = []
 
 
@@ -97,8 +103,8 @@
         lease_s: Time between orders of two planners for one host, seconds.
     """
 
-    token: int
-    lease_s: float
+    token: Count
+    lease_s: Duration
 
 
 class HandoverResponse(msgspec.Struct):
@@ -110,4 +116,4 @@
     """
 
     incarnation: str
-    ages_s: dict[str, float]
+    ages_s: dict[str, Duration]
--- a/basilwind/entry/planner.py
+++ b/basilwind/entry/planner.py
@@ -3,6 +3,7 @@
 import anyio
 import msgspec
 
+from basilwind.checked_json import Count, decode_json
 from basilwind.entry.fenced_topic import FencedTopic
 from basilwind.entry.follower import PLATFORM_RETRY_S
 from basilwind.entry.maintenance_log import MaintenanceLog
@@ -12,6 +13,7 @@
     NotOwner,
     PlatformUnavailable,
     ProducerFenced,
+    RecordInvalid,
     StoreRefused,
     StoreUnanswered,
 )
@@ -129,15 +131,16 @@
         records, _ = await read_latest_records(self._store, TOPIC)
         for record in records:
             try:
-                host_names, is_completed = msgspec.json.decode(
-                    record.value, type=tuple[list[str], bool]
+                number = msgspec.convert(record.key, Count, strict=False)
+                host_names, is_completed = decode_json(
+                    record.value, tuple[list[str], bool], "wave", RecordInvalid
                 )
-            except msgspec.DecodeError as error:
+            except (msgspec.ValidationError, RecordInvalid) as error:
                 log("invalid record ignored", topic=TOPIC, error=str(error))
                 continue
-            self._accepted_hosts[int(record.key)] = set(host_names)
+            self._accepted_hosts[number] = set(host_names)
             if is_completed:
-                self._completed.add(int(record.key))
+                self._completed.add(number)
         accepted = set().union(*self._accepted_hosts.values())
         ages_s = await self._maintenance_log.read_ages_s()
         for host, age_s in ages_s.items():
--- a/basilwind/entry/registry.py
+++ b/basilwind/entry/registry.py
@@ -6,6 +6,7 @@
 from basilwind.platform.documents import WORKERS_TOPIC, decode_worker
 
 POLL_INTERVAL_S = 0.12  # owners wait for the worker of a newly arrived host
+MAX_IGNORED = 1000  # ids of workers with invalid entries to remember
 REAPPEAR_S = 2.5  # entries that expired in an outage are back 2 s after it ends
 
 
@@ -22,6 +23,8 @@
     def __init__(self, store, clock, on_change, is_wanted):
         self._entries = {}
         self._missing = {}
+        # Ids of workers whose invalid entries have been logged.
+        self._ignored = set()
         self._clock = clock
         self._on_change = on_change
         self._follower = KeyedFollower(
@@ -74,12 +77,14 @@
             if not record.value:
                 has_changed |= record.key in self._entries
                 self._remove(record.key)
+                self._ignored.discard(record.key)
                 continue
             try:
                 entry = decode_worker(record.key, record.value)
             except RecordInvalid as error:
-                log("invalid record ignored", topic=WORKERS_TOPIC, error=str(error))
+                self._ignore(record.key, error)
                 continue
+            self._ignored.discard(record.key)
             self._missing.pop(record.key, None)
             if self._entries.get(record.key) != entry:
                 self._entries[record.key] = entry
@@ -87,6 +92,16 @@
         if has_changed:
             self._on_change()
 
+    def _ignore(self, worker_id, error):
+        """Logs the first of a worker's invalid entries in a row.
+
+        Its last valid entry stays in force until the registry drops the worker: an
+        entry of another writer says nothing of the worker.
+        """
+        if worker_id not in self._ignored and len(self._ignored) < MAX_IGNORED:
+            self._ignored.add(worker_id)
+            log("invalid record ignored", topic=WORKERS_TOPIC, error=str(error))
+
     def _remove(self, worker_id):
         """Removes an entry; after a recent read failure it first counts as missing."""
         failed_at, now = self._follower.failed_at, self._clock()
--- a/basilwind/entry/route_history.py
+++ b/basilwind/entry/route_history.py
@@ -10,8 +10,9 @@
 
 import msgspec
 
+from basilwind.checked_json import Name, decode_json
 from basilwind.entry.follower import KeyedFollower
-from basilwind.errors import NotStarted, PlatformError
+from basilwind.errors import NotStarted, PlatformError, RecordInvalid
 from basilwind.logs import log
 from basilwind.platform.store import encode_keyed_record
 
@@ -23,8 +24,8 @@
 class _RouteRecord(msgspec.Struct, array_like=True, frozen=True):
     host_header: str
     path_prefix: str
-    pool: str
-    queue: str
+    pool: Name
+    queue: Name
 
 
 @dataclass(frozen=True, slots=True)
@@ -117,8 +118,8 @@
     def _apply(self, records):
         for record in records:
             try:
-                route = msgspec.json.decode(record.value, type=_RouteRecord)
-            except msgspec.DecodeError as error:
+                route = decode_json(record.value, _RouteRecord, "route", RecordInvalid)
+            except RecordInvalid as error:
                 log("invalid record ignored", topic=TOPIC, error=str(error))
                 continue
             self._add(route)
--- a/basilwind/entry/takeover.py
+++ b/basilwind/entry/takeover.py
@@ -1,12 +1,11 @@
 """Restores a pool's jobs after a change of owner."""
 
 import anyio
-import msgspec
 
 from basilwind.entry.follower import PLATFORM_RETRY_S
 from basilwind.entry.intake import cancelled_job_id, decode_submitted_job, intake_topic
 from basilwind.entry.journal import DECLINE_PREFIX, journal_topic
-from basilwind.errors import PlatformError
+from basilwind.errors import PlatformError, RecordInvalid
 from basilwind.logs import log
 from basilwind.scheduling.records import (
     decode_decline,
@@ -80,7 +79,7 @@
             continue
         try:
             state.declined[key[len(DECLINE_PREFIX) :]] = decode_decline(value)
-        except msgspec.DecodeError as error:
+        except RecordInvalid as error:
             report("job record damaged", job=key, error=str(error))
     state.drop_declines(wall_time)
 
@@ -88,5 +87,5 @@
 def _apply_job_record(job, job_record, now, report):
     try:
         restore_job(job, decode_job_record(job_record), now)
-    except (msgspec.DecodeError, KeyError, IndexError) as error:
+    except (RecordInvalid, KeyError, IndexError) as error:
         report("job record damaged", job=job.job_id, error=str(error))
--- a/basilwind/journal/entries.py
+++ b/basilwind/journal/entries.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from basilwind.checked_json import decode_json
 from basilwind.errors import RecordInvalid
 from basilwind.models import OutcomeKind, Reason
 
@@ -154,19 +155,13 @@
     entries: list[Entry]
 
 
-_decoder = msgspec.json.Decoder(Batch)
-
-
 def decode_batch(data):
     """Parses a journal record.
 
     Raises:
         RecordInvalid: The record is not a batch of entries.
     """
-    try:
-        return _decoder.decode(data)
-    except (msgspec.DecodeError, RecursionError) as error:
-        raise RecordInvalid(f"not a journal batch: {error}") from error
+    return decode_json(data, Batch, "journal batch", RecordInvalid)
 
 
 def encode_batch(batch):
--- a/basilwind/platform/advice.py
+++ b/basilwind/platform/advice.py
@@ -4,8 +4,9 @@
 
 import msgspec
 
+from basilwind.checked_json import Duration, decode_json
 from basilwind.errors import PlatformUnavailable
-from basilwind.platform.transport import JSON_HEADERS, decode_json, require_ok
+from basilwind.platform.transport import JSON_HEADERS, require_ok
 
 MAX_WORKERS = 100
 # A decision takes up to 1 s, and the service handles one call of a daemon at a time.
@@ -28,7 +29,7 @@
 
 class _Answer(msgspec.Struct, rename="camel"):
     good: list[tuple[str, str]]
-    validity_ms: float = 0
+    validity_ms: Duration = 0
 
 
 class AdviceClient:
--- a/basilwind/platform/client.py
+++ b/basilwind/platform/client.py
@@ -7,6 +7,7 @@
 import httpcore
 import msgspec
 
+from basilwind.checked_json import decode_json
 from basilwind.errors import PlatformUnavailable, RetentionGap
 
 APPEND_TIMEOUT_S = 2.0
@@ -160,7 +161,4 @@
 
 
 def _decode(body, model):
-    try:
-        return msgspec.json.decode(body, type=model)
-    except msgspec.DecodeError as error:
-        raise PlatformUnavailable(f"cannot decode platform answer: {error}") from error
+    return decode_json(body, model, "answer of the platform", PlatformUnavailable)
--- a/basilwind/platform/documents.py
+++ b/basilwind/platform/documents.py
@@ -5,6 +5,18 @@
 
 import msgspec
 
+from basilwind.checked_json import (
+    Count,
+    Duration,
+    Integer,
+    Name,
+    Number,
+    OptionalName,
+    Size,
+    check_address,
+    check_name,
+    decode_json,
+)
 from basilwind.errors import RecordInvalid
 from basilwind.scheduling.fleet import (
     Configuration,
@@ -20,74 +32,68 @@
 STATUS_TOPIC = "keyed.status"
 CONFIGURATION_KEY = "config"
 WAVE_KEY_PREFIX = "wave/"
+MAX_STATE_LENGTH = 40  # of an unknown state in a log line
 
 
 class _Route(msgspec.Struct, rename="camel"):
-    name: str
+    name: Name
     host: str
     path_prefix: str
-    service: str
-    timeout_ms: float = 3000
-    target_duration_ms: float = 0
-    priority: int = 0
-    attempts: int = 1
-    stretch: float = 1.0
+    service: Name
+    timeout_ms: Duration = 3000
+    target_duration_ms: Duration = 0
+    priority: Integer = 0
+    attempts: Count = 1
+    stretch: Duration = 1.0
     advice: dict | None = None
 
 
 class _Service(msgspec.Struct, rename="camel"):
-    name: str
+    name: Name
     rejects_overload: bool = True
     spare: bool = False
     health_path: str = "/health"
-    max_conns: int = 64
+    max_conns: Count = 64
 
 
 class _RequestLimits(msgspec.Struct, rename="camel"):
-    max_header_bytes: int = 16384
-    max_body_bytes: int = 262144
-    header_timeout_ms: float = 3000
-    idle_timeout_ms: float = 15000
+    max_header_bytes: Count = 16384
+    max_body_bytes: Count = 262144
+    header_timeout_ms: Duration = 3000
+    idle_timeout_ms: Duration = 15000
 
 
 class _Configuration(msgspec.Struct):
-    version: int
+    version: Count
     routes: list[_Route]
     services: list[_Service]
     limits: _RequestLimits = msgspec.field(default_factory=_RequestLimits)
 
 
 class _Capacity(msgspec.Struct, rename="camel"):
-    cpu: int
-    mem_mb: int
-    gpu: int = 0
+    cpu: Size
+    mem_mb: Size
+    gpu: Size = 0
 
 
 class _Worker(msgspec.Struct, rename="camel"):
-    service: str
+    service: Name
     address: str
     zone: str
     state: str
     capacity: _Capacity
     labels: list[str] = []
-    born: int = 0
-    remaining_ms: float = 0
-    cold_left_ms: float = 0
-    machine: str = ""
+    born: Count = 0
+    remaining_ms: Number = 0
+    cold_left_ms: Number = 0
+    machine: OptionalName = ""
 
 
 class _Wave(msgspec.Struct, rename="camel"):
-    wave: int
-    machines: list[str]
-    deadline_s: float = msgspec.field(name="deadlineS")
-    maximum: int = 1
-
-
-def _decode(data, kind, what):
-    try:
-        return msgspec.json.decode(data, type=kind)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        raise RecordInvalid(f"{what}: {error}") from error
+    wave: Count
+    machines: list[Name]
+    deadline_s: Number = msgspec.field(name="deadlineS")
+    maximum: Integer = 1
 
 
 def decode_configuration(data):
@@ -102,7 +108,7 @@
     Raises:
         RecordInvalid: The record is not a valid configuration.
     """
-    document = _decode(data, _Configuration, "configuration")
+    document = decode_json(data, _Configuration, "configuration", RecordInvalid)
     queues = {
         route.name: Queue(
             name=route.name,
@@ -147,17 +153,15 @@
         A ``WorkerEntry``.
 
     Raises:
-        RecordInvalid: The entry does not parse, has an unknown state or a negative
-            capacity, or lacks an address.
+        RecordInvalid: The entry does not parse, has an unknown state, a field out of
+            range or no valid address, or its key is no name.
     """
-    entry = _decode(data, _Worker, f"entry of worker {worker_id!r}")
+    check_name(worker_id, "id of a worker", RecordInvalid)
+    what = f"entry of worker {worker_id!r}"
+    entry = decode_json(data, _Worker, what, RecordInvalid)
     if entry.state not in ("ready", "draining"):
-        raise RecordInvalid(f"entry of worker {worker_id!r}: state {entry.state!r}")
-    capacity = entry.capacity
-    if min(capacity.cpu, capacity.mem_mb, capacity.gpu) < 0:
-        raise RecordInvalid(f"entry of worker {worker_id!r}: capacity {capacity}")
-    if ":" not in entry.address:
-        raise RecordInvalid(f"entry of worker {worker_id!r}: address {entry.address!r}")
+        raise RecordInvalid(f"{what}: state {entry.state[:MAX_STATE_LENGTH]!r}")
+    check_address(entry.address, what, RecordInvalid)
     return WorkerEntry(
         worker_id=worker_id,
         pool=entry.service,
@@ -188,7 +192,7 @@
     Raises:
         RecordInvalid: The record is not a valid wave.
     """
-    wave = _decode(data, _Wave, "wave")
+    wave = decode_json(data, _Wave, "wave", RecordInvalid)
     return Wave(wave.wave, tuple(wave.machines), wave.deadline_s, max(1, wave.maximum))
 
 
--- a/basilwind/platform/entry_host_settings.py
+++ b/basilwind/platform/entry_host_settings.py
@@ -4,7 +4,15 @@
 
 import msgspec
 
-from basilwind.errors import SettingsError
+from basilwind.checked_json import (
+    Count,
+    Duration,
+    Name,
+    Port,
+    check_address,
+    decode_json,
+)
+from basilwind.errors import RecordInvalid, SettingsError
 
 
 class _Addresses(msgspec.Struct):
@@ -13,13 +21,13 @@
 
 
 class _Limits(msgspec.Struct, rename="camel"):
-    cpu_share: float = 1.0
-    cores: float = 1.0
+    cpu_share: Duration = 1.0
+    cores: Duration = 1.0
 
 
 class _Store(msgspec.Struct, rename="camel"):
     address: str
-    record_bytes: int = 262144
+    record_bytes: Count = 262144
 
 
 class _Machines(msgspec.Struct, rename="camel"):
@@ -27,21 +35,21 @@
 
 
 class _Bounds(msgspec.Struct, rename="camel"):
-    max_hold_ms: float = 10000
-    grace_s: float = 6
-    status_s: float = msgspec.field(name="status_s", default=120)
-    move_s: float = 1.5
-    maintenance_s: float = 2
+    max_hold_ms: Duration = 10000
+    grace_s: Duration = 6
+    status_s: Duration = msgspec.field(name="status_s", default=120)
+    move_s: Duration = 1.5
+    maintenance_s: Duration = 2
     # Applies to orders for machines. Leases of workers are bounded by max_hold_ms.
-    lease_ms: float = 3000
+    lease_ms: Duration = 3000
 
 
 class _Document(msgspec.Struct, rename="camel"):
-    node_name: str
+    node_name: Name
     ip: str
     zone: str
     listen_addrs: _Addresses
-    internal_ports: tuple[int, int]
+    internal_ports: tuple[Port, Port]
     platform: _Store
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     limits: _Limits = msgspec.field(default_factory=_Limits)
@@ -112,11 +120,13 @@
         The ``EntryHostSettings``.
 
     Raises:
-        SettingsError: The content does not parse, or a field is missing.
+        SettingsError: The content does not parse, or a field is missing or out of
+            range.
     """
     try:
-        document = msgspec.json.decode(data, type=_Document)
-    except msgspec.DecodeError as error:
+        document = decode_json(data, _Document, "settings", RecordInvalid)
+        _check_addresses(document)
+    except RecordInvalid as error:
         raise SettingsError(
             f"{error}; the platform writes this file, report it to its operators",
             file=file,
@@ -143,3 +153,15 @@
         maintenance_s=bounds.maintenance_s,
         machine_lease_s=bounds.lease_ms / 1000,
     )
+
+
+def _check_addresses(document):
+    """Raises ``RecordInvalid`` if an address is not IP:PORT."""
+    optional = (document.cloud_api.address, document.advice)
+    for address in (
+        document.listen_addrs.front,
+        document.listen_addrs.ready,
+        document.platform.address,
+        *(address for address in optional if address),
+    ):
+        check_address(address, "settings", RecordInvalid)
--- a/basilwind/platform/jobs.py
+++ b/basilwind/platform/jobs.py
@@ -1,7 +1,10 @@
 """Decoder of the jobs that callers submit."""
 
+from typing import Annotated
+
 import msgspec
 
+from basilwind.checked_json import Count, Duration, Number, Size, decode_json
 from basilwind.errors import RequestInvalid
 from basilwind.scheduling.specs import MAX_TASKS, JobSpec, StepSpec
 
@@ -9,39 +12,37 @@
 
 
 class _Step(msgspec.Struct, rename="camel"):
-    count: int = 1
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
-    estimate_ms: float = 0
-    after: list[int] = []
+    count: Annotated[int, msgspec.Meta(ge=1, le=MAX_TASKS)] = 1
+    cpu: Size = 0
+    mem_mb: Size = 0
+    gpu: Size = 0
+    estimate_ms: Duration = 0
+    after: list[Count] = []
     checkpointable: bool = False
     gang: bool = False
     same_rack: bool = False
     requires: str = ""
     data_rack: str = ""
-    anti_affinity: int = 0
+    anti_affinity: Count = 0
     allow_duplicates: bool = False
     long_running: bool = False
     image: str = ""
-    target_ms: float = 0
+    target_ms: Duration = 0
     fills: bool = False
-    may_miss: int = 0
+    may_miss: Count = 0
 
 
 class _Job(msgspec.Struct, rename="camel"):
     steps: list[_Step]
     spec: str = ""
-    repeat_count: int = 0
+    repeat_count: Count = 0
     # Unix time of the first occurrence, in milliseconds.
-    start_time_ms: float = 0
-    interval_ms: float = 0
+    start_time_ms: Number = 0
+    interval_ms: Duration = 0
 
 
 def _decode_step(number, step):
-    if step.count < 1 or min(step.cpu, step.mem_mb, step.gpu, step.may_miss) < 0:
-        raise RequestInvalid(f"steps[{number}]: count or sizes out of range")
-    if any(not 0 <= earlier < number for earlier in step.after):
+    if any(earlier >= number for earlier in step.after):
         raise RequestInvalid(f"steps[{number}]: 'after' must name earlier steps")
     return StepSpec(
         count=step.count,
@@ -77,10 +78,7 @@
     Raises:
         RequestInvalid: The body does not parse, or a value is not allowed.
     """
-    try:
-        job = msgspec.json.decode(data, type=_Job)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        raise RequestInvalid(f"job: {error}") from error
+    job = decode_json(data, _Job, "job", RequestInvalid)
     if not job.steps:
         raise RequestInvalid("job: 'steps' is empty; name at least one step")
     if len(job.spec.encode()) > MAX_SPEC_BYTES:
--- a/basilwind/platform/machines.py
+++ b/basilwind/platform/machines.py
@@ -6,8 +6,15 @@
 
 import msgspec
 
-from basilwind.errors import CallRefused, CallUnanswered, PlatformUnavailable
-from basilwind.platform.transport import JSON_HEADERS, decode_json, require_ok
+from basilwind.checked_json import Name, OptionalName, Size, decode_json
+from basilwind.errors import (
+    CallRefused,
+    CallUnanswered,
+    PlatformUnavailable,
+    RecordInvalid,
+)
+from basilwind.logs import log
+from basilwind.platform.transport import JSON_HEADERS, require_ok
 
 CALL_TIMEOUT_S = 2.0  # an answer takes a few ms, 50 times that on a slow platform
 
@@ -62,22 +69,26 @@
 
 
 class _Capacity(msgspec.Struct, rename="camel"):
-    cpu: int = 0
-    mem_mb: int = 0
+    cpu: Size = 0
+    mem_mb: Size = 0
 
 
-class _Machine(msgspec.Struct):
-    machine: str
+class _MachineName(msgspec.Struct):
+    machine: Name
+
+
+class _Machine(_MachineName):
     pool: str
     state: str
     zone: str = ""
     labels: list[str] = []
     capacity: _Capacity = msgspec.field(default_factory=_Capacity)
-    id: str | None = ""
+    id: OptionalName | None = ""
 
 
 class _Page(msgspec.Struct, rename="camel"):
-    machines: list[_Machine]
+    # Decoded one by one, so that a malformed entry costs only its machine.
+    machines: list[msgspec.Raw]
     next_token: str | None = None
 
 
@@ -118,7 +129,8 @@
                 "machine list",
             )
             page = decode_json(body, _Page, "machine list", PlatformUnavailable)
-            machines += [_decode_machine(entry) for entry in page.machines]
+            decoded = map(_decode_machine, page.machines)
+            machines += [machine for machine in decoded if machine is not None]
             if not page.next_token:
                 return machines
             if page.next_token == token:
@@ -183,7 +195,17 @@
         return OrderOutcome.INVALID if status == 400 else OrderOutcome.REJECTED
 
 
-def _decode_machine(entry):
+def _decode_machine(data):
+    """Returns the ``Machine`` of an entry of the list.
+
+    One with a malformed entry counts as down, so that it gets no orders. None stands
+    for an entry without a name.
+    """
+    try:
+        entry = decode_json(data, _Machine, "machine", RecordInvalid)
+    except RecordInvalid as error:
+        log("invalid machine ignored", error=str(error))
+        return _decode_damaged_machine(data)
     try:
         state = MachineState(entry.state)
     except ValueError:
@@ -201,6 +223,15 @@
     )
 
 
+def _decode_damaged_machine(data):
+    try:
+        entry = decode_json(data, _MachineName, "machine", RecordInvalid)
+    except RecordInvalid:
+        # The entry has been logged.
+        return None
+    return Machine(entry.machine, "", MachineState.DOWN, "", frozenset(), 0, 0, "")
+
+
 def _decode_refusal(answer, what):
     reason = decode_json(answer, _Refusal, what, CallUnanswered).reason
     try:
--- a/basilwind/platform/store.py
+++ b/basilwind/platform/store.py
@@ -12,16 +12,18 @@
 
 import msgspec
 
+from basilwind.checked_json import Count, decode_json
 from basilwind.errors import (
     CallRefused,
     CallUnanswered,
     ProducerFenced,
+    RecordInvalid,
     RetentionGap,
     StoreConflict,
     StoreRefused,
     StoreUnanswered,
 )
-from basilwind.platform.transport import decode_json
+from basilwind.logs import log
 
 APPEND_TIMEOUT_S = 0.8  # the slow store of the deployment files answers in 0.24 s
 PING_TIMEOUT_S = 0.5  # the slow store of the deployment files answers in 0.24 s
@@ -32,25 +34,30 @@
 
 
 class _AppendAnswer(msgspec.Struct):
-    offset: int = 0
-    end: int = 0
+    offset: Count = 0
+    end: Count = 0
     reason: str = ""
 
 
 class _LatestItem(msgspec.Struct):
     key: str
     value: str
-    offset: int
+    offset: Count
 
 
 class _LatestPage(msgspec.Struct, rename="camel"):
-    items: list[_LatestItem]
-    end: int
+    # Decoded one by one, so that a malformed record costs only itself.
+    items: list[msgspec.Raw]
+    end: Count
     has_more: bool = False
 
 
+class _ItemKey(msgspec.Struct):
+    key: str
+
+
 class _Expired(msgspec.Struct):
-    first: int = 0
+    first: Count = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -101,11 +108,14 @@
     )
 
 
-def _decode_latest(item):
+def _decode_latest(data, topic):
+    """Returns the ``KeyedRecord`` of an item, or None if it is malformed."""
     try:
+        item = decode_json(data, _LatestItem, f"record of {topic}", RecordInvalid)
         value = base64.b64decode(item.value, validate=True)
-    except binascii.Error as error:
-        raise StoreRefused(f"record {item.key!r} is not base64: {error}") from error
+    except (RecordInvalid, binascii.Error, ValueError) as error:
+        log("invalid record ignored", topic=topic, error=str(error))
+        return None
     return KeyedRecord(item.offset, item.key, value)
 
 
@@ -271,12 +281,18 @@
             )
             if follow_from is None:
                 follow_from = page.end
-            records += [_decode_latest(item) for item in page.items]
+            decoded = (_decode_latest(item, topic) for item in page.items)
+            records += [record for record in decoded if record is not None]
             if not page.has_more:
                 return records, follow_from
             if not page.items:
                 raise StoreRefused(f"latest records of topic {topic}: an empty page")
-            after = page.items[-1].key
+            last = decode_json(
+                page.items[-1], _ItemKey, f"last record of {topic}", StoreRefused
+            )
+            if last.key == after:
+                raise StoreRefused(f"topic {topic}: a page refers to itself")
+            after = last.key
 
     async def _call(self, name, method, path, timeout_s, body=None):
         sent_at = self._clock()
--- a/basilwind/platform/transport.py
+++ b/basilwind/platform/transport.py
@@ -2,7 +2,6 @@
 
 import aiohttp
 import anyio
-import msgspec
 
 from basilwind.errors import (
     CallRefused,
@@ -20,24 +19,6 @@
 JSON_HEADERS = {"Content-Type": "application/json"}
 
 
-def decode_json(body, kind, what, error):
-    """Decodes a JSON body that another process sent.
-
-    Args:
-        body: The body, bytes.
-        kind: Type to decode to.
-        what: What the body belongs to, for error messages.
-        error: Exception class that tells the caller what a malformed body means.
-
-    Raises:
-        BasilwindError: The body does not parse; an instance of ``error``.
-    """
-    try:
-        return msgspec.json.decode(body, type=kind)
-    except (msgspec.DecodeError, UnicodeDecodeError) as cause:
-        raise error(f"{what}: malformed body: {cause}") from cause
-
-
 async def require_ok(call, what):
     """Returns the body of an answer that must have the status 200.
 
--- a/basilwind/platform/workers.py
+++ b/basilwind/platform/workers.py
@@ -2,6 +2,13 @@
 
 import msgspec
 
+from basilwind.checked_json import (
+    MAX_INTEGER,
+    MAX_NUMBER,
+    Count,
+    Number,
+    decode_json,
+)
 from basilwind.errors import (
     CallRefused,
     CallUnanswered,
@@ -9,7 +16,7 @@
     WorkerCallFailed,
     WorkerReplaced,
 )
-from basilwind.platform.transport import JSON_HEADERS, decode_json
+from basilwind.platform.transport import JSON_HEADERS
 from basilwind.scheduling.reports import (
     EndedRun,
     EndKind,
@@ -25,6 +32,7 @@
 HOLD_MARGIN_S = 0.7  # added to the wait of a hold, for the answer over a slow link
 PACE_TIMEOUT_S = 1.0  # as for a start
 MAX_LISTED_ENDS = 500  # in one answer to a hold
+MAX_ROW_LENGTH = 120  # characters of a malformed row in a log line
 
 
 _END_KINDS = {
@@ -45,17 +53,17 @@
 
 
 class _StartAnswer(msgspec.Struct, rename="camel"):
-    clock_ms: float = 0
+    clock_ms: Number = 0
     reason: str = ""
 
 
 class _HoldAnswer(msgspec.Struct, rename="camel"):
-    clock_ms: float
+    clock_ms: Number
     # Rows of task, run, checkpoint, percent and load.
     running: list[list] = []
     # Rows of sequence number, task, run, kind and checkpoint.
     ended: list[list] = []
-    born: int = 0
+    born: Count = 0
 
 
 def _decode_running(row):
@@ -63,7 +71,7 @@
     return ReportedRun(
         task_name=row[0],
         run=row[1],
-        checkpoint=_optional_field(row, 2, str, ""),
+        checkpoint=_optional_field(row, 2, (str,), ""),
         progress_percent=_optional_field(row, 3, (int, float), 100),
         load=_optional_field(row, 4, (int, float), -1),
     )
@@ -72,25 +80,28 @@
 def _decode_ended(row):
     _check_types(row, int, str, int, str)
     kind = _END_KINDS.get(row[3], EndKind.FAILED)
-    return EndedRun(row[0], row[1], row[2], kind, _optional_field(row, 4, str, ""))
+    return EndedRun(row[0], row[1], row[2], kind, _optional_field(row, 4, (str,), ""))
 
 
 def _check_types(row, *kinds):
     """Checks the first fields of a row.
 
     Raises:
-        TypeError: A field has another type than expected.
+        TypeError: A field has another type than expected, or is out of range.
         IndexError: A field is missing.
     """
     for index, kind in enumerate(kinds):
-        if not isinstance(row[index], kind):
-            raise TypeError(f"{row[index]!r} in {row!r}")
+        value = row[index]
+        if type(value) is not kind or (kind is int and not 0 <= value <= MAX_INTEGER):
+            raise TypeError(f"field {index} of {str(row)[:MAX_ROW_LENGTH]}")
 
 
 def _optional_field(row, index, kind, default):
-    """Returns a field of a row, or ``default`` if it is missing or of another type."""
-    is_given = len(row) > index and isinstance(row[index], kind)
-    return row[index] if is_given else default
+    """Returns a field of a row, or ``default`` if it is missing or odd."""
+    value = row[index] if len(row) > index else None
+    if type(value) not in kind or (str not in kind and abs(value) > MAX_NUMBER):
+        return default
+    return value
 
 
 class WorkerControlClient:
--- a/basilwind/scheduling/demand.py
+++ b/basilwind/scheduling/demand.py
@@ -10,6 +10,8 @@
 
 import msgspec
 
+from basilwind.checked_json import Count, Duration
+
 RATE_AVERAGING_S = 0.5  # long enough to distinguish a burst from single jobs
 BURST_RISE_S = 2.0  # from the start of a burst until the backlog tells its size
 BURST_CONFIRM_S = 1.0  # two simultaneous jobs look like a burst for 0.9 s
@@ -27,9 +29,9 @@
     """
 
     worker_id: str
-    cpu: int
-    tasks: int
-    long_running: int
+    cpu: Count
+    tasks: Count
+    long_running: Count
     is_withheld: bool = False
 
 
@@ -58,15 +60,15 @@
 
     pool: str
     workers: list[WorkerLoad]
-    urgent_work: float
-    late_work: float
-    urgent_cpu: int
-    late_cpu: int
-    lasting_cpu: int
-    lasting_memory: int
-    lasting_waiting: int
-    arrived: float
-    arrived_jobs: int
+    urgent_work: Duration
+    late_work: Duration
+    urgent_cpu: Count
+    late_cpu: Count
+    lasting_cpu: Count
+    lasting_memory: Count
+    lasting_waiting: Count
+    arrived: Duration
+    arrived_jobs: Count
 
 
 @dataclass
--- a/basilwind/scheduling/fleet.py
+++ b/basilwind/scheduling/fleet.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from basilwind.checked_json import Count, Duration, Integer
+
 
 @dataclass(frozen=True)
 class Queue:
@@ -24,11 +26,11 @@
     host_header: str
     path_prefix: str
     pool: str
-    timeout_s: float
-    target_s: float
-    stretch: float
-    priority: int
-    attempts: int
+    timeout_s: Duration
+    target_s: Duration
+    stretch: Duration
+    priority: Integer
+    attempts: Count
     has_placement_policy: bool
 
 
--- a/basilwind/scheduling/records.py
+++ b/basilwind/scheduling/records.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from basilwind.checked_json import Count, Name, Number, decode_json
+from basilwind.errors import RecordInvalid
 from basilwind.scheduling.fleet import Queue
 from basilwind.scheduling.jobs import JobState, TaskState
 from basilwind.scheduling.specs import JobSpec
@@ -22,14 +24,14 @@
         checkpoint: Newest checkpoint; empty if there is none.
     """
 
-    occurrence: int
-    step: int
-    index: int
-    run: int
+    occurrence: Count
+    step: Count
+    index: Count
+    run: Count
     is_done: bool = False
     worker_id: str = ""
-    token: int = 0
-    failures: int = 0
+    token: Count = 0
+    failures: Count = 0
     checkpoint: str = ""
 
 
@@ -45,11 +47,11 @@
         is_suspect: Whether its next run has to outlive a probation.
     """
 
-    occurrence: int
-    step: int
-    index: int
-    crashes: int
-    isolated_crashes: int
+    occurrence: Count
+    step: Count
+    index: Count
+    crashes: Count
+    isolated_crashes: Count
     is_suspect: bool
 
 
@@ -65,7 +67,7 @@
 
     state: str
     tasks: list[TaskRecord] = []
-    done_occurrences: list[int] = []
+    done_occurrences: list[Count] = []
     crashes: list[CrashRecord] = []
 
 
@@ -84,10 +86,10 @@
     """
 
     queue: str
-    accepted_at: float
+    accepted_at: Number
     spec: JobSpec
     accepted_queue: Queue | None = None
-    version: int = 0
+    version: Count = 0
 
 
 class DeclineRecord(msgspec.Struct, array_like=True):
@@ -99,14 +101,9 @@
         declined_at: Unix time in seconds.
     """
 
-    version: int
-    target: str
-    declined_at: float
-
-
-_JOB_RECORDS = msgspec.json.Decoder(JobRecord)
-_SUBMISSIONS = msgspec.json.Decoder(SubmissionRecord)
-_DECLINES = msgspec.json.Decoder(DeclineRecord)
+    version: Count
+    target: Name
+    declined_at: Number
 
 
 def encode_job(job):
@@ -152,11 +149,11 @@
     """Decodes the journal's record of a job.
 
     Raises:
-        msgspec.DecodeError: The record does not parse, or its state is unknown.
+        RecordInvalid: The record does not parse, or its state is unknown.
     """
-    record = _JOB_RECORDS.decode(data)
+    record = decode_json(data, JobRecord, "job record", RecordInvalid)
     if record.state not in {state.value for state in JobState}:
-        raise msgspec.ValidationError(f"unknown state {record.state!r}")
+        raise RecordInvalid("job record: unknown state")
     return record
 
 
@@ -164,11 +161,11 @@
     """Decodes a stored submission.
 
     Raises:
-        msgspec.DecodeError: The record does not parse, or its job is not valid.
+        RecordInvalid: The record does not parse, or its job is not valid.
     """
-    submission = _SUBMISSIONS.decode(data)
+    submission = decode_json(data, SubmissionRecord, "submission", RecordInvalid)
     if not submission.spec.is_valid:
-        raise msgspec.ValidationError("the job's steps are not valid")
+        raise RecordInvalid("submission: the job's steps are not valid")
     return submission
 
 
@@ -176,9 +173,9 @@
     """Decodes the journal's record of a declined job.
 
     Raises:
-        msgspec.DecodeError: The record does not parse.
+        RecordInvalid: The record does not parse.
     """
-    return _DECLINES.decode(data)
+    return decode_json(data, DeclineRecord, "declined job", RecordInvalid)
 
 
 def restore_job(job, record, now):
--- a/basilwind/scheduling/specs.py
+++ b/basilwind/scheduling/specs.py
@@ -1,7 +1,11 @@
 """Specifications of jobs and steps, as callers submit them."""
 
+from typing import Annotated
+
 import msgspec
 
+from basilwind.checked_json import Count, Duration, Number, Size
+
 MAX_TASKS = 10_000  # of one occurrence of a job; takes 3 MB of the owner's memory
 
 
@@ -35,24 +39,24 @@
         may_miss: Maximum number of tasks that may be interrupted at the same time.
     """
 
-    count: int
-    cpu: int
-    memory: int
-    gpu: int = 0
-    estimate_s: float = 0.0
-    after: tuple[int, ...] = ()
+    count: Annotated[int, msgspec.Meta(ge=1, le=MAX_TASKS)]
+    cpu: Size
+    memory: Size
+    gpu: Size = 0
+    estimate_s: Duration = 0.0
+    after: tuple[Count, ...] = ()
     is_checkpointable: bool = False
     is_gang: bool = False
     needs_one_rack: bool = False
     required_label: str = ""
     data_rack: str = ""
-    most_per_worker: int = 0
+    most_per_worker: Count = 0
     allows_copies: bool = False
     is_lasting: bool = False
     image: str = ""
-    tail_target_ms: float = 0.0
+    tail_target_ms: Duration = 0.0
     is_filler: bool = False
-    may_miss: int = 0
+    may_miss: Count = 0
 
     @property
     def reserved_cpu(self):
@@ -76,10 +80,10 @@
 
     text: str
     steps: tuple[StepSpec, ...]
-    occurrences: int = 1
+    occurrences: Count = 1
     is_timed: bool = False
-    first_due_s: float = 0.0
-    interval_s: float = 0.0
+    first_due_s: Number = 0.0
+    interval_s: Duration = 0.0
 
     @property
     def tasks_per_occurrence(self):
--- a/basilwind/workers/client.py
+++ b/basilwind/workers/client.py
@@ -7,6 +7,7 @@
 import httpcore
 import msgspec
 
+from basilwind.checked_json import decode_json
 from basilwind.errors import WorkerUnreachable
 from basilwind.workers.connections import WorkerConnections
 from basilwind.workers.results import (
@@ -267,7 +268,4 @@
 
 
 def _decode(content, model):
-    try:
-        return msgspec.json.decode(content, type=model)
-    except msgspec.DecodeError as error:
-        raise WorkerUnreachable(f"cannot decode worker answer: {error}") from error
+    return decode_json(content, model, "answer of a worker", WorkerUnreachable)
--- a/extras/entry_fleet.py
+++ b/extras/entry_fleet.py
@@ -102,6 +102,10 @@
         """Returns the status and decoded body of a response, or None without one."""
         return await self._fetch(method, self.ports[index], path, body)
 
+    async def call_raw(self, index, path, body):
+        """Sends a POST request with a body that need not be JSON; see ``call``."""
+        return await self._fetch("POST", self.ports[index], path, data=body)
+
     async def wait_until_answering(self, index):
         """Waits until a daemon answers its readiness check with any status."""
 
@@ -124,14 +128,18 @@
         answer = await self._fetch("GET", self.ports[index] + 1, "/ready")
         return answer is not None and answer[0] == 200
 
-    async def _fetch(self, method, port, path, body=None):
+    async def _fetch(self, method, port, path, body=None, data=None):
         url = f"http://127.0.0.1:{port}{path}"
         timeout = aiohttp.ClientTimeout(total=4.0)
         try:
             async with (
                 aiohttp.ClientSession(timeout=timeout) as session,
                 session.request(
-                    method, url, json=body, headers={"Host": "fleet.example"}
+                    method,
+                    url,
+                    json=body,
+                    data=data,
+                    headers={"Host": "fleet.example"},
                 ) as response,
             ):
                 text = await response.text()
--- a/tests/platform/test_jobs.py
+++ b/tests/platform/test_jobs.py
@@ -3,7 +3,7 @@
 
 import msgspec
 
-from basilwind.errors import RequestInvalid
+from basilwind.errors import RecordInvalid, RequestInvalid
 from basilwind.platform.jobs import decode_job
 from basilwind.scheduling.jobs import Job
 from basilwind.scheduling.records import (
@@ -34,11 +34,11 @@
             StepSpec(1, 100, 100, after=(5,)),
         ):
             record = SubmissionRecord("q", 0.0, JobSpec("", (step,)))
-            with self.subTest(step=step), self.assertRaises(msgspec.DecodeError):
+            with self.subTest(step=step), self.assertRaises(RecordInvalid):
                 decode_submission(msgspec.json.encode(record))
 
     def test_stored_job_with_an_unknown_state_is_rejected(self):
-        with self.assertRaises(msgspec.DecodeError):
+        with self.assertRaises(RecordInvalid):
             decode_job_record(b'["asleep"]')
 
     def test_due_occurrences_start_as_earlier_ones_end(self):
--- a/tests/processes/test_entry_host.py
+++ b/tests/processes/test_entry_host.py
@@ -120,6 +120,27 @@
 
         self._run(scenario)
 
+    def test_odd_entry_of_another_writer_stops_no_service(self):
+        # Regression (issue 31, operators' report): the registry of each daemon ended
+        # and started again over the entry for ever, and no job began.
+        async def scenario(fleet):
+            deep = b"[" * 100_000
+            large = b'{"service":"pool-a","state":"ready","address":"1.2.3.4:99999"}'
+            for key, value in (("odd", deep), ("large", large), ("a\nb", b"1")):
+                fleet.platform.store.write("keyed.servers", key, value)
+            fleet.processes[1].send_signal(signal.SIGKILL)
+            await fleet.start(1)
+            await fleet.wait_until_serving(1)
+            await fleet.submit("6" * 16, 0)
+            await fleet.submit("7" * 16, 1)
+            await fleet.wait_until_completed("6" * 16)
+            await fleet.wait_until_completed("7" * 16)
+            status, _ = await fleet.call_raw(0, "/a/" + "8" * 16, b'{"x":' + deep)
+            self.assertEqual(status, 400)
+            self.assertNotIn("service failed", fleet.log_tails(10_000))
+
+        self._run(scenario)
+
     def test_dropped_store_history_loses_no_jobs(self):
         async def scenario(fleet):
             await fleet.submit("4" * 16, 0, work_s=1.0)
