--- a/basilwind/entry/journal.py
+++ b/basilwind/entry/journal.py
@@ -8,12 +8,14 @@
 from basilwind.entry.intake import CANCEL_PREFIX
 from basilwind.errors import StoreRefused, StoreUnanswered
 from basilwind.platform.store import encode_keyed_record
-from basilwind.scheduling.records import encode_job
+from basilwind.scheduling.records import encode_job_records
 
 PRODUCER = "owner"  # shared by all owners, as fencing is per producer
 BATCH_DELAY_S = 0.02  # each call costs money; an append alone takes 10 ms
 RETRY_S = 0.15  # a busy store rejects calls for some tenths of a second
 DECLINE_PREFIX = "~"  # never the first character of a job id
+MAX_PARTS = 64  # further records of a job; its state takes up to 1 MB
+MAX_PART_SUFFIX_BYTES = 8
 MAX_CALL_BYTES = 1_000_000  # below the store's limit of 2 MB per call
 
 
@@ -29,15 +31,19 @@
         store: ``StoreClient``.
         state: ``PoolState`` whose changed (dirty) jobs are written.
         intake_topic: Topic from which submissions of dropped jobs are deleted.
+        max_record_bytes: Largest size of a record in the store.
     """
 
-    def __init__(self, store, state, intake_topic):
+    def __init__(self, store, state, intake_topic, max_record_bytes):
         self._store = store
         self._state = state
         self._topic = FencedTopic(
             store, journal_topic(state.name), PRODUCER, state.token, RETRY_S
         )
         self._intake_topic = intake_topic
+        self._max_record_bytes = max_record_bytes
+        # Number of further records of each job, if any.
+        self._parts = {}
         self._wake_event = AutoResetEvent()
         self._last_batch = 0
         self._last_written_batch = 0
@@ -86,29 +92,29 @@
             await self._write()
             await anyio.sleep(BATCH_DELAY_S)
 
+    def note_parts(self, job_id, parts):
+        """Notes how many further records the journal has of a restored job."""
+        self._parts[job_id] = parts
+
     async def _write(self):
         state = self._state
         job_ids, state.dirty = state.dirty, set()
         dropped, state.dropped = state.dropped, []
         self._last_batch += 1
-        records = [
-            encode_keyed_record(job_id, encode_job(state.jobs[job_id]))
-            for job_id in job_ids
-            if job_id in state.jobs
+        groups = [
+            self._encode_job(job_id) for job_id in job_ids if job_id in state.jobs
         ]
-        records += [
-            encode_keyed_record(
-                DECLINE_PREFIX + job_id, msgspec.json.encode(state.declined[job_id])
-            )
+        groups += [
+            [
+                encode_keyed_record(
+                    DECLINE_PREFIX + job_id, msgspec.json.encode(state.declined[job_id])
+                )
+            ]
             for job_id in job_ids
             if job_id in state.declined
         ]
-        records += [
-            encode_keyed_record(prefix + job_id, b"")
-            for job_id in dropped
-            for prefix in ("", DECLINE_PREFIX)
-        ]
-        for chunk in _split_by_size(records):
+        groups += [self._encode_deletions(job_id) for job_id in dropped]
+        for chunk in _split_by_size(groups):
             await self._topic.append(chunk)
         for job_id in job_ids:
             if job_id in state.jobs:
@@ -119,6 +125,26 @@
         if dropped:
             await self._delete_submissions(dropped)
 
+    def _encode_job(self, job_id):
+        """Returns the records of a job, which belong into one append."""
+        key_bytes = len(job_id) + MAX_PART_SUFFIX_BYTES
+        first, *parts = encode_job_records(
+            self._state.jobs[job_id], self._max_record_bytes - key_bytes - 1
+        )
+        previous = self._parts.get(job_id, 0)
+        self._parts[job_id] = len(parts)
+        parts += [b""] * (previous - len(parts))
+        return [encode_keyed_record(job_id, first)] + [
+            encode_keyed_record(part_key(job_id, number), part)
+            for number, part in enumerate(parts, 1)
+        ]
+
+    def _encode_deletions(self, job_id):
+        keys = [job_id, DECLINE_PREFIX + job_id]
+        parts = self._parts.pop(job_id, 0)
+        keys += [part_key(job_id, number) for number in range(1, parts + 1)]
+        return [encode_keyed_record(key, b"") for key in keys]
+
     async def _delete_submissions(self, job_ids):
         records = [
             encode_keyed_record(key, b"")
@@ -132,13 +158,20 @@
             return
 
 
-def _split_by_size(records):
+def part_key(job_id, number):
+    """Returns the key of a further record of a job."""
+    return f"{job_id}/{number}"
+
+
+def _split_by_size(groups):
+    """Joins groups of records to appends; a group is never split."""
     chunk, size = [], 0
-    for record in records:
-        if size + len(record) > MAX_CALL_BYTES and chunk:
+    for group in groups:
+        group_size = sum(map(len, group))
+        if size + group_size > MAX_CALL_BYTES and chunk:
             yield chunk
             chunk, size = [], 0
-        chunk.append(record)
-        size += len(record)
+        chunk += group
+        size += group_size
     if chunk:
         yield chunk
--- a/basilwind/entry/owner.py
+++ b/basilwind/entry/owner.py
@@ -67,7 +67,12 @@
             services.settings.finished_job_retention_s,
             self._report,
         )
-        self._journal = JobJournal(services.store, self._state, intake_topic(pool))
+        self._journal = JobJournal(
+            services.store,
+            self._state,
+            intake_topic(pool),
+            services.settings.store_record_bytes,
+        )
         self._lease_s = min(LEASE_S, services.settings.max_lease_s)
         self._schedule_event = AutoResetEvent()
         self._leases = WorkerLeaseRenewer(
@@ -187,6 +192,7 @@
             self._clock,
             self._wall_clock,
             self._report,
+            self._journal.note_parts,
         )
         self._to_forward = elsewhere
         now = self._clock()
@@ -334,7 +340,7 @@
                     self._tasks.start_soon(self._send_stop, stop)
             if orders:
                 self._tasks.start_soon(self._send_starts, orders)
-            if self._state.dirty:
+            if self._state.dirty or self._state.dropped:
                 self._journal.request_write()
 
     async def _send_starts(self, orders):
--- a/basilwind/entry/takeover.py
+++ b/basilwind/entry/takeover.py
@@ -4,7 +4,12 @@
 
 from basilwind.entry.follower import PLATFORM_RETRY_S
 from basilwind.entry.intake import cancelled_job_id, decode_submitted_job, intake_topic
-from basilwind.entry.journal import DECLINE_PREFIX, journal_topic
+from basilwind.entry.journal import (
+    DECLINE_PREFIX,
+    MAX_PARTS,
+    journal_topic,
+    part_key,
+)
 from basilwind.errors import PlatformError, RecordInvalid
 from basilwind.logs import log
 from basilwind.scheduling.records import (
@@ -13,6 +18,8 @@
     restore_job,
 )
 
+PART_NUMBERS = frozenset(str(number) for number in range(1, MAX_PARTS + 1))
+
 
 async def read_latest_records(store, topic):
     """Reads the newest record of each key, retrying until the read succeeds.
@@ -28,7 +35,9 @@
             await anyio.sleep(PLATFORM_RETRY_S)
 
 
-async def restore_jobs(state, store, remember_queue, clock, wall_clock, report):
+async def restore_jobs(
+    state, store, remember_queue, clock, wall_clock, report, note_parts
+):
     """Restores a pool's jobs from the journal and the intake.
 
     The journal's epoch must have been raised first, so that the previous owner
@@ -41,6 +50,8 @@
         clock: Returns boot time.
         wall_clock: Returns Unix time.
         report: Logs and counts an event.
+        note_parts: Called with the id of a job of which the journal has more than one
+            record, and the number of further ones.
 
     Returns:
         Offset from which to follow the intake, and the records of submissions that
@@ -51,6 +62,7 @@
         store, intake_topic(state.name)
     )
     job_records = {record.key: record.value for record in records if record.value}
+    _note_parts(job_records, note_parts)
     _restore_declines(state, job_records, wall_clock(), report)
     elsewhere = []
     for record in submissions:
@@ -64,7 +76,7 @@
         job_record = job_records.get(record.key)
         if job_record:
             job.is_recorded = True
-            _apply_job_record(job, job_record, clock(), report)
+            _apply_job_record(job, job_records, clock(), report)
         state.restore(job, wall_clock())
     for record in submissions:
         job_id = cancelled_job_id(record)
@@ -84,8 +96,22 @@
     state.drop_declines(wall_time)
 
 
-def _apply_job_record(job, job_record, now, report):
+def _note_parts(job_records, note_parts):
+    parts = {}
+    for key in job_records:
+        job_id, separator, number = key.partition("/")
+        if separator and number in PART_NUMBERS:
+            parts[job_id] = max(parts.get(job_id, 0), int(number))
+    for job_id, count in parts.items():
+        note_parts(job_id, count)
+
+
+def _apply_job_record(job, job_records, now, report):
+    parts = []
+    while part := job_records.get(part_key(job.job_id, len(parts) + 1)):
+        parts.append(part)
     try:
-        restore_job(job, decode_job_record(job_record), now)
+        record = decode_job_record(job_records[job.job_id], parts)
+        restore_job(job, record, now)
     except (RecordInvalid, KeyError, IndexError) as error:
         report("job record damaged", job=job.job_id, error=str(error))
--- a/basilwind/platform/workers.py
+++ b/basilwind/platform/workers.py
@@ -32,6 +32,7 @@
 HOLD_MARGIN_S = 0.7  # added to the wait of a hold, for the answer over a slow link
 PACE_TIMEOUT_S = 1.0  # as for a start
 MAX_LISTED_ENDS = 500  # in one answer to a hold
+MAX_CHECKPOINT_LENGTH = 200  # a checkpoint names a saved state, 16 digits
 MAX_ROW_LENGTH = 120  # characters of a malformed row in a log line
 
 
@@ -99,7 +100,10 @@
 def _optional_field(row, index, kind, default):
     """Returns a field of a row, or ``default`` if it is missing or odd."""
     value = row[index] if len(row) > index else None
-    if type(value) not in kind or (str not in kind and abs(value) > MAX_NUMBER):
+    if type(value) not in kind:
+        return default
+    limit = MAX_CHECKPOINT_LENGTH if str in kind else MAX_NUMBER
+    if (len(value) if str in kind else abs(value)) > limit:
         return default
     return value
 
--- a/basilwind/scheduling/jobs.py
+++ b/basilwind/scheduling/jobs.py
@@ -209,6 +209,38 @@
         return [task for task in self.tasks if task.state is TaskState.WAITING]
 
 
+class DoneOccurrences:
+    """The numbers of occurrences that are done.
+
+    Occurrences are done almost in order, so nearly all of them are counted.
+
+    Attributes:
+        first_open: Number of the first occurrence that is not done.
+        later: Numbers of later ones that are done.
+    """
+
+    __slots__ = ("first_open", "later")
+
+    def __init__(self, first_open=0, later=()):
+        self.first_open = first_open
+        self.later = set(later)
+
+    def __contains__(self, number):
+        return number < self.first_open or number in self.later
+
+    def __len__(self):
+        return self.first_open + len(self.later)
+
+    def add(self, number):
+        """Adds an occurrence that is done."""
+        if number < self.first_open:
+            return
+        self.later.add(number)
+        while self.first_open in self.later:
+            self.later.remove(self.first_open)
+            self.first_open += 1
+
+
 class Job:
     """A job that was accepted.
 
@@ -219,7 +251,7 @@
         accepted_at: Time of acceptance, Unix seconds.
         state: ``JobState``.
         occurrences: Steps of each started and unfinished occurrence, by its number.
-        done_occurrences: Numbers of occurrences that are done.
+        done_occurrences: ``DoneOccurrences``.
         next_occurrence: Number of the first occurrence that has not started.
         ended_at: Boot time at which it ended, or None.
         has_started: Whether any task was ever started.
@@ -252,7 +284,7 @@
         self.accepted_at = accepted_at
         self.state = JobState.PENDING
         self.occurrences = {}
-        self.done_occurrences = set()
+        self.done_occurrences = DoneOccurrences()
         self.next_occurrence = 0
         self.ended_at = None
         self.has_started = False
--- a/basilwind/scheduling/records.py
+++ b/basilwind/scheduling/records.py
@@ -5,9 +5,11 @@
 from basilwind.checked_json import Count, Name, Number, decode_json
 from basilwind.errors import RecordInvalid
 from basilwind.scheduling.fleet import Queue
-from basilwind.scheduling.jobs import JobState, TaskState
+from basilwind.scheduling.jobs import DoneOccurrences, JobState, TaskState
 from basilwind.scheduling.specs import JobSpec
 
+PART_OVERHEAD_BYTES = 16  # brackets around the entries of a part
+
 
 class TaskRecord(msgspec.Struct, array_like=True):
     """State of a task that has been started at least once.
@@ -61,14 +63,25 @@
     Attributes:
         state: A ``JobState`` value.
         tasks: Started tasks of occurrences that are not done.
-        done_occurrences: Numbers of occurrences that are done.
+        done_occurrences: Numbers of later occurrences that are done.
         crashes: Tasks under which workers have crashed.
+        first_open: Number of the first occurrence that is not done.
+        parts: Number of further records with tasks and crashes.
     """
 
     state: str
     tasks: list[TaskRecord] = []
     done_occurrences: list[Count] = []
     crashes: list[CrashRecord] = []
+    first_open: Count = 0
+    parts: Count = 0
+
+
+class JobPartRecord(msgspec.Struct, array_like=True):
+    """Tasks and crashes of a job whose state is too large for one record."""
+
+    tasks: list[TaskRecord] = []
+    crashes: list[CrashRecord] = []
 
 
 class SubmissionRecord(msgspec.Struct, array_like=True):
@@ -112,9 +125,42 @@
     Returns:
         Bytes.
     """
+    return msgspec.json.encode(_describe_job(job))
+
+
+def encode_job_records(job, max_bytes):
+    """Encodes a job for the journal in as many records as it takes.
+
+    Args:
+        job: ``Job``.
+        max_bytes: Largest size of a record.
+
+    Returns:
+        List of bytes; the first one is the ``JobRecord``, the others its parts.
+    """
+    record = _describe_job(job)
+    data = msgspec.json.encode(record)
+    if len(data) <= max_bytes:
+        return [data]
+    parts = [JobPartRecord()]
+    size = PART_OVERHEAD_BYTES
+    for entry in (*record.tasks, *record.crashes):
+        entry_size = len(msgspec.json.encode(entry)) + 1
+        if size + entry_size > max_bytes:
+            parts.append(JobPartRecord())
+            size = PART_OVERHEAD_BYTES
+        size += entry_size
+        is_task = isinstance(entry, TaskRecord)
+        (parts[-1].tasks if is_task else parts[-1].crashes).append(entry)
+    record.tasks, record.crashes, record.parts = [], [], len(parts)
+    return [msgspec.json.encode(entry) for entry in (record, *parts)]
+
+
+def _describe_job(job):
     record = JobRecord(job.state.value)
     if job.is_live:
-        record.done_occurrences = sorted(job.done_occurrences)
+        record.first_open = job.done_occurrences.first_open
+        record.done_occurrences = sorted(job.done_occurrences.later)
         record.tasks = [
             TaskRecord(
                 occurrence=task.step.occurrence,
@@ -142,11 +188,15 @@
             for task in job.tasks()
             if task.crashes and task.state is not TaskState.DONE
         ]
-    return msgspec.json.encode(record)
+    return record
 
 
-def decode_job_record(data):
-    """Decodes the journal's record of a job.
+def decode_job_record(data, parts=()):
+    """Decodes the journal's records of a job.
+
+    Args:
+        data: The first record.
+        parts: Its parts, in order.
 
     Raises:
         RecordInvalid: The record does not parse, or its state is unknown.
@@ -154,6 +204,12 @@
     record = decode_json(data, JobRecord, "job record", RecordInvalid)
     if record.state not in {state.value for state in JobState}:
         raise RecordInvalid("job record: unknown state")
+    if len(parts) != record.parts:
+        raise RecordInvalid(f"job record: {len(parts)} of {record.parts} parts")
+    for part_data in parts:
+        part = decode_json(part_data, JobPartRecord, "job record", RecordInvalid)
+        record.tasks += part.tasks
+        record.crashes += part.crashes
     return record
 
 
@@ -187,7 +243,9 @@
         now: Boot time in seconds.
     """
     job.state = JobState(record.state)
-    job.done_occurrences = set(record.done_occurrences)
+    job.done_occurrences = DoneOccurrences(record.first_open)
+    for number in record.done_occurrences:
+        job.done_occurrences.add(number)
     if job.state in (JobState.COMPLETED, JobState.FAILED, JobState.CANCELLED):
         job.ended_at = now
         job.has_started = True
--- a/tests/utils/entry_fakes.py
+++ b/tests/utils/entry_fakes.py
@@ -195,6 +195,7 @@
     )
     settings = types.SimpleNamespace(
         finished_job_retention_s=120.0,
+        store_record_bytes=262144,
         max_lease_s=10.0,
         move_s=1.5,
         maintenance_s=2.0,
