Delete a forgotten job's submission before its record

Cause: the record was deleted first, and the submission by one append without a retry. A submission without a record counts as a new job.

Change: the submission goes first, until the store has confirmed it, then the record. A record without a submission is deleted by the next owner.

--- a/basilwind/entry/journal.py
+++ b/basilwind/entry/journal.py
@@ -14,6 +14,7 @@
 BATCH_DELAY_S = 0.02  # each call costs money; an append alone takes 10 ms
 RETRY_S = 0.15  # a busy store rejects calls for some tenths of a second
 DECLINE_PREFIX = "~"  # never the first character of a job id
+FORGET_INTERVAL_S = 0.5
 MAX_PARTS = 64  # further records of a job; its state takes up to 1 MB
 MAX_PART_SUFFIX_BYTES = 8
 MAX_CALL_BYTES = 1_000_000  # below the store's limit of 2 MB per call
@@ -44,6 +45,8 @@
         self._max_record_bytes = max_record_bytes
         # Number of further records of each job, if any.
         self._parts = {}
+        # Ids of jobs whose submissions have been deleted.
+        self._forgotten = []
         self._wake_event = AutoResetEvent()
         self._last_batch = 0
         self._last_written_batch = 0
@@ -87,11 +90,27 @@
         """
         while True:
             await self._wake_event.wait()
-            if not self._state.dirty and not self._state.dropped:
+            if not self._state.dirty and not self._forgotten:
                 continue
             await self._write()
             await anyio.sleep(BATCH_DELAY_S)
 
+    async def run_forgetting(self):
+        """Deletes dropped jobs from the store until cancelled.
+
+        A submission without a record in the journal counts as a new job. The record is
+        therefore deleted only when the submission has certainly gone.
+        """
+        while True:
+            await anyio.sleep(FORGET_INTERVAL_S)
+            dropped, self._state.dropped = self._state.dropped, []
+            # A job that was declined may have come back meanwhile.
+            dropped = [job_id for job_id in dropped if job_id not in self._state.jobs]
+            if dropped:
+                await self._delete_submissions(dropped)
+                self._forgotten += dropped
+                self._wake_event.set()
+
     def note_parts(self, job_id, parts):
         """Notes how many further records the journal has of a restored job."""
         self._parts[job_id] = parts
@@ -99,7 +118,7 @@
     async def _write(self):
         state = self._state
         job_ids, state.dirty = state.dirty, set()
-        dropped, state.dropped = state.dropped, []
+        forgotten, self._forgotten = self._forgotten, []
         self._last_batch += 1
         groups = [
             self._encode_job(job_id) for job_id in job_ids if job_id in state.jobs
@@ -113,7 +132,11 @@
             for job_id in job_ids
             if job_id in state.declined
         ]
-        groups += [self._encode_deletions(job_id) for job_id in dropped]
+        groups += [
+            self._encode_deletions(job_id)
+            for job_id in forgotten
+            if job_id not in state.jobs
+        ]
         for chunk in _split_by_size(groups):
             await self._topic.append(chunk)
         for job_id in job_ids:
@@ -122,8 +145,6 @@
         self._last_written_batch = self._last_batch
         event, self._written_event = self._written_event, anyio.Event()
         event.set()
-        if dropped:
-            await self._delete_submissions(dropped)
 
     def _encode_job(self, job_id):
         """Returns the records of a job, which belong into one append."""
@@ -146,16 +167,21 @@
         return [encode_keyed_record(key, b"") for key in keys]
 
     async def _delete_submissions(self, job_ids):
-        records = [
-            encode_keyed_record(key, b"")
+        """Deletes submissions, repeating until the store has confirmed it."""
+        groups = [
+            [
+                encode_keyed_record(job_id, b""),
+                encode_keyed_record(CANCEL_PREFIX + job_id, b""),
+            ]
             for job_id in job_ids
-            for key in (job_id, CANCEL_PREFIX + job_id)
         ]
-        try:
-            await self._store.append(self._intake_topic, records)
-        except (StoreRefused, StoreUnanswered):
-            # The next owner deletes submissions that are left behind.
-            return
+        for chunk in _split_by_size(groups):
+            while True:
+                try:
+                    await self._store.append(self._intake_topic, chunk)
+                    break
+                except (StoreRefused, StoreUnanswered):
+                    await anyio.sleep(RETRY_S)
 
 
 def part_key(job_id, number):
--- a/basilwind/entry/owner.py
+++ b/basilwind/entry/owner.py
@@ -130,6 +130,7 @@
                 tasks.start_soon(self._forward, record)
             tasks.start_soon(self._rule_out_unrecorded_runs)
             tasks.start_soon(self._journal.run)
+            tasks.start_soon(self._journal.run_forgetting)
             tasks.start_soon(self._follow_intake)
             tasks.start_soon(self._schedule)
             tasks.start_soon(self._run_housekeeping)
@@ -340,7 +341,7 @@
                     self._tasks.start_soon(self._send_stop, stop)
             if orders:
                 self._tasks.start_soon(self._send_starts, orders)
-            if self._state.dirty or self._state.dropped:
+            if self._state.dirty:
                 self._journal.request_write()
 
     async def _send_starts(self, orders):
@@ -489,7 +490,7 @@
             self._state.drop_declines(self._wall_clock())
             for order in self._state.pace_orders(now):
                 self._tasks.start_soon(self._send_pace, order)
-            if self._state.dirty or self._state.dropped:
+            if self._state.dirty:
                 self._journal.request_write()
 
     def withhold(self, worker_ids, planner_token, at_risk=()):
--- a/basilwind/entry/takeover.py
+++ b/basilwind/entry/takeover.py
@@ -63,6 +63,7 @@
     )
     job_records = {record.key: record.value for record in records if record.value}
     _note_parts(job_records, note_parts)
+    _drop_forgotten(state, job_records, submissions)
     _restore_declines(state, job_records, wall_clock(), report)
     elsewhere = []
     for record in submissions:
@@ -106,6 +107,15 @@
         note_parts(job_id, count)
 
 
+def _drop_forgotten(state, job_records, submissions):
+    """Has records deleted whose submissions a previous owner has deleted."""
+    submitted = {record.key for record in submissions if record.value}
+    for key in job_records:
+        is_job = "/" not in key and not key.startswith(DECLINE_PREFIX)
+        if is_job and key not in submitted:
+            state.dropped.append(key)
+
+
 def _apply_job_record(job, job_records, now, report):
     parts = []
     while part := job_records.get(part_key(job.job_id, len(parts) + 1)):
--- a/tests/entry/test_journal.py
+++ b/tests/entry/test_journal.py
@@ -8,13 +8,14 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from basilwind.entry.intake import intake_topic
+from basilwind.entry.intake import cancellation_key, intake_topic
 from basilwind.entry.journal import journal_topic
 from basilwind.entry.owner import PoolOwner
 from basilwind.errors import StoreRefused, StoreUnanswered
 from basilwind.platform.store import KeyedRecord
-from basilwind.scheduling.jobs import DoneOccurrences, Job, TaskState
+from basilwind.scheduling.jobs import DoneOccurrences, Job, JobState, TaskState
 from basilwind.scheduling.records import (
+    JobRecord,
     SubmissionRecord,
     decode_job_record,
     encode_job,
@@ -135,6 +136,61 @@
 
         self._run(inspect)
 
+    def test_record_is_deleted_only_once_the_submission_has_certainly_gone(self):
+        # Regression (review, TWICE): the deletion of submissions got no answer and was
+        # done seconds later. The records had been deleted before, so a new owner took
+        # the submissions for new jobs.
+        async def scenario(owner):
+            self._submit(owner, JOB, make_job(count=1))
+            await anyio.sleep(SETTLE_S)
+            owner.state.cancel(JOB, self.clock())
+            owner.state.jobs[JOB].occurrences.clear()
+            await anyio.sleep(SETTLE_S)
+            self.store.lost_answers = 2
+            self.clock.now += 121.0
+            with anyio.move_on_after(5.0):
+                while JOB in self.store.newest(journal_topic("pool")):
+                    await anyio.sleep(0.05)
+
+        self._run(scenario)
+        deletions = [
+            topic for topic, records in self.store.appends if (JOB, b"") in records
+        ]
+        intake, journal = intake_topic("pool"), journal_topic("pool")
+        self.assertEqual(deletions, [intake] * 3 + [journal])
+        self.assertIn(
+            (cancellation_key(JOB), b""),
+            [record for _, records in self.store.appends for record in records],
+        )
+
+    def test_successor_between_the_two_deletions_runs_nothing_again(self):
+        submission = SubmissionRecord("q", 0.0, make_job(count=1), QUEUE)
+        record = msgspec.json.encode(JobRecord(JobState.COMPLETED.value))
+        self.store.latest = {
+            intake_topic("pool"): [
+                KeyedRecord(0, JOB, msgspec.json.encode(submission))
+            ],
+            journal_topic("pool"): [
+                KeyedRecord(0, JOB, record),
+                KeyedRecord(1, OTHER, record),
+            ],
+        }
+
+        async def scenario(owner):
+            await anyio.sleep(1.0)
+
+        self._run(scenario)
+        self.assertEqual(self.services.worker_control.starts, [])
+        # The record whose submission has gone is deleted.
+        deleted = [
+            key
+            for topic, records in self.store.appends
+            if topic == journal_topic("pool")
+            for key, value in records
+            if not value and "~" not in key
+        ]
+        self.assertEqual(deleted, [OTHER])
+
 
 class TestJobRecords(unittest.TestCase):
     def test_repeats_that_are_done_take_no_room(self):
