Let heartbeats not add up, and count running work once for admission

Found when reading the change as a newcomer: each start of a daemon left a heartbeat in the store for good, and daemons kept each of them. A daemon now deletes those of its previous incarnations and the oldest beyond 500, and announces itself every 10 minutes. The choice of a rack is split into steps. A submission without the queue that accepted it, of an earlier version, is passed on as well.

--- a/basilwind/entry/duties.py
+++ b/basilwind/entry/duties.py
@@ -26,6 +26,9 @@
 CLAIM_CHECK_S = 0.1  # a tenth of the time that changing a holder may take
 PAUSE_S = 0.6  # between two checks; a claim takes some ms, and 0.4 s on a slow store
 CLAIM_RETRY_S = 0.3  # store outages last seconds
+ANNOUNCE_INTERVAL_S = 600.0  # between heartbeats of a daemon without a duty
+MAX_DAEMONS = 500  # whose heartbeats are kept; several times as many as a fleet has
+MAX_DELETED_HEARTBEATS = 200  # in one append
 HEARTBEAT_POLL_S = 0.25  # limits reads, as all holders append heartbeats
 HEARTBEAT_WAIT_S = 0.6  # heartbeats arrive every 0.5 s; silence means a dead connection
 MAX_TOKEN_DIGITS = 15
@@ -77,6 +80,8 @@
         self._is_stopping = False
         # Offset of the newest heartbeat and ``Claim`` of each daemon, by host.
         self._daemons = {}
+        # Offset of the newest heartbeat of each incarnation.
+        self._heartbeat_offsets = {}
         self._follower = KeyedFollower(
             store, TOPIC, self._apply_records, self._apply_records, clock
         )
@@ -107,7 +112,7 @@
         return list(self._table.claims.values())
 
     def known_daemons(self):
-        """Returns a ``Claim`` of no duty for each other daemon that ever started."""
+        """Returns a ``Claim`` of no duty for each other daemon that is known."""
         return [
             claim
             for _, (_, claim) in sorted(self._daemons.items())
@@ -115,8 +120,11 @@
         ]
 
     def outage_witnesses(self, duty):
-        """Returns the claims of daemons that can have confirmed an outage of the store
-        to previous holders of a duty."""
+        """Returns the claims of daemons that can have confirmed an outage.
+
+        Args:
+            duty: Name of the duty to whose previous holders they can have confirmed it.
+        """
         return self._table.outage_witnesses(duty, self._clock())
 
     def previous_claim(self, duty):
@@ -179,22 +187,45 @@
         self._table.apply_answer(claim.holder, incarnation, store_silence_s, asked_at)
 
     async def send_heartbeats(self):
-        """Appends a first heartbeat, and more while this daemon holds any duty.
+        """Appends heartbeats while this daemon holds any duty, and now and then.
 
-        The first one tells the other daemons where this one can be reached.
+        The others tell the other daemons where this one can be reached.
         """
         value = msgspec.json.encode(_HeartbeatRecord(self._address, self._zone))
         record = encode_keyed_record(self._incarnation, value)
-        is_known = False
+        announced_at = None
         while True:
-            if self.held_tokens() or not is_known:
+            now = self._clock()
+            is_due = announced_at is None or now - announced_at > ANNOUNCE_INTERVAL_S
+            if self.held_tokens() or (is_due and self._heartbeats.position is not None):
+                outdated = self._outdated_heartbeats() if is_due else []
                 try:
-                    await self._store.append(HEARTBEATS_TOPIC, [record])
-                    is_known = True
+                    await self._store.append(
+                        HEARTBEATS_TOPIC,
+                        [record, *(encode_keyed_record(key, b"") for key in outdated)],
+                    )
+                    announced_at = now
                 except PlatformError as error:
                     log("heartbeat failed", error=str(error))
             await anyio.sleep(HEARTBEAT_S)
 
+    def _outdated_heartbeats(self):
+        """Returns keys of heartbeats to delete, as they would add up for ever.
+
+        Those are the keys of previous incarnations of this daemon, and the oldest ones
+        if there are more than any fleet has daemons.
+        """
+        host = self._incarnation.partition("#")[0]
+        keys = sorted(self._heartbeat_offsets, key=self._heartbeat_offsets.get)
+        surplus = max(0, len(keys) - MAX_DAEMONS)
+        outdated = [
+            key
+            for number, key in enumerate(keys)
+            if key != self._incarnation
+            and (number < surplus or key.partition("#")[0] == host)
+        ]
+        return outdated[:MAX_DELETED_HEARTBEATS]
+
     async def release_all(self, is_settled=lambda duty: True):
         """Releases all duties, so that other daemons claim them immediately.
 
@@ -302,8 +333,18 @@
     def _apply_heartbeats(self, records):
         now = self._clock()
         for record in records:
-            self._table.apply_heartbeat(record.key, now)
-            self._remember_daemon(record)
+            if record.value:
+                self._heartbeat_offsets[record.key] = record.offset
+                self._table.apply_heartbeat(record.key, now)
+                self._remember_daemon(record)
+            else:
+                self._heartbeat_offsets.pop(record.key, None)
+                self._forget_daemon(record.key)
+
+    def _forget_daemon(self, incarnation):
+        host = incarnation.partition("#")[0]
+        if host in self._daemons and self._daemons[host][1].holder == incarnation:
+            del self._daemons[host]
 
     def _remember_daemon(self, record):
         """Keeps the address of a daemon from the newest heartbeat of its host."""
--- a/basilwind/entry/owner.py
+++ b/basilwind/entry/owner.py
@@ -288,9 +288,13 @@
             if declined is None:
                 return
             submission.version = declined.version
+            queue = (
+                submission.accepted_queue
+                or self._services.configuration.find_queue(submission.queue)
+            )
             try:
-                if not await self._services.arbiter.is_in_other_pool(
-                    submission.accepted_queue,
+                if queue is None or not await self._services.arbiter.is_in_other_pool(
+                    queue,
                     declined.target,
                     record.key,
                     declined.version,
--- a/basilwind/scheduling/placement.py
+++ b/basilwind/scheduling/placement.py
@@ -102,44 +102,55 @@
     If none ever will, or not for a while, the tasks run on several racks: that takes
     them longer, while waiting might take for ever.
     """
-    used_racks = {
-        worker.entry.rack
-        for worker in workers
-        for task in worker.tasks.values()
-        if task.step is step
-    }
-    if len(used_racks) > 1:
-        return workers
     racks = {}
     for worker in workers:
         racks.setdefault(worker.entry.rack, []).append(worker)
-    if used_racks:
-        (rack,) = used_racks
-    else:
-        capacity = {
-            rack: sum(
-                count_fitting(
-                    step.spec, worker.free_cpu, worker.free_memory, worker.free_gpu
-                )
-                for worker in members
-                if may_run(step, worker)
-            )
-            for rack, members in racks.items()
-        }
-        fitting = [rack for rack, fits in capacity.items() if fits >= step.unfinished]
-        rack = min(fitting, key=lambda rack: (capacity[rack], rack), default=None)
-        if rack is not None:
-            return racks[rack]
+    used = {rack: members for rack, members in racks.items() if _runs_on(step, members)}
+    if len(used) > 1:
+        return workers
+    if not used:
+        fitting = _tightest_rack(step, racks)
+        if fitting is not None:
+            return fitting
     is_patient = (
         step.unplaced_since is None or now - step.unplaced_since < RACK_PATIENCE_S
     )
-    possible = [racks[rack]] if used_racks else racks.values()
-    if is_patient and any(
+    has_room_later = any(
         sum(count_fitting_later(step, worker) for worker in members) >= step.unfinished
-        for members in possible
-    ):
-        return racks[rack] if used_racks else None
-    return workers
+        for members in (used or racks).values()
+    )
+    if not is_patient or not has_room_later:
+        return workers
+    return next(iter(used.values()), None)
+
+
+def _runs_on(step, workers):
+    return any(
+        task.step is step for worker in workers for task in worker.tasks.values()
+    )
+
+
+def _tightest_rack(step, racks):
+    """Returns the workers of the tightest rack with room for a step, or None.
+
+    Args:
+        step: ``StepRun``.
+        racks: Lists of ``WorkerView`` by rack.
+    """
+    capacity = {
+        rack: sum(
+            count_fitting(
+                step.spec, worker.free_cpu, worker.free_memory, worker.free_gpu
+            )
+            for worker in members
+            if may_run(step, worker)
+        )
+        for rack, members in racks.items()
+    }
+    fitting = [rack for rack, fits in capacity.items() if fits >= step.unfinished]
+    if not fitting:
+        return None
+    return racks[min(fitting, key=lambda rack: (capacity[rack], rack))]
 
 
 def place_step(step, workers, now):
--- a/basilwind/scheduling/pool.py
+++ b/basilwind/scheduling/pool.py
@@ -235,13 +235,14 @@
     def _measure_backlog(self, cores, wall_time):
         """Returns the work that goes before a new job, core-seconds."""
         largest = self._largest_workers()
+        running_work = self._running_work()
         backlog = 0.0
         for job in self.jobs.values():
             queue = self._find_queue(job.queue) if job.is_live else None
             if queue is not None:
                 backlog += work_ahead(
                     self._unfinished_work(job, largest.can_fit),
-                    self._running_work(job),
+                    running_work.get(job.job_id, 0.0),
                     slack_s(job, queue, self.run_times, wall_time),
                     cores,
                 )
--- a/basilwind/scheduling/pool_jobs.py
+++ b/basilwind/scheduling/pool_jobs.py
@@ -279,10 +279,12 @@
             if can_fit(step.spec)
         )
 
-    def _running_work(self, job):
-        """Returns the work of a job's tasks that occupy workers, core-seconds."""
-        return sum(
-            self._task_work(job.queue, task.spec)
-            for task in job.tasks()
-            if task.is_active
-        )
+    def _running_work(self):
+        """Returns the work of tasks that occupy workers, core-seconds by job id."""
+        running = {}
+        for worker in self.workers.values():
+            for task in worker.tasks.values():
+                job = task.job
+                work = self._task_work(job.queue, task.spec)
+                running[job.job_id] = running.get(job.job_id, 0.0) + work
+        return running
--- a/tests/entry/test_partial_outage.py
+++ b/tests/entry/test_partial_outage.py
@@ -7,7 +7,7 @@
 import anyio
 import msgspec
 
-from basilwind.entry.duties import FLEET_DUTY, DutyManager
+from basilwind.entry.duties import FLEET_DUTY, MAX_DAEMONS, DutyManager
 from basilwind.entry.intake import intake_topic
 from basilwind.entry.journal import journal_topic
 from basilwind.entry.outage_witnesses import OutageWitnesses
@@ -209,3 +209,40 @@
         self.assertFalse(successor.is_handed_over("pool/a"))
         self.assertIsNotNone(successor.previous_claim("pool/a"))
         self.assertTrue(successor.is_handed_over(FLEET_DUTY))
+
+
+class TestHeartbeats(unittest.TestCase):
+    """Each start of a daemon adds a heartbeat, which tells where it can be reached."""
+
+    def _duties(self):
+        clock = Clock()
+        settings = types.SimpleNamespace(cpu_cores=1.0, zone="a", name="e1")
+        store = FakeStore(clock, StoreMonitor(clock))
+        return DutyManager(
+            store, settings, "e1#2", "10.0.0.1:1", clock, lambda: None, None
+        )
+
+    def _heartbeat(self, offset, key, value=b'["10.0.0.2:1","b"]'):
+        return KeyedRecord(offset, key, value)
+
+    def test_other_daemons_are_known_by_their_newest_heartbeat(self):
+        duties = self._duties()
+        newer = self._heartbeat(9, "e2#2", b'["10.0.0.3:1","b"]')
+        duties._apply_heartbeats([newer, self._heartbeat(3, "e2#1")])
+        duties._apply_heartbeats(
+            [self._heartbeat(4, "e1#2"), KeyedRecord(5, "e3#1", b"1")]
+        )
+        (claim,) = duties.known_daemons()
+        self.assertEqual((claim.holder, claim.address), ("e2#2", "10.0.0.3:1"))
+        duties._apply_heartbeats([self._heartbeat(10, "e2#2", b"")])
+        self.assertEqual(duties.known_daemons(), [])
+
+    def test_heartbeats_do_not_add_up(self):
+        duties = self._duties()
+        duties._apply_heartbeats([self._heartbeat(1, "e1#1")])
+        others = [self._heartbeat(n, f"h{n}#1") for n in range(2, MAX_DAEMONS)]
+        duties._apply_heartbeats(others)
+        self.assertEqual(duties._outdated_heartbeats(), ["e1#1"])
+        more = [self._heartbeat(n, f"h{n}#1") for n in range(MAX_DAEMONS, 530)]
+        duties._apply_heartbeats(more)
+        self.assertEqual(len(duties._outdated_heartbeats()), 530 - 1 - MAX_DAEMONS)
