--- a/tests/processes/test_entry_host.py
+++ b/tests/processes/test_entry_host.py
@@ -245,6 +245,9 @@
         # (fleetbench cordillera-flota-grown, trouble-2), which says nothing about
         # whether the job was accepted.
         async def scenario(fleet):
+            # Records the route. The first submission by a route is refused, truly, if
+            # that gets no answer.
+            await fleet.submit("6" * 16, 0)
             fleet.processes[0].send_signal(signal.SIGTERM)
             await anyio.sleep(BALANCER_REMOVAL_S - 0.3)
             fleet.platform.store.lose_answers = 1000
