Wait until a worker out of reach has ended its runs

Cause: tasks of a worker out of reach were started elsewhere as soon as its lease had expired by the owner's estimate. A worker begins to end its runs then; it needs up to the time of a stop (0.2 or 0.9 s, by the settings) and some time to notice. The same was missing for leases of a previous owner after a takeover.

Change: the longest time of a stop is read from the settings (900 ms if it is missing) and added to the end of a lease, as is 0.1 s to notice it, both for leases granted here and for those of previous owners.

Tests: workers of the model end runs a while after a lease's end or a stop, their clocks may be slow, and no task may be given up while its run executes. Two tests of crashes waited for the end of a lease and one second, which is before the end of the runs now; they wait for that end and half a second. A test of a takeover also checks now that the successor waits until then.

--- a/basilwind/entry/owner.py
+++ b/basilwind/entry/owner.py
@@ -26,9 +26,9 @@
 from basilwind.scheduling.pool import PoolState
 from basilwind.scheduling.records import decode_submission
 from basilwind.scheduling.reports import StartOutcome
+from basilwind.scheduling.workers import longest_run_s
 
 LEASE_S = 4.5  # outlasts 1.7 s of silence, 1 s of takeover and a hold call of 1.5 s
-DRIFT_ALLOWANCE = 1.05  # workers' clocks may be 2% slow
 POLICY_CHECK_S = 0.02  # steps become ready within milliseconds
 OUTAGE_CHECK_S = 0.1  # an outage is confirmed every 0.2 s
 SCHEDULE_DELAY_S = 0.003  # submitted jobs and ended tasks arrive in bursts
@@ -66,6 +66,7 @@
             services.configuration.find_queue,
             services.settings.finished_job_retention_s,
             self._report,
+            services.settings.max_stop_s,
         )
         self._journal = JobJournal(
             services.store,
@@ -183,7 +184,7 @@
     # Takeover
 
     async def _load(self):
-        """Restores the jobs and computes how long previous owners' leases may last."""
+        """Restores the jobs and computes how long previous owners' runs may last."""
         started_at = self._clock()
         await self._journal.fence()
         self._intake_offset, elsewhere = await restore_jobs(
@@ -197,7 +198,9 @@
         )
         self._to_forward = elsewhere
         now = self._clock()
-        previous_lease_s = self._lease_s * DRIFT_ALLOWANCE
+        previous_lease_s = longest_run_s(
+            self._lease_s, self._services.settings.max_stop_s
+        )
         if self._previous_claim is not None:
             previous_lease_s += MAX_STORE_SILENCE_S
         self._state.previous_leases_until = now + previous_lease_s
--- a/basilwind/platform/entry_host_settings.py
+++ b/basilwind/platform/entry_host_settings.py
@@ -36,6 +36,7 @@
 
 class _Bounds(msgspec.Struct, rename="camel"):
     max_hold_ms: Duration = 10000
+    stop_timeout_ms: Duration = 900
     grace_s: Duration = 6
     status_s: Duration = msgspec.field(name="status_s", default=120)
     move_s: Duration = 1.5
@@ -79,6 +80,7 @@
             instead of as replies to their heartbeats.
         cpu_cores: Processor time that this host may use, in cores.
         max_lease_s: Longest lease that a worker grants, in seconds.
+        max_stop_s: Longest time that a worker takes to end a run, in seconds.
         termination_grace_s: Time between SIGTERM and SIGKILL, in seconds.
         finished_job_retention_s: How long the state of a finished job is kept, in
             seconds.
@@ -102,6 +104,7 @@
     orders_are_pushed: bool
     cpu_cores: float
     max_lease_s: float
+    max_stop_s: float
     termination_grace_s: float
     finished_job_retention_s: float
     move_s: float
@@ -147,6 +150,7 @@
         orders_are_pushed=document.orders == "invoke",
         cpu_cores=limits.cpu_share * limits.cores,
         max_lease_s=bounds.max_hold_ms / 1000,
+        max_stop_s=bounds.stop_timeout_ms / 1000,
         termination_grace_s=bounds.grace_s,
         finished_job_retention_s=bounds.status_s,
         move_s=bounds.move_s,
--- a/basilwind/scheduling/outages.py
+++ b/basilwind/scheduling/outages.py
@@ -15,7 +15,7 @@
 
 SUSPECT_AFTER_S = 0.6  # heartbeats bring an answer every half second
 CONFIRMATION_VALID_S = 0.4  # two rounds of questions to other daemons
-# Leases of unrecorded runs last up to 8.2 s after the store's last answer.
+# Unrecorded runs execute for up to 9.2 s after the store's last answer.
 UNRECORDED_RUN_MAX_S = 10.0
 # An owner without the store stops starting tasks 3.5 s after its last answer.
 TAKEOVER_VALID_S = 4.0
--- a/basilwind/scheduling/pool_jobs.py
+++ b/basilwind/scheduling/pool_jobs.py
@@ -20,6 +20,7 @@
         find_queue: Returns the ``Queue`` of a name, or None.
         finished_job_retention_s: How long an ended job is kept, seconds.
         report: Called with an event's name and fields, for logs and metrics.
+        max_stop_s: Longest time that a worker takes to end a run, seconds.
 
     Attributes:
         jobs: ``Job`` by id.
@@ -28,14 +29,16 @@
         dirty: Ids of jobs to write to the journal.
         dropped: Ids of ended jobs to delete from the store.
         declined: ``DeclineRecord`` by id of jobs that another pool may have.
-        previous_leases_until: Boot time until which leases of previous owners may be
-            valid on workers that cannot be reached.
+        previous_leases_until: Boot time until which runs may execute under leases of
+            previous owners on workers that cannot be reached.
         unrecorded_runs_until: Boot time until which runs may exist that the previous
             owner could not record.
         registry_complete_at: Boot time until which the registry may lack live workers.
     """
 
-    def __init__(self, name, token, find_queue, finished_job_retention_s, report):
+    def __init__(
+        self, name, token, find_queue, finished_job_retention_s, report, max_stop_s
+    ):
         self.name = name
         self.token = token
         self.jobs = {}
@@ -52,6 +55,7 @@
         self._find_queue = find_queue
         self._finished_job_retention_s = finished_job_retention_s
         self._report = report
+        self._max_stop_s = max_stop_s
         self._withheld_until = 0.0
         self._withholding_unknown_until = 0.0
         # Ids of workers that the previous planner withheld.
--- a/basilwind/scheduling/pool_workers.py
+++ b/basilwind/scheduling/pool_workers.py
@@ -421,13 +421,13 @@
         self.workers.pop(worker.worker_id, None)
 
     def expire_leases(self, now):
-        """Requeues tasks whose leases have certainly expired."""
+        """Requeues tasks whose runs have certainly ended with their leases."""
         for worker in list(self.workers.values()):
             if worker.unanswered_since is None and worker.is_clock_known:
                 continue
             if now < self.previous_leases_until:
                 continue
-            if worker.is_clock_known and not worker.has_lease_expired(now):
+            if worker.is_clock_known and not worker.has_lapsed(self._max_stop_s, now):
                 continue
             self._crashes.record_lapse(worker, now)
             for task in list(worker.tasks.values()):
--- a/basilwind/scheduling/workers.py
+++ b/basilwind/scheduling/workers.py
@@ -1,6 +1,18 @@
 """An owner's view of a worker: capacity, lease, clock and runs."""
 
 MAX_CLOCK_DRIFT = 0.02  # share by which a worker's clock may be slow
+DRIFT_ALLOWANCE = 1.05  # also covers drift since a lease's owner read the clock
+LAPSE_NOTICE_S = 0.1  # for a worker to notice that a lease has expired
+
+
+def longest_run_s(lease_s, max_stop_s):
+    """Returns for how long a run may execute without another lease, in seconds.
+
+    Args:
+        lease_s: Duration of its lease, seconds.
+        max_stop_s: Longest time that a worker takes to end a run, seconds.
+    """
+    return lease_s * DRIFT_ALLOWANCE + LAPSE_NOTICE_S + max_stop_s
 
 
 class WorkerView:
@@ -205,7 +217,7 @@
     def grant_lease(self, lease_s, now):
         """Returns the end of a lease of ``lease_s`` on the worker's clock.
 
-        Records that end for ``has_lease_expired``. The worker's clock counts as read
+        Records that end for ``has_lapsed``. The worker's clock counts as read
         when its answer arrived. It was read earlier, so the estimate lags it and,
         apart from drift, a lease is never longer than ``lease_s``.
         """
@@ -223,14 +235,22 @@
             return None
         return self.grant_lease(lease_s, now)
 
-    def has_lease_expired(self, now):
-        """Returns whether every lease granted here has certainly expired."""
+    def has_lapsed(self, max_stop_s, now):
+        """Returns whether every run has certainly ended with the leases granted here.
+
+        A worker begins to end its runs when their lease expires.
+
+        Args:
+            max_stop_s: Longest time that a worker takes to end a run, seconds.
+            now: Boot time in seconds.
+        """
         if self._last_worker_clock_s is None:
             return False
         worker_clock_s = self._last_worker_clock_s + (now - self._clock_read_at) * (
             1 - MAX_CLOCK_DRIFT
         )
-        return worker_clock_s > self._latest_lease_end_s
+        ended_by_s = self._latest_lease_end_s + LAPSE_NOTICE_S + max_stop_s
+        return worker_clock_s > ended_by_s
 
     def reset_incarnation(self):
         """Resets the state that belongs to one incarnation of the worker."""
--- a/tests/entry/test_moved_route.py
+++ b/tests/entry/test_moved_route.py
@@ -28,7 +28,7 @@
 from basilwind.scheduling.pool import PoolState
 from basilwind.scheduling.pool_jobs import DECLINE_VALID_S
 from basilwind.scheduling.records import DeclineRecord, SubmissionRecord
-from tests.scheduling.model import QUEUE, make_job
+from tests.scheduling.model import MAX_STOP_S, QUEUE, make_job
 from tests.utils.entry_fakes import Clock, FakeStore, make_services
 
 JOB = "a" * 16
@@ -243,7 +243,9 @@
         self.assertEqual(self._forwarded_versions(), [])
 
     def test_decline_is_dropped_after_a_while(self):
-        state = PoolState("pool", 1, lambda name: QUEUE, 60.0, lambda *_, **__: None)
+        state = PoolState(
+            "pool", 1, lambda name: QUEUE, 60.0, lambda *_, **__: None, MAX_STOP_S
+        )
         state.decline(JOB, 2, "new", 1000.0)
         state.drop_declines(1000.0 + DECLINE_VALID_S)
         self.assertIsNotNone(state.find_decline(JOB, 2))
@@ -271,7 +273,9 @@
             order: ``random.Random`` that chooses the next call.
         """
         states = [
-            PoolState(str(n), 1, lambda name: QUEUE, 60.0, lambda *_, **__: None)
+            PoolState(
+                str(n), 1, lambda name: QUEUE, 60.0, lambda *_, **__: None, MAX_STOP_S
+            )
             for n in range(3)
         ]
         in_flight = []  # submissions that a pool's owner has not read yet
--- a/tests/scheduling/model.py
+++ b/tests/scheduling/model.py
@@ -1,10 +1,12 @@
 """In-process model of a pool's owner and its workers, with fault injection.
 
 The workers enforce what those of the platform enforce: leases, fencing tokens and
-incarnations; an order may be executed late. On every start the model checks that no
-other run of the task is executing and that no successful end has been acknowledged; on
-every end by an order, that no more tasks of a long-running step are interrupted than it
-allows.
+incarnations; an order may be executed late. A run executes until its worker has ended
+it, a while after its lease expired or its stop arrived. On every start the model checks
+that no other run of the task is executing and that no successful end has been
+acknowledged; whenever leases may have expired, that no task is given up while its run
+executes; on every end by an order, that no more tasks of a long-running step are
+interrupted than it allows.
 """
 
 import os
@@ -22,8 +24,12 @@
     WorkerReport,
 )
 from basilwind.scheduling.specs import JobSpec, StepSpec
+from basilwind.scheduling.workers import longest_run_s
 
 LEASE_S = 4.5
+MAX_STOP_S = 0.9
+LONGEST_RUN_S = longest_run_s(LEASE_S, MAX_STOP_S)
+HOUSEKEEPING_S = 0.25
 NOTICE_S = 4.5  # a task that has not run for as long counts as interrupted
 MAX_EMPTY_AGE_S = 1.0  # age of the report for which the planner moves a host
 QUEUE = Queue("q", "host", "/q/", "pool", 3.0, 0.6, 1.6, 0, 3, False)
@@ -69,7 +75,14 @@
 
 
 class ModelWorker:
-    """A simulated worker that uses the model's clock.
+    """A simulated worker.
+
+    Args:
+        entry: ``WorkerEntry``.
+        time: Returns the model's time in seconds.
+        page_size: Most ended runs that a report lists.
+        clock_rate: Seconds that its clock advances in a second.
+        stop_s: Time that it takes to end a run, seconds.
 
     Attributes:
         entry: ``WorkerEntry``.
@@ -81,21 +94,27 @@
         ended: ``EndedRun`` objects that are not acknowledged.
         end_count: Number of runs that ended in this incarnation.
         highest_token: Highest fencing token that it has seen.
-        lease_until: End of its lease.
+        lease_until: End of its lease, on its own clock.
         page_size: Most ended runs that a report lists.
     """
 
-    def __init__(self, entry, page_size=500):
+    def __init__(self, entry, time, page_size=500, clock_rate=1.0, stop_s=0.0):
         self.entry = entry
         self.page_size = page_size
         self.incarnation = 1
         self.is_reachable = True
         self.is_crashed = False
+        self._time = time
+        self._clock_rate = clock_rate
+        self._stop_s = stop_s
+        self._clock_start = time()
         self.restart()
 
     def restart(self):
         """Starts a new incarnation without any state."""
         self.incarnation += 1
+        # Time at which a run will have been ended, and how, by task name.
+        self._ending = {}
         self.runs = {}
         self.rejected_runs = {}
         self.ended = []
@@ -103,8 +122,14 @@
         self.highest_token = 0
         self.lease_until = 0.0
 
-    def start(self, name, run, expires, token, now):
+    @property
+    def clock_s(self):
+        """Its own clock, seconds."""
+        return (self._time() - self._clock_start) * self._clock_rate
+
+    def start(self, name, run, expires, token):
         """Executes a start order; returns a ``StartOutcome``."""
+        self.end_runs()
         if token < self.highest_token:
             return StartOutcome.FENCED
         self.highest_token = token
@@ -112,9 +137,9 @@
             return StartOutcome.STARTED
         if run <= self.rejected_runs.get(name, 0) or name in self.runs:
             return StartOutcome.SUPERSEDED
-        if expires <= now:
+        if expires <= self.clock_s:
             return StartOutcome.LEASE_EXPIRED
-        self.lease_until = max(self.lease_until, expires)
+        self._extend_lease(expires)
         self.runs[name] = run
         return StartOutcome.STARTED
 
@@ -125,23 +150,26 @@
         self.highest_token = token
         self.rejected_runs[name] = max(run, self.rejected_runs.get(name, 0))
         if self.runs.get(name, run + 1) <= run:
-            self.end(name, EndKind.STOPPED)
+            self._begin_end(name, EndKind.STOPPED, self._time())
+        self.end_runs()
         return True
 
     def end(self, name, kind):
         """Ends a run."""
         run = self.runs.pop(name)
+        self._ending.pop(name, None)
         self.rejected_runs[name] = max(run, self.rejected_runs.get(name, 0))
         self.end_count += 1
         self.ended.append(EndedRun(self.end_count, name, run, kind, ""))
 
-    def hold(self, token, acknowledged, expires, reported_progress, now):
+    def hold(self, token, acknowledged, expires, reported_progress):
         """Executes a hold; returns a report, or None for a lower token."""
+        self.end_runs()
         if token < self.highest_token:
             return None
         self.highest_token = token
         if expires is not None and self.runs:
-            self.lease_until = max(self.lease_until, expires)
+            self._extend_lease(expires)
         self.ended = [end for end in self.ended if end.sequence > acknowledged]
         running = tuple(
             ReportedRun(name, run, "", *reported_progress.get(name, (100, -1)))
@@ -149,13 +177,26 @@
         )
         listed = tuple(self.ended[: self.page_size])
         is_complete = len(listed) < self.page_size
-        return WorkerReport(now, self.incarnation, running, listed, is_complete)
+        return WorkerReport(
+            self.clock_s, self.incarnation, running, listed, is_complete
+        )
 
-    def expire(self, now):
-        """Ends all runs if the lease has expired."""
-        if now > self.lease_until:
-            for name in list(self.runs):
-                self.end(name, EndKind.LEASE_EXPIRED)
+    def end_runs(self):
+        """Ends the runs that a stop or the expiry of the lease has ended by now."""
+        now = self._time()
+        if self.clock_s > self.lease_until:
+            expired_at = self._clock_start + self.lease_until / self._clock_rate
+            for name in self.runs:
+                self._begin_end(name, EndKind.LEASE_EXPIRED, expired_at)
+        for name, (ended_at, kind) in list(self._ending.items()):
+            if ended_at <= now:
+                self.end(name, kind)
+
+    def _begin_end(self, name, kind, begun_at):
+        self._ending.setdefault(name, (begun_at + self._stop_s, kind))
+
+    def _extend_lease(self, expires):
+        self.lease_until = max(self.lease_until, expires)
 
 
 class PoolModel:
@@ -167,10 +208,22 @@
         cpu: CPU of each worker, millicores.
         startup_s: Time from a run's start until it is up, seconds.
         page_size: Most ended runs that a worker's report lists.
+        clock_rates: Rates of the workers' clocks, which are assigned in turn.
+        stop_s: Time that workers take to end a run, seconds.
     """
 
-    def __init__(self, fail, workers=3, cpu=8000, startup_s=0.0, page_size=500):
+    def __init__(
+        self,
+        fail,
+        workers=3,
+        cpu=8000,
+        startup_s=0.0,
+        page_size=500,
+        clock_rates=(1.0,),
+        stop_s=0.0,
+    ):
         self._fail = fail
+        self._stop_s = stop_s
         self._startup_s = startup_s
         self.now = 1000.0
         # Names of tasks whose last run was ended by an order.
@@ -182,7 +235,13 @@
         # Time at which the owner last reported a worker as empty, by name.
         self._reported_empty = {}
         self.workers = {
-            f"w{n}": ModelWorker(make_entry(f"w{n}", cpu), page_size)
+            f"w{n}": ModelWorker(
+                make_entry(f"w{n}", cpu),
+                self._time,
+                page_size,
+                clock_rates[n % len(clock_rates)],
+                stop_s,
+            )
             for n in range(workers)
         }
         self.submitted = {}
@@ -199,8 +258,18 @@
         self.state = self._make_state(1)
         self.refresh()
 
+    def _time(self):
+        return self.now
+
     def _make_state(self, token):
-        return PoolState("pool", token, lambda name: QUEUE, 120.0, lambda *a, **k: None)
+        return PoolState(
+            "pool",
+            token,
+            lambda name: QUEUE,
+            120.0,
+            lambda *arguments, **fields: None,
+            MAX_STOP_S,
+        )
 
     def refresh(self, listed=None):
         """Updates the owner's registry; without ``listed`` all workers are listed."""
@@ -272,7 +341,7 @@
     def _deliver_start(self, worker, cpu_when_sent, name, run, expires, token):
         """Executes a start order on a worker and checks the invariants."""
         is_repeated = worker.runs.get(name) == run
-        outcome = worker.start(name, run, expires, token, self.now)
+        outcome = worker.start(name, run, expires, token)
         if outcome is StartOutcome.STARTED and not is_repeated:
             self.starts[name] += 1
             self._started_at[name] = self.now
@@ -373,7 +442,6 @@
                 view.acknowledged_sequence,
                 expires,
                 starting | self.reported_progress,
-                self.now,
             )
             if report is None:
                 self._fail(f"{name} has seen a higher token")
@@ -428,12 +496,25 @@
     def advance(self, seconds):
         """Advances the clock; leases may expire."""
         self._record_executing()
-        self.now += seconds
-        for worker in self.workers.values():
-            worker.expire(self.now)
-        self.state.expire_leases(self.now)
+        end = self.now + seconds
+        while self.now < end:
+            self.now = min(end, self.now + HOUSEKEEPING_S)
+            for worker in self.workers.values():
+                worker.end_runs()
+            self._expire_leases()
         self.flush()
 
+    def _expire_leases(self):
+        """Has the owner give up tasks, and fails if a run of one is executing."""
+        active = [task for task in self.all_tasks() if task.is_active]
+        runs = {task.name: (task.worker_id, task.run) for task in active}
+        self.state.expire_leases(self.now)
+        for task in active:
+            worker_id, run = runs[task.name]
+            worker = self.workers.get(worker_id)
+            if not task.is_active and worker and worker.runs.get(task.name) == run:
+                self._fail(f"{task.name} is given up while it executes on {worker_id}")
+
     def end_runs(self, kind=EndKind.DONE, share=1):
         """Ends every ``share``-th run that is not long-running."""
         for worker in self.workers.values():
@@ -442,7 +523,7 @@
                 if not spec.steps[int(name.split(".")[2])].is_lasting:
                     worker.end(name, kind)
 
-    def take_over(self, previous_leases_s=LEASE_S * 1.05):
+    def take_over(self, previous_leases_s=LONGEST_RUN_S):
         """Replaces the owner by a successor that restores the journal."""
         state = self._make_state(self.state.token + 1)
         self.is_store_unavailable = False
@@ -474,7 +555,9 @@
         if view is not None:
             self.state.remove_worker(view, self.now)
         successor = f"{name}+"
-        self.workers[successor] = ModelWorker(make_entry(successor))
+        self.workers[successor] = ModelWorker(
+            make_entry(successor), self._time, stop_s=self._stop_s
+        )
         self.refresh()
 
     def settle(self, rounds=60):
--- a/tests/scheduling/test_crashing_tasks.py
+++ b/tests/scheduling/test_crashing_tasks.py
@@ -4,7 +4,7 @@
 
 from basilwind.scheduling.jobs import JobState, TaskState
 from basilwind.scheduling.reports import EndKind
-from tests.scheduling.model import LEASE_S, PoolModel, make_entry, make_job
+from tests.scheduling.model import LONGEST_RUN_S, PoolModel, make_entry, make_job
 
 TICK_S = 0.05
 RUN_S = 0.8
@@ -225,7 +225,7 @@
         model, job = self._run_lasting()
         name = next(name for name, w in model.workers.items() if w.runs)
         model.workers[name].is_reachable = False
-        model.play(LEASE_S + 1)
+        model.play(LONGEST_RUN_S + 0.5)
         self._assert_no_crash_counted(job)
         # It was cut off and is the same worker as before.
         model.workers[name].is_reachable = True
@@ -257,9 +257,9 @@
         model.submit("job", make_job(count=1, is_lasting=True))
         model.play(0.2)
         name = next(name for name, w in model.workers.items() if w.runs)
-        model.crash_for(name, down_s=LEASE_S + 2)
+        model.crash_for(name, down_s=LONGEST_RUN_S + 1.5)
         model.refresh([other for other in model.workers if other != name])
-        model.play(LEASE_S + 1)
+        model.play(LONGEST_RUN_S + 0.5)
         (task,) = model.state.jobs["job"].tasks()
         self.assertEqual((task.run, task.crashes), (2, 0))
         model.play(2)
@@ -333,7 +333,7 @@
             if event == "crash":
                 name = source.choice(sorted(model.workers))
                 if not model.workers[name].is_crashed:
-                    model.crash_for(name, source.choice((DOWN_S, LEASE_S + 2)))
+                    model.crash_for(name, source.choice((DOWN_S, LONGEST_RUN_S + 1.5)))
             elif event == "take over":
                 model.take_over()
             elif event == "store":
--- /dev/null
+++ b/tests/scheduling/test_expired_leases.py
@@ -0,0 +1,77 @@
+"""Tasks run elsewhere only after workers out of reach have ended their runs.
+
+The workers' clocks are as slow as they may be, each incarnation has its own, and
+ending a run takes as long as it may.
+"""
+
+import random
+import unittest
+
+from tests.scheduling.model import (
+    MAX_STOP_S,
+    PoolModel,
+    make_job,
+    seeds_to_play,
+)
+from tests.scheduling.test_pool import FAULTS, apply_fault
+
+SEEDS = 400
+CLOCK_RATES = (0.98, 1.0, 0.99)
+
+
+def make_model(fail, workers=2):
+    return PoolModel(fail, workers, clock_rates=CLOCK_RATES, stop_s=MAX_STOP_S)
+
+
+class TestExpiredLeases(unittest.TestCase):
+    def _running_model(self):
+        """Returns a model, its only task, and the worker that executes the task."""
+        model = make_model(self.fail)
+        model.submit("job", make_job(count=1, is_lasting=True))
+        model.hold()
+        model.schedule()
+        model.hold()
+        (task,) = model.all_tasks()
+        return model, task, model.workers[task.worker_id]
+
+    def _wait_for_restart(self, model, run):
+        for _ in range(200):
+            model.hold()
+            model.advance(0.05)
+            model.schedule()
+            (task,) = model.all_tasks()
+            if task.run > run:
+                return
+        self.fail("the task is not started again")
+
+    def test_cut_worker_was_still_ending_a_run_that_was_started_elsewhere(self):
+        model, task, worker = self._running_model()
+        worker.is_reachable = False
+        self._wait_for_restart(model, task.run)
+
+    def test_successor_started_a_run_that_a_cut_worker_was_still_ending(self):
+        model, task, worker = self._running_model()
+        worker.is_reachable = False
+        model.take_over()
+        self._wait_for_restart(model, task.run)
+
+    def test_random_faults_by_seed(self):
+        for seed in seeds_to_play(SEEDS):
+            with self.subTest(seed=seed):
+                self._run_seed(seed)
+
+    def _run_seed(self, seed):
+        source = random.Random(seed)
+        model = make_model(self.fail, workers=3)
+        for number in range(source.randint(1, 3)):
+            model.submit(f"job{number}", make_job(count=2, steps=2))
+        model.submit("lasting", make_job(count=2, is_lasting=True, may_miss=1))
+        faults = (*FAULTS.elements, "schedule", "hold", "hold", "hold one", "submit")
+        for _ in range(source.randint(5, 60)):
+            apply_fault(model, source.choice(faults), source.randint(0, 2))
+        model.settle()
+        model.check_all_finished()
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/scheduling/test_pool.py
+++ b/tests/scheduling/test_pool.py
@@ -8,6 +8,7 @@
 from basilwind.scheduling.reports import EndedRun, EndKind, WorkerReport
 from tests.scheduling.model import (
     LEASE_S,
+    LONGEST_RUN_S,
     PoolModel,
     make_entry,
     make_job,
@@ -181,7 +182,7 @@
                 for order in model.state.stop_orders(model.now):
                     worker.stop(order.task_name, order.run, model.state.token)
                     model.state.apply_stop_answer(order, model.now)
-            report = worker.hold(1, 0, None, {}, model.now)
+            report = worker.hold(1, 0, None, {})
             model.state.apply_report(view, report, sent_at, model.now)
         (task,) = model.all_tasks()[:1]
         self.assertIs(task.state, TaskState.WAITING)
@@ -438,7 +439,7 @@
         self.assertEqual(len(model.state.schedule(model.now, model.now)), 2)
 
     def _report(self, model, view, worker):
-        report = worker.hold(model.state.token, 0, None, {}, model.now)
+        report = worker.hold(model.state.token, 0, None, {})
         model.state.apply_report(view, report, model.now, model.now)
 
     def test_redundant_run_takes_capacity_until_it_has_ended(self):
@@ -460,10 +461,11 @@
 
     def test_run_with_a_malformed_name_is_stopped(self):
         model = self._model(workers=1)
-        model.workers["w0"].runs["no task"] = 1
-        model.workers["w0"].lease_until = model.now + LEASE_S
+        worker = model.workers["w0"]
+        worker.runs["no task"] = 1
+        worker.lease_until = worker.clock_s + LEASE_S
         model.hold()
-        self.assertEqual(model.workers["w0"].runs, {})
+        self.assertEqual(worker.runs, {})
 
     def test_late_end_of_an_earlier_run_ends_the_later_one(self):
         # Regression (test_random_faults_by_seed, seed 50): the end was acknowledged and
@@ -514,7 +516,9 @@
         model.submit("new", make_job(count=1))
         (order,) = model.state.schedule(model.now, model.now)
         self.assertEqual(order.task.job.job_id, "new")
-        model.advance(LEASE_S * 1.05)
+        model.advance(LONGEST_RUN_S - 0.01)
+        self.assertEqual(model.state.schedule(model.now, model.now), [])
+        model.advance(0.02)
         self.assertEqual(len(model.state.schedule(model.now, model.now)), 3)
 
     def test_successor_does_not_wait_with_jobs_its_predecessor_never_knew(self):
--- a/tests/utils/entry_fakes.py
+++ b/tests/utils/entry_fakes.py
@@ -197,6 +197,7 @@
         finished_job_retention_s=120.0,
         store_record_bytes=262144,
         max_lease_s=10.0,
+        max_stop_s=0.9,
         move_s=1.5,
         maintenance_s=2.0,
         machine_lease_s=3,
