Count leases that a new incarnation got through calls for the one before

A worker starts again under its id; a start or hold for the incarnation before reaches it, and then the worker is cut off. Its runs were started elsewhere up to 5 s before they ended.

Cause: the end of a lease is a time on the clock of the incarnation that the owner knows. A new incarnation's clock starts anew, so it takes such a lease for its longest one, of 10 s. The owner forgot what it had granted when it read the first report of the new incarnation; a successor never knew.

Change: if a lease was granted so shortly before the new incarnation started that the call can have reached it, the longest lease counts from the first report, 5 s later if a start got no answer yet. A successor counts the longest lease for workers that have started so lately that the previous owner may not have known. A worker that is back after a while is not affected.

Not covered: a successor that never reaches the worker waits as long as before.

Tests: in the stricter plays of the model each incarnation has a clock of its own, and a restart breaks the connection. The older plays keep one clock, as before.

--- a/basilwind/entry/owner.py
+++ b/basilwind/entry/owner.py
@@ -26,7 +26,7 @@
 from basilwind.scheduling.pool import PoolState
 from basilwind.scheduling.records import decode_submission
 from basilwind.scheduling.reports import StartOutcome
-from basilwind.scheduling.workers import longest_run_s
+from basilwind.scheduling.workers import WorkerLimits
 
 LEASE_S = 4.5  # outlasts 1.7 s of silence, 1 s of takeover and a hold call of 1.5 s
 POLICY_CHECK_S = 0.02  # steps become ready within milliseconds
@@ -60,13 +60,16 @@
         self._worker_control = services.worker_control
         self._clock = services.clock
         self._wall_clock = services.wall_clock
+        self._worker_limits = WorkerLimits(
+            services.settings.max_lease_s, services.settings.max_stop_s
+        )
         self._state = PoolState(
             pool,
             token,
             services.configuration.find_queue,
             services.settings.finished_job_retention_s,
             self._report,
-            services.settings.max_stop_s,
+            self._worker_limits,
         )
         self._journal = JobJournal(
             services.store,
@@ -198,9 +201,7 @@
         )
         self._to_forward = elsewhere
         now = self._clock()
-        previous_lease_s = longest_run_s(
-            self._lease_s, self._services.settings.max_stop_s
-        )
+        previous_lease_s = self._worker_limits.longest_run_s(self._lease_s)
         if self._previous_claim is not None:
             previous_lease_s += MAX_STORE_SILENCE_S
         self._state.previous_leases_until = now + previous_lease_s
--- a/basilwind/scheduling/pool_jobs.py
+++ b/basilwind/scheduling/pool_jobs.py
@@ -20,7 +20,7 @@
         find_queue: Returns the ``Queue`` of a name, or None.
         finished_job_retention_s: How long an ended job is kept, seconds.
         report: Called with an event's name and fields, for logs and metrics.
-        max_stop_s: Longest time that a worker takes to end a run, seconds.
+        worker_limits: ``WorkerLimits``.
 
     Attributes:
         jobs: ``Job`` by id.
@@ -37,7 +37,7 @@
     """
 
     def __init__(
-        self, name, token, find_queue, finished_job_retention_s, report, max_stop_s
+        self, name, token, find_queue, finished_job_retention_s, report, worker_limits
     ):
         self.name = name
         self.token = token
@@ -55,7 +55,7 @@
         self._find_queue = find_queue
         self._finished_job_retention_s = finished_job_retention_s
         self._report = report
-        self._max_stop_s = max_stop_s
+        self._worker_limits = worker_limits
         self._withheld_until = 0.0
         self._withholding_unknown_until = 0.0
         # Ids of workers that the previous planner withheld.
--- a/basilwind/scheduling/pool_workers.py
+++ b/basilwind/scheduling/pool_workers.py
@@ -120,7 +120,9 @@
             and report.incarnation_started_ms
             and worker.incarnation_started_ms != report.incarnation_started_ms
         ):
-            self._start_incarnation(worker, report, now)
+            self._start_incarnation(worker, report, sent_at, now)
+        elif worker.reported_at is None and now < self.previous_leases_until:
+            worker.expect_previous_lease(report, self._worker_limits)
         worker.incarnation_started_ms = (
             report.incarnation_started_ms or worker.incarnation_started_ms
         )
@@ -360,7 +362,7 @@
         if task.failures >= limit and not task.spec.is_lasting and task.job.is_live:
             self._end_job(task.job, JobState.FAILED, now)
 
-    def _start_incarnation(self, worker, report, now):
+    def _start_incarnation(self, worker, report, sent_at, now):
         """Resets what the previous incarnation of a worker reported.
 
         Runs of the previous incarnation are missing from the report, while runs that
@@ -377,7 +379,7 @@
             ],
             now,
         )
-        worker.reset_incarnation()
+        worker.reset_incarnation(report, sent_at, self._worker_limits)
         for task in worker.tasks.values():
             task.stop_answered_at = None
 
@@ -427,7 +429,9 @@
                 continue
             if now < self.previous_leases_until:
                 continue
-            if worker.is_clock_known and not worker.has_lapsed(self._max_stop_s, now):
+            if worker.is_clock_known and not worker.has_lapsed(
+                self._worker_limits, now
+            ):
                 continue
             self._crashes.record_lapse(worker, now)
             for task in list(worker.tasks.values()):
--- a/basilwind/scheduling/workers.py
+++ b/basilwind/scheduling/workers.py
@@ -1,18 +1,40 @@
 """An owner's view of a worker: capacity, lease, clock and runs."""
 
+from dataclasses import dataclass
+
+from basilwind.scheduling.jobs import TaskState
+
 MAX_CLOCK_DRIFT = 0.02  # share by which a worker's clock may be slow
 DRIFT_ALLOWANCE = 1.05  # also covers drift since a lease's owner read the clock
 LAPSE_NOTICE_S = 0.1  # for a worker to notice that a lease has expired
+MAX_CALL_S = 2.5  # from a call that grants a lease until it arrives or is given up
+MAX_ORDER_DELAY_S = 5.0  # from the arrival of an order until it is executed
 
 
-def longest_run_s(lease_s, max_stop_s):
-    """Returns for how long a run may execute without another lease, in seconds.
+@dataclass(frozen=True, slots=True)
+class WorkerLimits:
+    """Limits that all workers keep.
 
-    Args:
-        lease_s: Duration of its lease, seconds.
+    Attributes:
+        max_lease_s: Longest lease that a worker grants, seconds.
         max_stop_s: Longest time that a worker takes to end a run, seconds.
     """
-    return lease_s * DRIFT_ALLOWANCE + LAPSE_NOTICE_S + max_stop_s
+
+    max_lease_s: float
+    max_stop_s: float
+
+    @property
+    def lapse_s(self):
+        """Time after a lease's end by which a worker has ended its runs, seconds."""
+        return LAPSE_NOTICE_S + self.max_stop_s
+
+    def longest_run_s(self, lease_s):
+        """Returns for how long a run may execute after a lease was granted, seconds.
+
+        Args:
+            lease_s: Duration of the lease, seconds.
+        """
+        return lease_s * DRIFT_ALLOWANCE + self.lapse_s
 
 
 class WorkerView:
@@ -89,6 +111,7 @@
         "_last_worker_clock_s",
         "_clock_read_at",
         "_latest_lease_end_s",
+        "_granted_at",
     )
 
     def __init__(self, entry):
@@ -122,6 +145,8 @@
         self._clock_read_at = None
         # Latest end of a lease granted here, on the worker's clock.
         self._latest_lease_end_s = 0.0
+        # Boot time at which the last lease was granted, or None.
+        self._granted_at = None
 
     @property
     def worker_id(self):
@@ -138,6 +163,13 @@
         """Whether its end is planned."""
         return self.entry.is_draining or self.is_withheld
 
+    @property
+    def _has_answered_starts(self):
+        """Whether each start that was sent to it got an answer."""
+        return not self.pending_starts and not any(
+            task.state is TaskState.UNCONFIRMED for task in self.tasks.values()
+        )
+
     @property
     def is_clock_known(self):
         """Whether its clock has been read since it started."""
@@ -223,6 +255,7 @@
         """
         lease_end_s = self._last_worker_clock_s + (now - self._clock_read_at) + lease_s
         self._latest_lease_end_s = max(self._latest_lease_end_s, lease_end_s)
+        self._granted_at = now
         return lease_end_s
 
     def extend_lease(self, lease_s, now):
@@ -235,13 +268,13 @@
             return None
         return self.grant_lease(lease_s, now)
 
-    def has_lapsed(self, max_stop_s, now):
+    def has_lapsed(self, limits, now):
         """Returns whether every run has certainly ended with the leases granted here.
 
         A worker begins to end its runs when their lease expires.
 
         Args:
-            max_stop_s: Longest time that a worker takes to end a run, seconds.
+            limits: ``WorkerLimits``.
             now: Boot time in seconds.
         """
         if self._last_worker_clock_s is None:
@@ -249,11 +282,19 @@
         worker_clock_s = self._last_worker_clock_s + (now - self._clock_read_at) * (
             1 - MAX_CLOCK_DRIFT
         )
-        ended_by_s = self._latest_lease_end_s + LAPSE_NOTICE_S + max_stop_s
-        return worker_clock_s > ended_by_s
+        return worker_clock_s > self._latest_lease_end_s + limits.lapse_s
+
+    def reset_incarnation(self, report, sent_at, limits):
+        """Resets the state that belongs to one incarnation of the worker.
 
-    def reset_incarnation(self):
-        """Resets the state that belongs to one incarnation of the worker."""
+        A call for the previous incarnation may have reached the new one, whose clock
+        starts anew, so that only the worker's own limit bounds the lease.
+
+        Args:
+            report: ``WorkerReport`` of the new incarnation.
+            sent_at: Boot time when the call for the report was sent.
+            limits: ``WorkerLimits``.
+        """
         self.set_unwanted_runs({})
         self.last_applied_sequence = 0
         self.acknowledged_sequence = 0
@@ -264,3 +305,21 @@
         self._last_worker_clock_s = None
         self._clock_read_at = None
         self._latest_lease_end_s = 0.0
+        started_at = sent_at - report.worker_clock_s / (1 - MAX_CLOCK_DRIFT)
+        if self._granted_at is not None and started_at - self._granted_at < MAX_CALL_S:
+            delay_s = 0.0 if self._has_answered_starts else MAX_ORDER_DELAY_S
+            self._latest_lease_end_s = (
+                report.worker_clock_s + delay_s + limits.max_lease_s
+            )
+
+    def expect_previous_lease(self, report, limits):
+        """Takes into account what a previous owner may have granted an incarnation.
+
+        A call for the incarnation before it may have reached it soon after its start.
+
+        Args:
+            report: First ``WorkerReport`` to this owner.
+            limits: ``WorkerLimits``.
+        """
+        if report.worker_clock_s < MAX_CALL_S + limits.max_lease_s:
+            self._latest_lease_end_s = report.worker_clock_s + limits.max_lease_s
--- a/tests/entry/test_moved_route.py
+++ b/tests/entry/test_moved_route.py
@@ -28,7 +28,7 @@
 from basilwind.scheduling.pool import PoolState
 from basilwind.scheduling.pool_jobs import DECLINE_VALID_S
 from basilwind.scheduling.records import DeclineRecord, SubmissionRecord
-from tests.scheduling.model import MAX_STOP_S, QUEUE, make_job
+from tests.scheduling.model import QUEUE, WORKER_LIMITS, make_job
 from tests.utils.entry_fakes import Clock, FakeStore, make_services
 
 JOB = "a" * 16
@@ -244,7 +244,7 @@
 
     def test_decline_is_dropped_after_a_while(self):
         state = PoolState(
-            "pool", 1, lambda name: QUEUE, 60.0, lambda *_, **__: None, MAX_STOP_S
+            "pool", 1, lambda name: QUEUE, 60.0, lambda *_, **__: None, WORKER_LIMITS
         )
         state.decline(JOB, 2, "new", 1000.0)
         state.drop_declines(1000.0 + DECLINE_VALID_S)
@@ -274,7 +274,12 @@
         """
         states = [
             PoolState(
-                str(n), 1, lambda name: QUEUE, 60.0, lambda *_, **__: None, MAX_STOP_S
+                str(n),
+                1,
+                lambda name: QUEUE,
+                60.0,
+                lambda *_, **__: None,
+                WORKER_LIMITS,
             )
             for n in range(3)
         ]
--- a/tests/scheduling/model.py
+++ b/tests/scheduling/model.py
@@ -24,11 +24,14 @@
     WorkerReport,
 )
 from basilwind.scheduling.specs import JobSpec, StepSpec
-from basilwind.scheduling.workers import longest_run_s
+from basilwind.scheduling.workers import WorkerLimits
 
 LEASE_S = 4.5
+FIRST_CLOCK_S = 500.0  # of workers that had run for some time before
+MAX_LEASE_S = 10.0
 MAX_STOP_S = 0.9
-LONGEST_RUN_S = longest_run_s(LEASE_S, MAX_STOP_S)
+WORKER_LIMITS = WorkerLimits(MAX_LEASE_S, MAX_STOP_S)
+LONGEST_RUN_S = WORKER_LIMITS.longest_run_s(LEASE_S)
 HOUSEKEEPING_S = 0.25
 NOTICE_S = 4.5  # a task that has not run for as long counts as interrupted
 MAX_EMPTY_AGE_S = 1.0  # age of the report for which the planner moves a host
@@ -83,6 +86,7 @@
         page_size: Most ended runs that a report lists.
         clock_rate: Seconds that its clock advances in a second.
         stop_s: Time that it takes to end a run, seconds.
+        has_own_clocks: Whether the clock of each incarnation starts anew.
 
     Attributes:
         entry: ``WorkerEntry``.
@@ -98,7 +102,15 @@
         page_size: Most ended runs that a report lists.
     """
 
-    def __init__(self, entry, time, page_size=500, clock_rate=1.0, stop_s=0.0):
+    def __init__(
+        self,
+        entry,
+        time,
+        page_size=500,
+        clock_rate=1.0,
+        stop_s=0.0,
+        has_own_clocks=False,
+    ):
         self.entry = entry
         self.page_size = page_size
         self.incarnation = 1
@@ -107,12 +119,15 @@
         self._time = time
         self._clock_rate = clock_rate
         self._stop_s = stop_s
-        self._clock_start = time()
+        self._has_own_clocks = has_own_clocks
         self.restart()
+        self._clock_start = time() - FIRST_CLOCK_S / clock_rate
 
     def restart(self):
         """Starts a new incarnation without any state."""
         self.incarnation += 1
+        if self._has_own_clocks:
+            self._clock_start = self._time()
         # Time at which a run will have been ended, and how, by task name.
         self._ending = {}
         self.runs = {}
@@ -196,7 +211,8 @@
         self._ending.setdefault(name, (begun_at + self._stop_s, kind))
 
     def _extend_lease(self, expires):
-        self.lease_until = max(self.lease_until, expires)
+        longest = self.clock_s + MAX_LEASE_S
+        self.lease_until = max(self.lease_until, min(expires, longest))
 
 
 class PoolModel:
@@ -210,6 +226,8 @@
         page_size: Most ended runs that a worker's report lists.
         clock_rates: Rates of the workers' clocks, which are assigned in turn.
         stop_s: Time that workers take to end a run, seconds.
+        has_own_clocks: Whether the clock of each incarnation starts anew. A restart
+            then breaks the connection to the worker, so that the owner notices it.
     """
 
     def __init__(
@@ -221,9 +239,11 @@
         page_size=500,
         clock_rates=(1.0,),
         stop_s=0.0,
+        has_own_clocks=False,
     ):
         self._fail = fail
         self._stop_s = stop_s
+        self._has_own_clocks = has_own_clocks
         self._startup_s = startup_s
         self.now = 1000.0
         # Names of tasks whose last run was ended by an order.
@@ -241,6 +261,7 @@
                 page_size,
                 clock_rates[n % len(clock_rates)],
                 stop_s,
+                has_own_clocks,
             )
             for n in range(workers)
         }
@@ -268,7 +289,7 @@
             lambda name: QUEUE,
             120.0,
             lambda *arguments, **fields: None,
-            MAX_STOP_S,
+            WORKER_LIMITS,
         )
 
     def refresh(self, listed=None):
@@ -541,6 +562,13 @@
         self.state = state
         self.refresh()
 
+    def restart(self, name):
+        """Starts a worker's next incarnation."""
+        worker, view = self.workers[name], self.state.workers.get(name)
+        worker.restart()
+        if self._has_own_clocks and worker.is_reachable and view is not None:
+            view.mark_unanswered(self.now, True, self.now)
+
     def crash(self, name):
         """Ends a worker's process, and all of its runs with it."""
         worker = self.workers[name]
@@ -556,7 +584,10 @@
             self.state.remove_worker(view, self.now)
         successor = f"{name}+"
         self.workers[successor] = ModelWorker(
-            make_entry(successor), self._time, stop_s=self._stop_s
+            make_entry(successor),
+            self._time,
+            stop_s=self._stop_s,
+            has_own_clocks=self._has_own_clocks,
         )
         self.refresh()
 
--- a/tests/scheduling/test_expired_leases.py
+++ b/tests/scheduling/test_expired_leases.py
@@ -7,7 +7,9 @@
 import random
 import unittest
 
+from basilwind.scheduling.workers import MAX_CALL_S
 from tests.scheduling.model import (
+    LONGEST_RUN_S,
     MAX_STOP_S,
     PoolModel,
     make_job,
@@ -16,11 +18,19 @@
 from tests.scheduling.test_pool import FAULTS, apply_fault
 
 SEEDS = 400
+# Regression: a previous owner's start reached a new incarnation (4462).
+FAILED_SEEDS = (4462,)
 CLOCK_RATES = (0.98, 1.0, 0.99)
 
 
 def make_model(fail, workers=2):
-    return PoolModel(fail, workers, clock_rates=CLOCK_RATES, stop_s=MAX_STOP_S)
+    return PoolModel(
+        fail,
+        workers,
+        clock_rates=CLOCK_RATES,
+        stop_s=MAX_STOP_S,
+        has_own_clocks=True,
+    )
 
 
 class TestExpiredLeases(unittest.TestCase):
@@ -35,7 +45,7 @@
         return model, task, model.workers[task.worker_id]
 
     def _wait_for_restart(self, model, run):
-        for _ in range(200):
+        for _ in range(400):
             model.hold()
             model.advance(0.05)
             model.schedule()
@@ -55,8 +65,60 @@
         model.take_over()
         self._wait_for_restart(model, task.run)
 
+    def test_new_incarnation_got_a_longer_lease_with_a_start_for_the_one_before(self):
+        model = make_model(self.fail)
+        model.submit("job", make_job(count=1, is_lasting=True))
+        model.hold()
+        for worker in model.workers.values():
+            worker.restart()
+        model.schedule()
+        model.hold()
+        (task,) = model.all_tasks()
+        model.workers[task.worker_id].is_reachable = False
+        self._wait_for_restart(model, task.run)
+
+    def test_new_incarnation_got_a_longer_lease_with_a_delayed_start(self):
+        model = make_model(self.fail)
+        model.submit("job", make_job(count=1, is_lasting=True))
+        model.hold()
+        for worker in model.workers.values():
+            worker.restart()
+        model.schedule(lambda: "delayed")
+        model.hold(stops="lost")
+        model.advance(2.0)
+        model.deliver_delayed_orders()
+        (task,) = model.all_tasks()
+        model.workers[task.worker_id].is_reachable = False
+        self._wait_for_restart(model, task.run)
+
+    def test_new_incarnation_got_a_longer_lease_from_the_previous_owner(self):
+        model = make_model(self.fail)
+        model.submit("job", make_job(count=1, is_lasting=True))
+        model.hold()
+        for worker in model.workers.values():
+            worker.restart()
+        model.schedule()
+        model.take_over()
+        model.hold()
+        (task,) = model.all_tasks()
+        model.workers[task.worker_id].is_reachable = False
+        self._wait_for_restart(model, task.run)
+
+    def test_worker_that_crashed_twice_is_given_up_with_its_last_lease(self):
+        model, task, worker = self._running_model()
+        model.crash(task.worker_id)
+        model.hold()
+        model.advance(MAX_CALL_S)
+        worker.restart()
+        worker.is_reachable = True
+        model.hold()
+        worker.is_reachable = False
+        cut_at = model.now
+        self._wait_for_restart(model, task.run)
+        self.assertLess(model.now - cut_at, LONGEST_RUN_S + 0.5)
+
     def test_random_faults_by_seed(self):
-        for seed in seeds_to_play(SEEDS):
+        for seed in (*seeds_to_play(SEEDS), *FAILED_SEEDS):
             with self.subTest(seed=seed):
                 self._run_seed(seed)
 
--- a/tests/scheduling/test_pool.py
+++ b/tests/scheduling/test_pool.py
@@ -74,7 +74,7 @@
     elif fault in ("disconnect", "reconnect"):
         worker.is_reachable = fault == "reconnect"
     elif fault == "restart":
-        worker.restart()
+        model.restart(f"w{which}")
     elif fault == "deliver delayed":
         model.deliver_delayed_orders()
     elif fault == "take over":
