Take an undefined answer to a start for no answer

Cause: each status of a start other than 200, 409, 421, 429 and 503 counted as a refusal, so the task was started elsewhere at once. Only 400 tells that nothing was done.

Change: other statuses count as no answer.

Evidence: test_start_with_an_odd_answer_may_have_been_executed failed for 204, 302, 404, 500, 502 and 504, "CallUnanswered not raised". Tests of platform and entry passed.

--- a/basilwind/platform/workers.py
+++ b/basilwind/platform/workers.py
@@ -152,8 +152,8 @@
             answer doesn't tell it.
 
         Raises:
-            CallUnanswered: No answer came; the order may still be carried out, even
-                seconds later.
+            CallUnanswered: No answer came, or one that does not tell; the order may
+                still be carried out, even seconds later.
         """
         order = {
             "task": task,
@@ -176,8 +176,10 @@
             return StartOutcome.WRONG_INCARNATION, None
         if status in (429, 503):
             return StartOutcome.UNHEALTHY, None
-        if status not in (200, 409):
+        if status == 400:
             return StartOutcome.REFUSED, None
+        if status not in (200, 409):
+            raise CallUnanswered(f"start of {task}: status {status}")
         answer = decode_json(body, _StartAnswer, f"start of {task}", CallUnanswered)
         if status == 200:
             return StartOutcome.STARTED, answer.clock_ms / 1000
--- a/tests/platform/test_workers.py
+++ b/tests/platform/test_workers.py
@@ -2,7 +2,7 @@
 
 import anyio
 
-from basilwind.errors import ProducerFenced, WorkerReplaced
+from basilwind.errors import CallUnanswered, ProducerFenced, WorkerReplaced
 from basilwind.platform.workers import MAX_LISTED_ENDS, WorkerControlClient
 from basilwind.scheduling.reports import EndKind, StartOutcome
 
@@ -37,11 +37,20 @@
             (409, b'{"clockMs":1500,"reason":"new"}', StartOutcome.REFUSED),
             (503, b"", StartOutcome.UNHEALTHY),
             (421, b"", StartOutcome.WRONG_INCARNATION),
+            (400, b"", StartOutcome.REFUSED),
         ):
             answer, worker_clock_s = self._call("start", status, body, *arguments)
             self.assertIs(answer, outcome)
             self.assertEqual(worker_clock_s, 1.5 if status in (200, 409) else None)
 
+    def test_start_with_an_odd_answer_may_have_been_executed(self):
+        # Regression (issue 34): a start with an answer that the platform does not
+        # define counted as refused, and the task was started elsewhere.
+        arguments = ("j.0.0.0", 1, "", 9.0, 7, "", "")
+        for status in (204, 302, 404, 500, 502, 504):
+            with self.subTest(status=status), self.assertRaises(CallUnanswered):
+                self._call("start", status, b"{}", *arguments)
+
     def test_hold_with_a_full_page_of_ends_is_not_complete(self):
         rows = [f'[{n},"t{n}",1,"done",""]' for n in range(1, MAX_LISTED_ENDS + 1)]
         for count in (MAX_LISTED_ENDS - 1, MAX_LISTED_ENDS):
