Tell calls that time out from broken connections

Cause: `TimeoutError` is an `OSError`, and the clause for broken connections came first, so `CallTimedOut` was never raised. A silent worker also counted as having run until the time-out, by which tasks that had just started outlived their probation.

Change: the clause for time-outs comes first.

--- a/basilwind/platform/transport.py
+++ b/basilwind/platform/transport.py
@@ -99,7 +99,8 @@
                     return response.status, await response.read()
         except aiohttp.ClientConnectorError as error:
             raise CallRefused(f"{url}: {error}") from error
-        except (aiohttp.ClientError, OSError, ValueError) as error:
-            raise CallUnanswered(f"{url}: {error}") from error
         except TimeoutError as error:
+            # Also an ``OSError``, so it comes first.
             raise CallTimedOut(f"{url}: no answer in {timeout_s:g} s") from error
+        except (aiohttp.ClientError, OSError, ValueError) as error:
+            raise CallUnanswered(f"{url}: {error}") from error
