Revoke starts that were given up before their worker gets another lease

A start gets no answer and its worker is cut off; the task is started elsewhere when the lease has ended. The worker comes back into reach, its lease is extended, and the start arrives, as orders may be executed seconds later and bytes held up by a cut are sent again. The task runs twice.

Cause: a start without an answer was forgotten with the lease under which it was sent.

Change: such a start is kept as revoked. The worker's lease is not extended and it gets no tasks until it has accepted a stop of that run, after which it rejects the start. That holds also if it leaves the registry and comes back.

Tests: workers of the stricter plays execute a late start under a later lease.

--- a/basilwind/entry/worker_leases.py
+++ b/basilwind/entry/worker_leases.py
@@ -21,6 +21,7 @@
 SUSPECT_HOLD_WAIT_S = 0.5  # tasks on probation are cleared by a report
 UNCONFIRMED_HOLD_WAIT_S = 0.5  # lost starts of services are revoked after a report
 PACED_HOLD_WAIT_S = 0.5  # period over which serving tasks report tail latency
+REVOKING_HOLD_WAIT_S = 0.1  # a stop is answered within milliseconds
 JOURNAL_WAIT_S = 0.4  # a slow store takes 0.24 s; leases of 4.5 s need hold calls
 RECONNECT_DELAY_S = 0.3  # workers restart within seconds
 
@@ -93,7 +94,7 @@
             self._state.token,
             worker.acknowledged_sequence,
             lease_end_s,
-            self._hold_wait_s(worker) if lease_end_s is not None else 0.0,
+            self._hold_wait_s(worker, lease_end_s is not None),
         )
         if self._state.workers.get(worker.worker_id) is not worker:
             # The worker left during the call; if it returned, it has a new
@@ -126,12 +127,14 @@
             worker.acknowledged_sequence = last_applied_sequence
             worker.pending_ack = None
 
-    def _hold_wait_s(self, worker):
+    def _hold_wait_s(self, worker, is_extending):
         """Returns how long a hold call may wait.
 
-        Less for suspects on probation, for long-running tasks whose start got no answer
-        and where filler tasks are paced.
+        Less while starts are revoked, for suspects on probation, for long-running tasks
+        whose start got no answer and where filler tasks are paced.
         """
+        if not is_extending:
+            return REVOKING_HOLD_WAIT_S if worker.revoked_starts else 0.0
         if any(
             task.state is TaskState.UNCONFIRMED and task.spec.is_lasting
             for task in worker.tasks.values()
--- a/basilwind/scheduling/placement.py
+++ b/basilwind/scheduling/placement.py
@@ -53,6 +53,7 @@
         and not worker.entry.is_draining
         and not worker.is_withheld
         and worker.is_clock_known
+        and not worker.revoked_starts
         and worker.ejected_until <= now
         and (
             worker.unanswered_since is None
--- a/basilwind/scheduling/pool_jobs.py
+++ b/basilwind/scheduling/pool_jobs.py
@@ -70,6 +70,9 @@
         # Ids of live jobs whose occurrences have due times.
         self._timed_jobs = set()
         self._crashes = CrashTracker()
+        # Starts to revoke on workers that were dropped, and the boot time of that, by
+        # worker id.
+        self._revoked_starts = {}
         # Stops of runs that no task needs.
         self._pending_stops = []
         # Work of waiting tasks at the last ranking, core-seconds.
--- a/basilwind/scheduling/pool_stops.py
+++ b/basilwind/scheduling/pool_stops.py
@@ -15,6 +15,7 @@
 
     def apply_stop_answer(self, order, now):
         """Records that a worker accepted a stop: the run has ended or cannot start."""
+        order.worker.revoked_starts.pop((order.task_name, order.run), None)
         task = order.worker.tasks.get(order.task_name)
         if task is None or task.run != order.run:
             return
@@ -35,7 +36,7 @@
         """Returns the ``StopOrder`` objects that are due for the runs of a worker."""
         if not worker.is_clock_known:
             return []
-        orders = []
+        orders = self._revocations_of(worker, now)
         for task in worker.tasks.values():
             if task.state is TaskState.STARTING:
                 continue
@@ -51,6 +52,18 @@
             orders.append(StopOrder(task.name, task.run, worker))
         return orders
 
+    @staticmethod
+    def _revocations_of(worker, now):
+        """Returns the ``StopOrder`` objects that are due for given up starts."""
+        if worker.unanswered_since is not None:
+            return []
+        orders = []
+        for (name, run), sent_at in worker.revoked_starts.items():
+            if sent_at is None or now - sent_at >= STOP_RETRY_S:
+                worker.revoked_starts[name, run] = now
+                orders.append(StopOrder(name, run, worker))
+        return orders
+
     def _may_send_stop(self, task, worker, now):
         """Returns whether the stop of a long-running run may be sent, or sent again.
 
--- a/basilwind/scheduling/pool_workers.py
+++ b/basilwind/scheduling/pool_workers.py
@@ -8,6 +8,8 @@
 from basilwind.scheduling.reports import EndKind
 from basilwind.scheduling.workers import WorkerView
 
+REVOCATION_VALID_S = 300.0  # bytes of a cut connection may be sent again for minutes
+
 
 class PoolWorkers(PoolJobs):
     """Jobs and workers of one pool; see ``PoolJobs`` for its arguments."""
@@ -28,6 +30,9 @@
             worker = self.workers.get(worker_id)
             if worker is None:
                 worker = self.workers[worker_id] = WorkerView(entry)
+                revoked = self._revoked_starts.pop(worker_id, None)
+                if revoked is not None:
+                    worker.revoked_starts, _ = revoked
                 added.append(worker)
                 self._report(
                     "worker joined",
@@ -50,7 +55,7 @@
                     now < self.unrecorded_runs_until and not worker.has_reported_fully
                 )
                 if not worker.tasks and not may_have_unrecorded_runs:
-                    del self.workers[worker_id]
+                    self._drop_worker(worker, now)
         return added
 
     def _remove_predecessors(self, entries, now):
@@ -441,11 +446,25 @@
                     run=task.run,
                     worker=worker.worker_id,
                 )
+                if task.state is TaskState.UNCONFIRMED and task.token == self.token:
+                    worker.revoked_starts[task.name, task.run] = None
                 self._requeue(task)
             if not worker.is_listed:
-                self.workers.pop(worker.worker_id, None)
+                self._drop_worker(worker, now)
         self._requeue_unlisted(now)
 
+    def _drop_worker(self, worker, now):
+        """Removes a worker; if it is listed again, its starts are still revoked."""
+        del self.workers[worker.worker_id]
+        self._revoked_starts = {
+            worker_id: (starts, dropped_at)
+            for worker_id, (starts, dropped_at) in self._revoked_starts.items()
+            if now - dropped_at < REVOCATION_VALID_S
+        }
+        if worker.revoked_starts:
+            starts = dict.fromkeys(worker.revoked_starts)
+            self._revoked_starts[worker.worker_id] = starts, now
+
     def _requeue_unlisted(self, now):
         """Requeues tasks of a previous owner on workers that never registered again."""
         if now < self.previous_leases_until or self.previous_leases_until == 0.0:
--- a/basilwind/scheduling/workers.py
+++ b/basilwind/scheduling/workers.py
@@ -79,6 +79,10 @@
             task name.
         unanswered_start_sent_at: Boot time at which the last start that got no answer
             was sent, or None.
+        revoked_starts: Starts that got no answer and were given up with their lease, as
+            task names and runs, and the boot time at which a stop was last sent for
+            each, or None. They may arrive late, so the worker gets neither leases nor
+            tasks before it has accepted these stops.
     """
 
     __slots__ = (
@@ -108,6 +112,7 @@
         "run_time_ratio",
         "pending_starts",
         "unanswered_start_sent_at",
+        "revoked_starts",
         "_last_worker_clock_s",
         "_clock_read_at",
         "_latest_lease_end_s",
@@ -141,6 +146,7 @@
         self.run_time_ratio = 1.0
         self.pending_starts = {}
         self.unanswered_start_sent_at = None
+        self.revoked_starts = {}
         self._last_worker_clock_s = None
         self._clock_read_at = None
         # Latest end of a lease granted here, on the worker's clock.
@@ -266,6 +272,8 @@
         """
         if self._last_worker_clock_s is None or self.unanswered_since is not None:
             return None
+        if self.revoked_starts:
+            return None
         return self.grant_lease(lease_s, now)
 
     def has_lapsed(self, limits, now):
--- a/tests/scheduling/model.py
+++ b/tests/scheduling/model.py
@@ -86,7 +86,8 @@
         page_size: Most ended runs that a report lists.
         clock_rate: Seconds that its clock advances in a second.
         stop_s: Time that it takes to end a run, seconds.
-        has_own_clocks: Whether the clock of each incarnation starts anew.
+        is_strict: Whether the clock of each incarnation starts anew, and a lease also
+            applies to a start that arrives late.
 
     Attributes:
         entry: ``WorkerEntry``.
@@ -109,7 +110,7 @@
         page_size=500,
         clock_rate=1.0,
         stop_s=0.0,
-        has_own_clocks=False,
+        is_strict=False,
     ):
         self.entry = entry
         self.page_size = page_size
@@ -119,14 +120,14 @@
         self._time = time
         self._clock_rate = clock_rate
         self._stop_s = stop_s
-        self._has_own_clocks = has_own_clocks
+        self._is_strict = is_strict
         self.restart()
         self._clock_start = time() - FIRST_CLOCK_S / clock_rate
 
     def restart(self):
         """Starts a new incarnation without any state."""
         self.incarnation += 1
-        if self._has_own_clocks:
+        if self._is_strict:
             self._clock_start = self._time()
         # Time at which a run will have been ended, and how, by task name.
         self._ending = {}
@@ -142,6 +143,11 @@
         """Its own clock, seconds."""
         return (self._time() - self._clock_start) * self._clock_rate
 
+    @property
+    def _has_lease(self):
+        """Whether a start with an old lease is executed under a later one."""
+        return self._is_strict and self.lease_until > self.clock_s
+
     def start(self, name, run, expires, token):
         """Executes a start order; returns a ``StartOutcome``."""
         self.end_runs()
@@ -152,7 +158,7 @@
             return StartOutcome.STARTED
         if run <= self.rejected_runs.get(name, 0) or name in self.runs:
             return StartOutcome.SUPERSEDED
-        if expires <= self.clock_s:
+        if expires <= self.clock_s and not self._has_lease:
             return StartOutcome.LEASE_EXPIRED
         self._extend_lease(expires)
         self.runs[name] = run
@@ -183,7 +189,7 @@
         if token < self.highest_token:
             return None
         self.highest_token = token
-        if expires is not None and self.runs:
+        if expires is not None and (self.runs or self._is_strict):
             self._extend_lease(expires)
         self.ended = [end for end in self.ended if end.sequence > acknowledged]
         running = tuple(
@@ -226,8 +232,8 @@
         page_size: Most ended runs that a worker's report lists.
         clock_rates: Rates of the workers' clocks, which are assigned in turn.
         stop_s: Time that workers take to end a run, seconds.
-        has_own_clocks: Whether the clock of each incarnation starts anew. A restart
-            then breaks the connection to the worker, so that the owner notices it.
+        is_strict: As for ``ModelWorker``. A restart then breaks the connection to the
+            worker, so that the owner notices it.
     """
 
     def __init__(
@@ -239,11 +245,11 @@
         page_size=500,
         clock_rates=(1.0,),
         stop_s=0.0,
-        has_own_clocks=False,
+        is_strict=False,
     ):
         self._fail = fail
         self._stop_s = stop_s
-        self._has_own_clocks = has_own_clocks
+        self._is_strict = is_strict
         self._startup_s = startup_s
         self.now = 1000.0
         # Names of tasks whose last run was ended by an order.
@@ -261,7 +267,7 @@
                 page_size,
                 clock_rates[n % len(clock_rates)],
                 stop_s,
-                has_own_clocks,
+                is_strict,
             )
             for n in range(workers)
         }
@@ -566,7 +572,7 @@
         """Starts a worker's next incarnation."""
         worker, view = self.workers[name], self.state.workers.get(name)
         worker.restart()
-        if self._has_own_clocks and worker.is_reachable and view is not None:
+        if self._is_strict and worker.is_reachable and view is not None:
             view.mark_unanswered(self.now, True, self.now)
 
     def crash(self, name):
@@ -587,7 +593,7 @@
             make_entry(successor),
             self._time,
             stop_s=self._stop_s,
-            has_own_clocks=self._has_own_clocks,
+            is_strict=self._is_strict,
         )
         self.refresh()
 
--- a/tests/scheduling/test_expired_leases.py
+++ b/tests/scheduling/test_expired_leases.py
@@ -29,7 +29,7 @@
         workers,
         clock_rates=CLOCK_RATES,
         stop_s=MAX_STOP_S,
-        has_own_clocks=True,
+        is_strict=True,
     )
 
 
@@ -117,6 +117,54 @@
         self._wait_for_restart(model, task.run)
         self.assertLess(model.now - cut_at, LONGEST_RUN_S + 0.5)
 
+    def _cut_worker_with_an_unanswered_start(self):
+        """Returns a model and a worker, on which a start is still to arrive."""
+        model = make_model(self.fail)
+        model.submit("job", make_job(count=1, is_lasting=True))
+        model.hold()
+        model.schedule(lambda: "delayed")
+        (task,) = model.all_tasks()
+        worker = model.workers[task.worker_id]
+        worker.is_reachable = False
+        return model, task, worker
+
+    def _deliver_start_late(self, model, worker):
+        worker.is_reachable = True
+        model.refresh()
+        model.hold()
+        model.hold()
+        model.deliver_delayed_orders()
+        self.assertEqual(worker.runs, {})
+
+    def test_start_arrived_after_its_task_was_started_elsewhere(self):
+        model, task, worker = self._cut_worker_with_an_unanswered_start()
+        self._wait_for_restart(model, task.run)
+        self._deliver_start_late(model, worker)
+
+    def test_start_arrived_after_its_worker_had_left_the_registry(self):
+        model, task, worker = self._cut_worker_with_an_unanswered_start()
+        model.refresh([name for name in model.workers if name != task.worker_id])
+        self._wait_for_restart(model, task.run)
+        self._deliver_start_late(model, worker)
+
+    def test_worker_gets_no_lease_before_a_given_up_start_is_revoked(self):
+        model, task, worker = self._cut_worker_with_an_unanswered_start()
+        worker_id = task.worker_id
+        self._wait_for_restart(model, task.run)
+        worker.is_reachable = True
+        model.hold(stops="lost")
+        model.hold(stops="lost")
+        model.submit("next", make_job(count=1, cpu=8000))
+        model.schedule()
+        self.assertEqual(worker.runs, {})
+        model.deliver_delayed_orders()
+        self.assertEqual(worker.runs, {})
+        model.advance(1.0)
+        model.hold()
+        model.schedule()
+        self.assertEqual(set(worker.runs), {"next.0.0.0"})
+        self.assertEqual(model.state.workers[worker_id].revoked_starts, {})
+
     def test_random_faults_by_seed(self):
         for seed in (*seeds_to_play(SEEDS), *FAILED_SEEDS):
             with self.subTest(seed=seed):
