Take a draining worker for gone only if its port refuses connections

Tasks of a draining worker that has left the registry were started elsewhere while it may still run.

Cause: each failure to connect counted as a refusal, also one without a path to the worker or for want of a descriptor here, and a refusal as the worker's end.

--- a/basilwind/platform/transport.py
+++ b/basilwind/platform/transport.py
@@ -7,6 +7,7 @@
     CallRefused,
     CallTimedOut,
     CallUnanswered,
+    NoListener,
     PlatformUnavailable,
 )
 
@@ -86,6 +87,7 @@
             Status and body.
 
         Raises:
+            NoListener: The address refused the connection.
             CallRefused: No connection was established, so nothing was sent.
             CallTimedOut: No complete answer came in time; the call may have taken
                 effect.
@@ -98,7 +100,10 @@
                 ) as response:
                     return response.status, await response.read()
         except aiohttp.ClientConnectorError as error:
-            raise CallRefused(f"{url}: {error}") from error
+            is_refused = isinstance(error.os_error, ConnectionRefusedError)
+            raise (NoListener if is_refused else CallRefused)(
+                f"{url}: {error}"
+            ) from error
         except TimeoutError as error:
             # Also an ``OSError``, so it comes first.
             raise CallTimedOut(f"{url}: no answer in {timeout_s:g} s") from error
