Read a worker's clock from its reports only

Cause: the answer to a start set the worker's clock, but does not tell the incarnation. If it is read after the report of the next incarnation, whose clock starts anew, the clock is too high by the age of the one before, and leases granted here look expired as soon as a call gets no answer.

Change: a start's answer counts as an answer, and its clock is ignored. Reports, which tell the incarnation, come each 1.5 s.

--- a/basilwind/entry/owner.py
+++ b/basilwind/entry/owner.py
@@ -414,7 +414,8 @@
         finally:
             worker.pending_starts.pop(task.name, None)
         if worker_clock_s is not None:
-            worker.set_clock(worker_clock_s, self._clock())
+            # The clock may be that of another incarnation than the last report's.
+            worker.record_answer(self._clock())
         if outcome is StartOutcome.FENCED:
             self._handle_fenced(worker)
         self._state.apply_start_outcome(order, outcome, self._clock())
--- a/basilwind/scheduling/workers.py
+++ b/basilwind/scheduling/workers.py
@@ -67,6 +67,7 @@
         is_at_risk: Whether an order for its host may still end its runs.
         is_listed: Whether the registry lists it.
         isolated_job_id: Id of the job whose suspects it was last kept for.
+        answered_at: Boot time of its last answer, or None.
         unanswered_since: Boot time at which the first unanswered call was sent, or
             None.
         ejected_until: Boot time until which it gets no tasks because of failures.
@@ -104,6 +105,7 @@
         "is_at_risk",
         "is_listed",
         "isolated_job_id",
+        "answered_at",
         "unanswered_since",
         "ejected_until",
         "ejection_s",
@@ -138,6 +140,7 @@
         self.is_at_risk = False
         self.is_listed = True
         self.isolated_job_id = ""
+        self.answered_at = None
         self.unanswered_since = None
         self.ejected_until = 0.0
         self.ejection_s = 0.0
@@ -159,11 +162,6 @@
         """Id of the worker."""
         return self.entry.worker_id
 
-    @property
-    def answered_at(self):
-        """Boot time of its last answer, or None."""
-        return self._clock_read_at
-
     @property
     def is_leaving(self):
         """Whether its end is planned."""
@@ -228,7 +226,7 @@
         self.entry = entry
 
     def set_clock(self, worker_clock_s, now):
-        """Records the worker's clock from an answer.
+        """Records the worker's clock from a report, which tells the incarnation.
 
         Args:
             worker_clock_s: The worker's clock when it answered, seconds.
@@ -236,6 +234,15 @@
         """
         self._last_worker_clock_s = worker_clock_s
         self._clock_read_at = now
+        self.record_answer(now)
+
+    def record_answer(self, now):
+        """Records that the worker answered a call.
+
+        Args:
+            now: Boot time when the answer was read, seconds.
+        """
+        self.answered_at = now
         self.unanswered_since = None
         self.alive_until = None
 
@@ -312,6 +319,7 @@
         self.reported_at = None
         self._last_worker_clock_s = None
         self._clock_read_at = None
+        self.answered_at = None
         self._latest_lease_end_s = 0.0
         started_at = sent_at - report.worker_clock_s / (1 - MAX_CLOCK_DRIFT)
         if self._granted_at is not None and started_at - self._granted_at < MAX_CALL_S:
--- a/tests/entry/test_expired_authority.py
+++ b/tests/entry/test_expired_authority.py
@@ -10,7 +10,8 @@
 from basilwind.entry.store_monitor import StoreMonitor
 from basilwind.errors import NotOwner
 from basilwind.scheduling.ownership import HOLDER_SILENCE_S, MAX_STORE_SILENCE_S
-from tests.scheduling.model import make_job
+from basilwind.scheduling.reports import StartOutcome
+from tests.scheduling.model import WORKER_LIMITS, make_job
 from tests.utils.entry_fakes import Clock, FakePeers, make_services
 
 PAUSE_S = 5.0  # a successor has taken over after two seconds
@@ -60,6 +61,25 @@
         self._run(self._submit)
         self.assertEqual(self.starts, [("a" * 16 + ".0.0.0", 1)])
 
+    def test_clock_of_another_incarnation_made_a_lease_look_expired(self):
+        # The answer to a start does not tell which incarnation it is from.
+        async def start(*arguments):
+            return StartOutcome.STARTED, self.clock() + PAUSE_S * 100
+
+        async def stay_silent(*arguments):
+            await anyio.sleep_forever()
+
+        async def scenario(owner):
+            workers = self.services.worker_control
+            workers.start, workers.hold = start, stay_silent
+            await anyio.sleep(SETTLE_S)
+            await self._submit(owner)
+            (worker,) = owner.state.workers.values()
+            self.assertTrue(worker.tasks)
+            self.assertFalse(worker.has_lapsed(WORKER_LIMITS, self.clock()))
+
+        self._run(scenario)
+
     def test_start_is_not_sent_after_pause_during_its_journalling(self):
         def pause(topic):
             if topic == journal_topic("pool"):
