--- a/basilwind/entry/worker_leases.py
+++ b/basilwind/entry/worker_leases.py
@@ -11,7 +11,6 @@
     CallRefused,
     CallTimedOut,
     CallUnanswered,
-    NoListener,
     ProducerFenced,
     WorkerCallFailed,
     WorkerReplaced,
@@ -64,10 +63,9 @@
                 self._report("worker replaced", worker=worker.worker_id)
                 self._state.remove_worker(worker, self._clock())
                 self._schedule_event.set()
-            except CallRefused as error:
+            except CallRefused:
                 self._mark_unreachable(worker, sent_at, "refused")
-                has_exited = isinstance(error, NoListener)
-                if has_exited and worker.entry.is_draining and not worker.is_listed:
+                if worker.entry.is_draining and not worker.is_listed:
                     self._state.remove_worker(worker, self._clock())
                     self._schedule_event.set()
                 await anyio.sleep(RECONNECT_DELAY_S)
--- a/basilwind/errors.py
+++ b/basilwind/errors.py
@@ -113,10 +113,6 @@
     """A call did not reach its receiver, so it had no effect."""
 
 
-class NoListener(CallRefused):
-    """Nothing listens at the address, so the process that did so has ended."""
-
-
 class CallUnanswered(BasilwindError):
     """A call got no answer; it may have taken effect or may do so later."""
 
--- a/basilwind/platform/transport.py
+++ b/basilwind/platform/transport.py
@@ -7,7 +7,6 @@
     CallRefused,
     CallTimedOut,
     CallUnanswered,
-    NoListener,
     PlatformUnavailable,
 )
 
@@ -87,7 +86,6 @@
             Status and body.
 
         Raises:
-            NoListener: The address refused the connection.
             CallRefused: No connection was established, so nothing was sent.
             CallTimedOut: No complete answer came in time; the call may have taken
                 effect.
@@ -100,10 +98,7 @@
                 ) as response:
                     return response.status, await response.read()
         except aiohttp.ClientConnectorError as error:
-            is_refused = isinstance(error.os_error, ConnectionRefusedError)
-            raise (NoListener if is_refused else CallRefused)(
-                f"{url}: {error}"
-            ) from error
+            raise CallRefused(f"{url}: {error}") from error
         except TimeoutError as error:
             # Also an ``OSError``, so it comes first.
             raise CallTimedOut(f"{url}: no answer in {timeout_s:g} s") from error
--- a/basilwind/platform/workers.py
+++ b/basilwind/platform/workers.py
@@ -257,7 +257,6 @@
             A ``WorkerReport``.
 
         Raises:
-            NoListener: The worker has exited.
             CallRefused: The worker could not be reached.
             CallUnanswered: No answer came.
             ProducerFenced: The worker has seen a higher token.
