Answer requests that arrive after the last responses of a stop

Cause: at the end of a stop the daemon answers all open requests, waits 0.3 s for the responses to leave and ends its event loop. A request that arrived on an open connection in that time was taken on, cancelled with the loop, and the server wrote its own status 500.

That they met this moment is inferred from the logs: the answer came in the moment of "stopped".

Change: from then on each request is answered at once as one that was interrupted: 503 for a GET, 504 for others, as an earlier attempt may have been stored, so "not run" could be false.

--- a/basilwind/entry/caller_app.py
+++ b/basilwind/entry/caller_app.py
@@ -50,15 +50,28 @@
         self._queue_cache = {}
         # A ``CancelScope`` for each request that has no response yet.
         self._open_requests = set()
+        self._is_closed = False
 
     async def __call__(self, scope, receive, send):
         """Serves one request."""
+        if self._is_closed:
+            response = _interrupted_response(scope["method"])
+        else:
+            response = await self._serve(scope, receive)
+        if response is None:
+            return
+        if self._is_stopping():
+            response.headers["Connection"] = "close"
+        await send_response(send, response)
+
+    async def _serve(self, scope, receive):
+        """Returns the response to a request, or None if its client disconnected."""
         with anyio.CancelScope() as open_request:
             self._open_requests.add(open_request)
             try:
                 response = await self._respond(scope, receive)
             except ClientDisconnected:
-                return
+                return None
             except Exception as error:
                 self._services.report(
                     "request failed",
@@ -70,12 +83,14 @@
                 self._open_requests.discard(open_request)
         if open_request.cancelled_caught:
             response = _interrupted_response(scope["method"])
-        if self._is_stopping():
-            response.headers["Connection"] = "close"
-        await send_response(send, response)
+        return response
 
     def answer_open_requests(self):
-        """Answers all open requests, as this daemon can't finish them any more."""
+        """Answers all open requests and those that still arrive on open connections.
+
+        This daemon can't finish them any more.
+        """
+        self._is_closed = True
         for open_request in list(self._open_requests):
             open_request.cancel()
 
--- a/tests/entry/test_caller_app.py
+++ b/tests/entry/test_caller_app.py
@@ -27,13 +27,14 @@
 class TestCallerApp(unittest.TestCase):
     """Requests that the daemon can't finish get a response of this API."""
 
-    def _statuses(self, method, interrupt_after_s=None, error=None):
+    def _statuses(self, method, interrupt_after_s=None, error=None, is_late=False):
         """Returns the statuses of a request's response.
 
         Args:
             method: HTTP method.
             interrupt_after_s: When to answer open requests, in seconds, or None.
             error: Error that calls of peers raise, or None if no owner answers.
+            is_late: Whether open requests were answered before this one arrived.
         """
         services = make_services(Clock())
         services.settings.store_record_bytes = 262144
@@ -60,6 +61,8 @@
             sent.append(message)
 
         async def main():
+            if is_late:
+                app.answer_open_requests()
             with anyio.fail_after(1.0):
                 async with anyio.create_task_group() as tasks:
                     tasks.start_soon(app, scope, receive, send)
@@ -79,6 +82,13 @@
     def test_interrupted_query_is_refused(self):
         self.assertEqual(self._statuses("GET", interrupt_after_s=0.05), [503])
 
+    def test_request_on_an_open_connection_after_the_last_answers_is_answered(self):
+        # Regression: requests in the last 0.3 s of a stop were cancelled with the event
+        # loop, and callers got the server's own status 500 (soak seed 203).
+        self.assertEqual(self._statuses("POST", is_late=True), [504])
+        self.assertEqual(self._statuses("DELETE", is_late=True), [504])
+        self.assertEqual(self._statuses("GET", is_late=True), [503])
+
     def test_unexpected_error_leaves_the_outcome_open(self):
         error = KeyError("unexpected")
         self.assertEqual(self._statuses("POST", error=error), [504])
