Keep lines about runs from being dropped for others

LineWriter counted all lines together, so 600 lines of any kind in a second, or a buffer that they had filled, left out the lines that tell why a task lost its run; the line on what was left out had one count only.

Lines with a run or runs now have 600 a second of their own and may use twice the buffer; 'log lines left out' counts by kind. Writing never blocks, as before.

--- a/basilwind/logs.py
+++ b/basilwind/logs.py
@@ -2,6 +2,7 @@
 
 import os
 import time
+from collections import Counter
 
 import eliot
 import msgspec
@@ -11,6 +12,10 @@
 # Lines that are not routine (failures and changes of what a daemon assumes, such as
 # a lost worker) may use twice the budget.
 NON_ROUTINE_FACTOR = 2
+# Lines about runs have a budget of their own, so that no others displace them: they
+# tell why a task ran twice.
+MAX_RUN_LINES_PER_S = 600
+MAX_BUFFER_BYTES_FOR_RUNS = 2 * MAX_BUFFER_BYTES
 _ROUTINE_EVENTS = frozenset(
     ("job submitted", "step placed", "capacity planned", "task paced")
 )
@@ -19,7 +24,7 @@
 class LineWriter:
     """An eliot destination that drops lines instead of waiting for the reader.
 
-    At most once a second, a line tells how many lines were dropped.
+    At most once a second, a line tells how many lines were dropped, and of which kinds.
 
     Args:
         descriptor: File descriptor to write to; it is made non-blocking.
@@ -35,7 +40,8 @@
         self._buffer = bytearray()
         self._second = 0
         self._lines = 0
-        self._dropped = 0
+        self._run_lines = 0
+        self._dropped = Counter()
         self.dropped_total = 0
         os.set_blocking(descriptor, False)
 
@@ -44,16 +50,26 @@
         second = int(self._clock())
         if second != self._second:
             self._start_second(second)
-        self._lines += 1
-        is_routine = message.get("message_type") in _ROUTINE_EVENTS
-        limit = MAX_LINES_PER_S if is_routine else MAX_LINES_PER_S * NON_ROUTINE_FACTOR
-        if self._lines > limit or len(self._buffer) > MAX_BUFFER_BYTES:
-            self._dropped += 1
+        if not self._is_within_budget(message):
+            self._dropped[message.get("message_type", "")] += 1
             self.dropped_total += 1
             return
         self._append_line(message)
         self.flush()
 
+    def _is_within_budget(self, message):
+        """Counts a message and returns whether it may be written."""
+        is_routine = message.get("message_type") in _ROUTINE_EVENTS
+        if not is_routine and ("run" in message or "runs" in message):
+            self._run_lines += 1
+            return (
+                self._run_lines <= MAX_RUN_LINES_PER_S
+                and len(self._buffer) <= MAX_BUFFER_BYTES_FOR_RUNS
+            )
+        self._lines += 1
+        limit = MAX_LINES_PER_S if is_routine else MAX_LINES_PER_S * NON_ROUTINE_FACTOR
+        return self._lines <= limit and len(self._buffer) <= MAX_BUFFER_BYTES
+
     def flush(self):
         """Writes as much of the buffer as the descriptor takes without blocking."""
         while self._buffer:
@@ -68,10 +84,16 @@
             del self._buffer[:written]
 
     def _start_second(self, second):
-        self._second, self._lines = second, 0
+        self._second, self._lines, self._run_lines = second, 0, 0
         if self._dropped:
-            dropped, self._dropped = self._dropped, 0
-            self._append_line({"message_type": "log lines left out", "lines": dropped})
+            dropped, self._dropped = self._dropped, Counter()
+            self._append_line(
+                {
+                    "message_type": "log lines left out",
+                    "lines": dropped.total(),
+                    "kinds": dropped,
+                }
+            )
 
     def _append_line(self, message):
         self._buffer += msgspec.json.encode(message, enc_hook=str) + b"\n"
