Count with the holder before one that restarted

Cause: a daemon takes a pool over from a silent owner, is killed and started again, and claims its own earlier claim. The table took a later incarnation on the same host for a holder without a predecessor, and forgot the first owner, which may still extend leases. What callers saw: nothing by itself; the successor waited 4.7 s in place of 8.2 s for workers out of reach, so a task of a worker that only the first owner reaches may run twice.

Change: a claim says whether another holder might still have been active when it was made. A later incarnation takes that over, until a settled release. In test_partial_outage the fake record of a claim became a Claim with the same fields; its checks are unchanged.

--- a/basilwind/entry/duties.py
+++ b/basilwind/entry/duties.py
@@ -4,6 +4,8 @@
 holds it.
 """
 
+from dataclasses import replace
+
 import anyio
 import msgspec
 
@@ -12,7 +14,12 @@
 from basilwind.errors import PlatformError, RecordInvalid, StoreConflict
 from basilwind.logs import log
 from basilwind.platform.store import encode_keyed_record
-from basilwind.scheduling.ownership import HEARTBEAT_S, Claim, DutyTable
+from basilwind.scheduling.ownership import (
+    HEARTBEAT_S,
+    Claim,
+    DutyTable,
+    may_still_be_active,
+)
 
 TOPIC = "keyed.duties"
 # Heartbeats have their own topic, since appending them to the claims' topic would
@@ -40,6 +47,7 @@
     address: str
     token: Count
     zone: str = ""
+    has_predecessor: bool = False
 
 
 class _HeartbeatRecord(msgspec.Struct, array_like=True):
@@ -131,7 +139,7 @@
         """Returns the claim that the newest one replaced.
 
         Returns:
-            ``Claim`` of a holder that may still be active, or None.
+            Its ``Claim`` if its holder or one before it may still be active, or None.
         """
         return self._table.previous_claims.get(duty)
 
@@ -286,7 +294,10 @@
 
     async def _try_claim(self, duty):
         position = self._follower.position
-        claim = _ClaimRecord(self._incarnation, self._address, position + 1, self._zone)
+        claim = Claim(self._incarnation, self._address, position + 1, self._zone)
+        known = self._table.claims.get(duty)
+        if known is not None and may_still_be_active(known, claim):
+            claim = replace(claim, has_predecessor=True)
         try:
             await self._store.append(TOPIC, [_encode_claim(duty, claim)], at=position)
         except StoreConflict:
@@ -298,8 +309,7 @@
             return
         self._record_claim(duty, claim)
 
-    def _record_claim(self, duty, record):
-        claim = Claim(record.holder, record.address, record.token, record.zone)
+    def _record_claim(self, duty, claim):
         known = self._table.claims.get(duty)
         self._table.apply_claim(duty, claim, self._clock())
         if self._table.claims.get(duty) != known:
@@ -322,12 +332,19 @@
     def _apply_claim(self, record):
         what = f"claim {record.key!r}"
         try:
-            claim = decode_json(record.value, _ClaimRecord, what, RecordInvalid)
-            check_name(claim.holder, what, RecordInvalid)
-            check_address(claim.address, what, RecordInvalid)
+            decoded = decode_json(record.value, _ClaimRecord, what, RecordInvalid)
+            check_name(decoded.holder, what, RecordInvalid)
+            check_address(decoded.address, what, RecordInvalid)
         except RecordInvalid as error:
             log("invalid record ignored", topic=TOPIC, error=str(error))
             return
+        claim = Claim(
+            decoded.holder,
+            decoded.address,
+            decoded.token,
+            decoded.zone,
+            has_predecessor=decoded.has_predecessor,
+        )
         self._record_claim(record.key[len(_CLAIM_PREFIX) :], claim)
 
     def _apply_heartbeats(self, records):
@@ -366,5 +383,8 @@
     return value.isdigit() and len(value) <= MAX_TOKEN_DIGITS
 
 
-def _encode_claim(duty, record):
+def _encode_claim(duty, claim):
+    record = _ClaimRecord(
+        claim.holder, claim.address, claim.token, claim.zone, claim.has_predecessor
+    )
     return encode_keyed_record(_CLAIM_PREFIX + duty, msgspec.json.encode(record))
--- a/basilwind/scheduling/ownership.py
+++ b/basilwind/scheduling/ownership.py
@@ -46,6 +46,8 @@
         zone: The holder's availability zone.
         is_settled: Whether a holder that released the duty knew all that previous ones
             had started.
+        has_predecessor: Whether another holder might still have been active when the
+            claim was made.
     """
 
     holder: str
@@ -53,13 +55,15 @@
     token: int
     zone: str = ""
     is_settled: bool = True
+    has_predecessor: bool = False
 
 
 def may_still_be_active(previous, claim):
-    """Returns whether a duty's previous holder may still act on it.
+    """Returns whether a previous holder of a duty may still act on it.
 
-    It does not if it released the duty and knew what others before it had started, or
-    if the new holder is a later incarnation of the same daemon.
+    None does if the last one released the duty and knew what others before it had
+    started, or if the new holder is a later incarnation of the same daemon and that one
+    had no predecessor.
 
     Args:
         previous: ``Claim`` of the previous holder.
@@ -69,7 +73,8 @@
         return False
     if not previous.holder:
         return not previous.is_settled
-    return previous.holder.partition("#")[0] != claim.holder.partition("#")[0]
+    is_same_daemon = previous.holder.partition("#")[0] == claim.holder.partition("#")[0]
+    return not is_same_daemon or previous.has_predecessor
 
 
 def may_extend_leases(confirmed_at, now):
@@ -140,7 +145,7 @@
         claims: Newest ``Claim`` by duty.
         last_heartbeat_at: Boot time at which a heartbeat was last read, by holder.
         previous_claims: ``Claim`` that the newest one replaced, by duty, if its holder
-            may still be active.
+            or one before it may still be active.
         handed_over: Duties that the previous holder released, or that had no holder.
     """
 
--- a/tests/entry/test_partial_outage.py
+++ b/tests/entry/test_partial_outage.py
@@ -184,7 +184,7 @@
             appended.extend(records)
 
         previous._store.append = append
-        claim = types.SimpleNamespace(holder="e1#1", address="e1:1", token=5, zone="a")
+        claim = dataclasses.replace(PREVIOUS, holder="e1#1", address="e1:1")
         for manager in (previous, successor):
             manager._record_claim("pool/a", claim)
             manager._record_claim(FLEET_DUTY, claim)
