Extend leases only on a read that shows no successor

Cause: any answer of the store renewed an owner's authority to extend leases. A process that was frozen, or whose reads of the claims fail, gets its heartbeats answered without having read the claim that replaced it, and goes on extending leases of workers that have not seen its successor's token.

Evidence, before the change: FAIL: test_frozen_holder_extends_nothing_before_it_has_read_the_claims AssertionError: True is not false FAIL: test_holder_that_reads_no_claims_loses_its_authority_to_a_successor AssertionError: True is not false FAIL: test_successor_counts_leases_from_its_announcement AssertionError: 0 != 4

Change: each heartbeat tells up to where its daemon knows the claims. Authority counts from when a read was sent whose answer shows that no announced claim is unknown: a read of the claims, or of heartbeats. A successor with a predecessor that may be active announces its claim with a heartbeat before it counts the leases: one append a takeover, in parallel to its reads. The fakes of a duty holder got a FakeDuties that follows the fake store as the monitor did, so existing checks are as strict as before.

--- a/basilwind/entry/duties.py
+++ b/basilwind/entry/duties.py
@@ -4,6 +4,7 @@
 holds it.
 """
 
+import math
 from dataclasses import replace
 
 import anyio
@@ -39,6 +40,7 @@
 HEARTBEAT_POLL_S = 0.25  # limits reads, as all holders append heartbeats
 HEARTBEAT_WAIT_S = 0.6  # heartbeats arrive every 0.5 s; silence means a dead connection
 MAX_TOKEN_DIGITS = 15
+ANNOUNCE_RETRY_S = 0.15  # a busy store rejects calls for some tenths of a second
 RELEASE_RETRY_S = 0.1  # shutdown takes seconds, and other daemons wait for it
 
 
@@ -53,6 +55,8 @@
 class _HeartbeatRecord(msgspec.Struct, array_like=True):
     address: str
     zone: str
+    # Offset up to which the daemon knows the claims.
+    claims_end: Count = 0
 
 
 class DutyManager:
@@ -90,6 +94,8 @@
         self._daemons = {}
         # Offset of the newest heartbeat of each incarnation.
         self._heartbeat_offsets = {}
+        # Offset up to which some daemon knows the claims, according to its heartbeat.
+        self._announced_claims_end = 0
         self._follower = KeyedFollower(
             store, TOPIC, self._apply_records, self._apply_records, clock
         )
@@ -111,6 +117,28 @@
         """Returns the fencing tokens of the duties held here, by duty."""
         return self._table.held_duties()
 
+    @property
+    def confirmed_at(self):
+        """Latest boot time of which all claims announced until then are known here.
+
+        A claimant announces its claim before it counts how long leases of its
+        predecessors may last, so owners here may extend leases for a time that counts
+        from here.
+        """
+        confirmed_at = self._follower.confirmed_at
+        if self._announced_claims_end <= self._known_claims_end:
+            # Claims are read by a long poll, heartbeats several times in that time.
+            confirmed_at = max(
+                confirmed_at or -math.inf, self._heartbeats.confirmed_at or -math.inf
+            )
+        return -math.inf if confirmed_at is None else confirmed_at
+
+    @property
+    def _known_claims_end(self):
+        """Offset up to which the claims are known here."""
+        # Nothing precedes a claim of this daemon that it has not read.
+        return max([self._follower.position or 0, *self.held_tokens().values()])
+
     def find_claim(self, duty):
         """Returns a duty's newest ``Claim``, or None."""
         return self._table.claims.get(duty)
@@ -199,8 +227,6 @@
 
         The others tell the other daemons where this one can be reached.
         """
-        value = msgspec.json.encode(_HeartbeatRecord(self._address, self._zone))
-        record = encode_keyed_record(self._incarnation, value)
         announced_at = None
         while True:
             now = self._clock()
@@ -208,15 +234,31 @@
             if self.held_tokens() or (is_due and self._heartbeats.position is not None):
                 outdated = self._outdated_heartbeats() if is_due else []
                 try:
-                    await self._store.append(
-                        HEARTBEATS_TOPIC,
-                        [record, *(encode_keyed_record(key, b"") for key in outdated)],
-                    )
+                    await self._append_heartbeat(outdated)
                     announced_at = now
                 except PlatformError as error:
                     log("heartbeat failed", error=str(error))
             await anyio.sleep(HEARTBEAT_S)
 
+    async def announce_claims(self):
+        """Appends a heartbeat at once, retrying until the store accepts it.
+
+        From then on, no holder that has not read the claims of this daemon renews its
+        authority by reading heartbeats.
+        """
+        while True:
+            try:
+                return await self._append_heartbeat([])
+            except PlatformError as error:
+                log("announcing claims failed", error=str(error))
+                await anyio.sleep(ANNOUNCE_RETRY_S)
+
+    async def _append_heartbeat(self, outdated):
+        heartbeat = _HeartbeatRecord(self._address, self._zone, self._known_claims_end)
+        record = encode_keyed_record(self._incarnation, msgspec.json.encode(heartbeat))
+        deletions = [encode_keyed_record(key, b"") for key in outdated]
+        await self._store.append(HEARTBEATS_TOPIC, [record, *deletions])
+
     def _outdated_heartbeats(self):
         """Returns keys of heartbeats to delete, as they would add up for ever.
 
@@ -353,7 +395,7 @@
             if record.value:
                 self._heartbeat_offsets[record.key] = record.offset
                 self._table.apply_heartbeat(record.key, now)
-                self._remember_daemon(record)
+                self._apply_heartbeat(record)
             else:
                 self._heartbeat_offsets.pop(record.key, None)
                 self._forget_daemon(record.key)
@@ -363,11 +405,8 @@
         if host in self._daemons and self._daemons[host][1].holder == incarnation:
             del self._daemons[host]
 
-    def _remember_daemon(self, record):
-        """Keeps the address of a daemon from the newest heartbeat of its host."""
-        host = record.key.partition("#")[0]
-        if host in self._daemons and self._daemons[host][0] > record.offset:
-            return
+    def _apply_heartbeat(self, record):
+        """Applies what a heartbeat tells of its daemon."""
         what = f"heartbeat of {record.key!r}"
         try:
             heartbeat = decode_json(record.value, _HeartbeatRecord, what, RecordInvalid)
@@ -375,6 +414,13 @@
         except RecordInvalid:
             # Daemons of earlier versions don't tell where they are.
             return
+        self._announced_claims_end = max(
+            self._announced_claims_end, heartbeat.claims_end
+        )
+        # The address counts from the newest heartbeat of the host.
+        host = record.key.partition("#")[0]
+        if host in self._daemons and self._daemons[host][0] > record.offset:
+            return
         claim = Claim(record.key, heartbeat.address, 0, heartbeat.zone)
         self._daemons[host] = record.offset, claim
 
--- a/basilwind/entry/follower.py
+++ b/basilwind/entry/follower.py
@@ -58,6 +58,7 @@
         self._wait_s = wait_s
         self._position = None
         self._read_at = None
+        self._confirmed_at = None
         self._failed_at = None
 
     @property
@@ -70,6 +71,14 @@
         """Boot time of the last successful read, or None."""
         return self._read_at
 
+    @property
+    def confirmed_at(self):
+        """Boot time at which the latest successful read was sent, or None.
+
+        All records that the topic had then have been passed on.
+        """
+        return self._confirmed_at
+
     @property
     def failed_at(self):
         """Boot time of the last failed read, or None."""
@@ -120,6 +129,7 @@
         return self._read_at is not None and self._read_at > self._failed_at
 
     async def _read_once(self):
+        sent_at = self._clock()
         if self._position is None:
             records, position = await self._store.read_latest(self._topic)
             # Set before the callback runs, since the callback may read the position.
@@ -133,5 +143,6 @@
         if self._failed_at is not None and not self._has_recovered():
             log("store reachable again", topic=self._topic)
         self._read_at = self._clock()
+        self._confirmed_at = sent_at
         if self._pause_s:
             await anyio.sleep(self._pause_s)
--- a/basilwind/entry/owner.py
+++ b/basilwind/entry/owner.py
@@ -186,15 +186,19 @@
         """Restores the jobs and computes how long previous owners' leases may last."""
         started_at = self._clock()
         await self._journal.fence()
-        self._intake_offset, elsewhere = await restore_jobs(
-            self._state,
-            self._store,
-            self._services.configuration.remember_queue,
-            self._clock,
-            self._wall_clock,
-            self._report,
-            self._journal.note_parts,
-        )
+        async with anyio.create_task_group() as tasks:
+            if self._previous_claim is not None:
+                # The leases of previous owners count from here on.
+                tasks.start_soon(self._services.duties.announce_claims)
+            self._intake_offset, elsewhere = await restore_jobs(
+                self._state,
+                self._store,
+                self._services.configuration.remember_queue,
+                self._clock,
+                self._wall_clock,
+                self._report,
+                self._journal.note_parts,
+            )
         self._to_forward = elsewhere
         now = self._clock()
         previous_lease_s = self._lease_s * DRIFT_ALLOWANCE
--- a/basilwind/entry/services.py
+++ b/basilwind/entry/services.py
@@ -72,10 +72,10 @@
 
     def is_sole_holder(self, now):
         """Returns whether no other daemon can have taken over this daemon's duties."""
-        return is_sole_holder(
+        return self.may_extend_leases(now) and is_sole_holder(
             self.store_monitor.confirmed_at, self.outage.is_confirmed, now
         )
 
     def may_extend_leases(self, now):
         """Returns whether owners in this daemon may grant and extend leases."""
-        return may_extend_leases(self.store_monitor.confirmed_at, now)
+        return may_extend_leases(self.duties.confirmed_at, now)
--- a/basilwind/entry/store_monitor.py
+++ b/basilwind/entry/store_monitor.py
@@ -34,8 +34,9 @@
     def confirmed_at(self):
         """Boot time at which the latest call that the store answered was sent.
 
-        What this daemon may do for a limited time counts from here. An answer may have
-        waited while this process was paused, so the time of reading it says nothing.
+        An answer may have waited while this process was paused, so the time of reading
+        it says nothing. A call that says nothing of claims counts, too, so owners may
+        extend leases for a time that counts from ``DutyManager.confirmed_at``.
         """
         return self._confirmed_at
 
--- a/basilwind/scheduling/ownership.py
+++ b/basilwind/scheduling/ownership.py
@@ -81,11 +81,11 @@
     """Returns whether a pool's owner may still grant and extend leases.
 
     A new owner waits for leases that were extended until ``MAX_STORE_SILENCE_S`` after
-    the last call that the store answered, and then starts the tasks elsewhere.
+    it announced its claim, and then starts the tasks elsewhere.
 
     Args:
-        confirmed_at: Boot time at which the latest call that the store answered was
-            sent.
+        confirmed_at: Boot time at which the latest call was sent whose answer showed
+            that no claim had been announced which is unknown here.
         now: Boot time in seconds.
     """
     return now - confirmed_at < MAX_STORE_SILENCE_S
--- a/tests/entry/test_previous_holders.py
+++ b/tests/entry/test_previous_holders.py
@@ -5,12 +5,14 @@
 
 import anyio
 
-from basilwind.entry.duties import DutyManager
-from basilwind.entry.store_monitor import StoreMonitor
-from tests.utils.entry_fakes import Clock
+from basilwind.entry.duties import HEARTBEATS_TOPIC, TOPIC, DutyManager
+from basilwind.entry.owner import LEASE_S, PoolOwner
+from basilwind.scheduling.ownership import HEARTBEAT_S, MAX_STORE_SILENCE_S
+from tests.utils.entry_fakes import Clock, make_services
 from tests.utils.log_store import LogStore, LogTopics
 
 DUTY = "pool/a"
+FREEZE_S = 5.0  # a successor claims after 1 to 2 s of it
 
 
 class Daemon:
@@ -24,8 +26,8 @@
     """
 
     def __init__(self, name, topics, clock, run=1):
-        self.monitor = StoreMonitor(clock)
-        self.store = LogStore(topics, clock, self.monitor)
+        self.services = make_services(clock)
+        self.store = LogStore(topics, clock, self.services.store_monitor)
         settings = types.SimpleNamespace(cpu_cores=1.0, zone="a", name=name)
         self.duties = DutyManager(
             self.store,
@@ -36,6 +38,10 @@
             lambda: None,
             None,
         )
+        self.services.store = self.store
+        self.services.duties = self.duties
+        self.duties._heartbeats._pause_s = 0.0
+        self._clock = clock
 
     async def follow(self):
         """Reads the claims that it does not know yet."""
@@ -46,6 +52,19 @@
         await self.follow()
         await self.duties._try_claim(DUTY)
 
+    async def send_heartbeat(self):
+        """Appends one heartbeat."""
+        with anyio.move_on_after(HEARTBEAT_S / 10):
+            await self.duties.send_heartbeats()
+
+    async def follow_heartbeats(self):
+        """Reads the heartbeats that it does not know yet."""
+        await self.duties._heartbeats._read_once()
+
+    def may_extend_leases(self):
+        """Returns whether owners in this daemon may extend leases now."""
+        return self.services.may_extend_leases(self._clock())
+
 
 class TestChainOfHolders(unittest.TestCase):
     """The holder before the previous one may still extend leases."""
@@ -96,3 +115,104 @@
         third, again = self._daemon("e3"), self._daemon("e3", run=2)
         self.assertFalse(self._has_previous_holder(third))
         self.assertFalse(self._has_previous_holder(again))
+
+
+class TestAuthority(unittest.TestCase):
+    """What renews a holder's authority must prove that it had no successor."""
+
+    def setUp(self):
+        self.topics, self.clock = LogTopics(), Clock()
+        self.holder, self.successor = (
+            Daemon(name, self.topics, self.clock) for name in ("e1", "e2")
+        )
+
+    def _run(self, *calls):
+        """Awaits the coroutine functions one after the other."""
+
+        async def main():
+            for call in calls:
+                await call()
+
+        anyio.run(main)
+
+    def _hold(self):
+        self._run(
+            self.holder.claim, self.holder.send_heartbeat, self.holder.follow_heartbeats
+        )
+        self.assertTrue(self.holder.may_extend_leases())
+
+    def test_frozen_holder_extends_nothing_before_it_has_read_the_claims(self):
+        # Regression: the answer to a heartbeat renewed the authority of a holder that
+        # had been replaced while it was frozen.
+        self._hold()
+        self._run(self.successor.claim)
+        self.clock.now += FREEZE_S
+        self._run(self.holder.send_heartbeat)
+        self.assertFalse(self.holder.may_extend_leases())
+
+    def test_holder_that_reads_no_claims_loses_its_authority_to_a_successor(self):
+        # Regression: any answer of the store renewed the authority of a holder whose
+        # reads of the claims failed.
+        self._hold()
+        self.holder.store.refuses = lambda name, topic: topic == TOPIC
+        self._run(self.successor.claim, self.successor.send_heartbeat)
+        announced_at = self.clock.now
+        while self.clock.now - announced_at <= MAX_STORE_SILENCE_S:
+            self.clock.now += HEARTBEAT_S
+            self._run(self.holder.send_heartbeat, self.holder.follow_heartbeats)
+        self.assertFalse(self.holder.may_extend_leases())
+
+    def test_reads_of_heartbeats_renew_the_authority_while_a_read_of_claims_waits(self):
+        self._hold()
+        for _ in range(10):
+            self.clock.now += HEARTBEAT_S
+            self._run(self.holder.send_heartbeat, self.holder.follow_heartbeats)
+            self.assertTrue(self.holder.may_extend_leases())
+        self.clock.now += MAX_STORE_SILENCE_S - 0.01
+        self.assertTrue(self.holder.may_extend_leases())
+        self.clock.now += 0.01
+        self.assertFalse(self.holder.may_extend_leases())
+
+    def test_claims_of_other_duties_take_no_authority(self):
+        self._hold()
+        self._run(self.successor.follow)
+        self._run(lambda: self.successor.duties._try_claim("pool/b"))
+        self._run(self.successor.send_heartbeat, self.holder.follow)
+        self.clock.now += MAX_STORE_SILENCE_S
+        self._run(self.holder.send_heartbeat, self.holder.follow_heartbeats)
+        self.assertTrue(self.holder.may_extend_leases())
+
+    def test_successor_counts_leases_from_its_announcement(self):
+        # Regression: a successor counted from its claim, of which a holder that reads
+        # no claims does not know.
+        self._hold()
+        self._run(self.successor.claim)
+        attempts = []
+
+        def refuses(name, topic):
+            if topic == HEARTBEATS_TOPIC:
+                attempts.append(topic)
+                self.clock.now += HEARTBEAT_S
+            return 0 < len(attempts) < 4
+
+        self.successor.store.refuses = refuses
+        token = self.successor.duties.held_tokens()[DUTY]
+        previous_claim = self.successor.duties.previous_claim(DUTY)
+        owner = PoolOwner("a", token, self.successor.services, previous_claim)
+
+        async def main():
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(owner.run)
+                while not owner.is_loaded:
+                    await anyio.sleep(0.01)
+                tasks.cancel_scope.cancel()
+
+        anyio.run(main)
+        self._run(self.holder.follow_heartbeats)
+        self.assertEqual(len(attempts), 4)
+        self.assertGreaterEqual(
+            owner.state.previous_leases_until,
+            self.clock.now + MAX_STORE_SILENCE_S + LEASE_S,
+        )
+        self.clock.now += MAX_STORE_SILENCE_S
+        self.assertFalse(self.holder.may_extend_leases())
--- a/tests/utils/entry_fakes.py
+++ b/tests/utils/entry_fakes.py
@@ -68,6 +68,21 @@
         return []
 
 
+class FakeDuties:
+    """Duties whose claims this daemon knows whenever the store answers a call."""
+
+    def __init__(self, monitor):
+        self._monitor = monitor
+
+    @property
+    def confirmed_at(self):
+        """Boot time at which the latest call that the store answered was sent."""
+        return self._monitor.confirmed_at
+
+    async def announce_claims(self):
+        """Announces the claims of this daemon."""
+
+
 class FakeWorkers:
     """Workers that accept every order; keeps the starts and the stops."""
 
@@ -213,7 +228,7 @@
         configuration=configuration,
         routes=routes,
         registry=registry,
-        duties=None,
+        duties=FakeDuties(monitor),
         clock=clock,
         wall_clock=clock,
         report=report,
