--- a/basilwind/scheduling/workers.py
+++ b/basilwind/scheduling/workers.py
@@ -1,6 +1,40 @@
 """An owner's view of a worker: capacity, lease, clock and runs."""
 
+from dataclasses import dataclass
+
+from basilwind.scheduling.jobs import TaskState
+
 MAX_CLOCK_DRIFT = 0.02  # share by which a worker's clock may be slow
+DRIFT_ALLOWANCE = 1.05  # also covers drift since a lease's owner read the clock
+LAPSE_NOTICE_S = 0.1  # for a worker to notice that a lease has expired
+MAX_CALL_S = 2.5  # from a call that grants a lease until it arrives or is given up
+MAX_ORDER_DELAY_S = 5.0  # from the arrival of an order until it is executed
+
+
+@dataclass(frozen=True, slots=True)
+class WorkerLimits:
+    """Limits that all workers keep.
+
+    Attributes:
+        max_lease_s: Longest lease that a worker grants, seconds.
+        max_stop_s: Longest time that a worker takes to end a run, seconds.
+    """
+
+    max_lease_s: float
+    max_stop_s: float
+
+    @property
+    def lapse_s(self):
+        """Time after a lease's end by which a worker has ended its runs, seconds."""
+        return LAPSE_NOTICE_S + self.max_stop_s
+
+    def longest_run_s(self, lease_s):
+        """Returns for how long a run may execute after a lease was granted, seconds.
+
+        Args:
+            lease_s: Duration of the lease, seconds.
+        """
+        return lease_s * DRIFT_ALLOWANCE + self.lapse_s
 
 
 class WorkerView:
@@ -77,6 +111,7 @@
         "_last_worker_clock_s",
         "_clock_read_at",
         "_latest_lease_end_s",
+        "_granted_at",
     )
 
     def __init__(self, entry):
@@ -110,6 +145,8 @@
         self._clock_read_at = None
         # Latest end of a lease granted here, on the worker's clock.
         self._latest_lease_end_s = 0.0
+        # Boot time at which the last lease was granted, or None.
+        self._granted_at = None
 
     @property
     def worker_id(self):
@@ -126,6 +163,13 @@
         """Whether its end is planned."""
         return self.entry.is_draining or self.is_withheld
 
+    @property
+    def _has_answered_starts(self):
+        """Whether each start that was sent to it got an answer."""
+        return not self.pending_starts and not any(
+            task.state is TaskState.UNCONFIRMED for task in self.tasks.values()
+        )
+
     @property
     def is_clock_known(self):
         """Whether its clock has been read since it started."""
@@ -205,12 +249,13 @@
     def grant_lease(self, lease_s, now):
         """Returns the end of a lease of ``lease_s`` on the worker's clock.
 
-        Records that end for ``has_lease_expired``. The worker's clock counts as read
+        Records that end for ``has_lapsed``. The worker's clock counts as read
         when its answer arrived. It was read earlier, so the estimate lags it and,
         apart from drift, a lease is never longer than ``lease_s``.
         """
         lease_end_s = self._last_worker_clock_s + (now - self._clock_read_at) + lease_s
         self._latest_lease_end_s = max(self._latest_lease_end_s, lease_end_s)
+        self._granted_at = now
         return lease_end_s
 
     def extend_lease(self, lease_s, now):
@@ -223,14 +268,21 @@
             return None
         return self.grant_lease(lease_s, now)
 
-    def has_lease_expired(self, now):
-        """Returns whether every lease granted here has certainly expired."""
+    def has_lapsed(self, limits, now):
+        """Returns whether every run has certainly ended with the leases granted here.
+
+        A worker begins to end its runs when their lease expires.
+
+        Args:
+            limits: ``WorkerLimits``.
+            now: Boot time in seconds.
+        """
         if self._last_worker_clock_s is None:
             return False
         worker_clock_s = self._last_worker_clock_s + (now - self._clock_read_at) * (
             1 - MAX_CLOCK_DRIFT
         )
-        return worker_clock_s > self._latest_lease_end_s
+        return worker_clock_s > self._latest_lease_end_s + limits.lapse_s
 
     def lease_evidence(self, now):
         """Returns log fields with the latest lease and the worker's estimated clock."""
@@ -242,8 +294,17 @@
             "worker_clock_s": round(worker_clock_s, 3),
         }
 
-    def reset_incarnation(self):
-        """Resets the state that belongs to one incarnation of the worker."""
+    def reset_incarnation(self, report, sent_at, limits):
+        """Resets the state that belongs to one incarnation of the worker.
+
+        A call for the previous incarnation may have reached the new one, whose clock
+        starts anew, so that only the worker's own limit bounds the lease.
+
+        Args:
+            report: ``WorkerReport`` of the new incarnation.
+            sent_at: Boot time when the call for the report was sent.
+            limits: ``WorkerLimits``.
+        """
         self.set_unwanted_runs({})
         self.last_applied_sequence = 0
         self.acknowledged_sequence = 0
@@ -254,3 +315,21 @@
         self._last_worker_clock_s = None
         self._clock_read_at = None
         self._latest_lease_end_s = 0.0
+        started_at = sent_at - report.worker_clock_s / (1 - MAX_CLOCK_DRIFT)
+        if self._granted_at is not None and started_at - self._granted_at < MAX_CALL_S:
+            delay_s = 0.0 if self._has_answered_starts else MAX_ORDER_DELAY_S
+            self._latest_lease_end_s = (
+                report.worker_clock_s + delay_s + limits.max_lease_s
+            )
+
+    def expect_previous_lease(self, report, limits):
+        """Takes into account what a previous owner may have granted an incarnation.
+
+        A call for the incarnation before it may have reached it soon after its start.
+
+        Args:
+            report: First ``WorkerReport`` to this owner.
+            limits: ``WorkerLimits``.
+        """
+        if report.worker_clock_s < MAX_CALL_S + limits.max_lease_s:
+            self._latest_lease_end_s = report.worker_clock_s + limits.max_lease_s
--- /dev/null
+++ b/tests/scheduling/test_expired_leases.py
@@ -0,0 +1,139 @@
+"""Tasks run elsewhere only after workers out of reach have ended their runs.
+
+The workers' clocks are as slow as they may be, each incarnation has its own, and
+ending a run takes as long as it may.
+"""
+
+import random
+import unittest
+
+from basilwind.scheduling.workers import MAX_CALL_S
+from tests.scheduling.model import (
+    LONGEST_RUN_S,
+    MAX_STOP_S,
+    PoolModel,
+    make_job,
+    seeds_to_play,
+)
+from tests.scheduling.test_pool import FAULTS, apply_fault
+
+SEEDS = 400
+# Regression: a previous owner's start reached a new incarnation (4462).
+FAILED_SEEDS = (4462,)
+CLOCK_RATES = (0.98, 1.0, 0.99)
+
+
+def make_model(fail, workers=2):
+    return PoolModel(
+        fail,
+        workers,
+        clock_rates=CLOCK_RATES,
+        stop_s=MAX_STOP_S,
+        has_own_clocks=True,
+    )
+
+
+class TestExpiredLeases(unittest.TestCase):
+    def _running_model(self):
+        """Returns a model, its only task, and the worker that executes the task."""
+        model = make_model(self.fail)
+        model.submit("job", make_job(count=1, is_lasting=True))
+        model.hold()
+        model.schedule()
+        model.hold()
+        (task,) = model.all_tasks()
+        return model, task, model.workers[task.worker_id]
+
+    def _wait_for_restart(self, model, run):
+        for _ in range(400):
+            model.hold()
+            model.advance(0.05)
+            model.schedule()
+            (task,) = model.all_tasks()
+            if task.run > run:
+                return
+        self.fail("the task is not started again")
+
+    def test_cut_worker_was_still_ending_a_run_that_was_started_elsewhere(self):
+        model, task, worker = self._running_model()
+        worker.is_reachable = False
+        self._wait_for_restart(model, task.run)
+
+    def test_successor_started_a_run_that_a_cut_worker_was_still_ending(self):
+        model, task, worker = self._running_model()
+        worker.is_reachable = False
+        model.take_over()
+        self._wait_for_restart(model, task.run)
+
+    def test_new_incarnation_got_a_longer_lease_with_a_start_for_the_one_before(self):
+        model = make_model(self.fail)
+        model.submit("job", make_job(count=1, is_lasting=True))
+        model.hold()
+        for worker in model.workers.values():
+            worker.restart()
+        model.schedule()
+        model.hold()
+        (task,) = model.all_tasks()
+        model.workers[task.worker_id].is_reachable = False
+        self._wait_for_restart(model, task.run)
+
+    def test_new_incarnation_got_a_longer_lease_with_a_delayed_start(self):
+        model = make_model(self.fail)
+        model.submit("job", make_job(count=1, is_lasting=True))
+        model.hold()
+        for worker in model.workers.values():
+            worker.restart()
+        model.schedule(lambda: "delayed")
+        model.hold(stops="lost")
+        model.advance(2.0)
+        model.deliver_delayed_orders()
+        (task,) = model.all_tasks()
+        model.workers[task.worker_id].is_reachable = False
+        self._wait_for_restart(model, task.run)
+
+    def test_new_incarnation_got_a_longer_lease_from_the_previous_owner(self):
+        model = make_model(self.fail)
+        model.submit("job", make_job(count=1, is_lasting=True))
+        model.hold()
+        for worker in model.workers.values():
+            worker.restart()
+        model.schedule()
+        model.take_over()
+        model.hold()
+        (task,) = model.all_tasks()
+        model.workers[task.worker_id].is_reachable = False
+        self._wait_for_restart(model, task.run)
+
+    def test_worker_that_crashed_twice_is_given_up_with_its_last_lease(self):
+        model, task, worker = self._running_model()
+        model.crash(task.worker_id)
+        model.hold()
+        model.advance(MAX_CALL_S)
+        worker.restart()
+        worker.is_reachable = True
+        model.hold()
+        worker.is_reachable = False
+        cut_at = model.now
+        self._wait_for_restart(model, task.run)
+        self.assertLess(model.now - cut_at, LONGEST_RUN_S + 0.5)
+
+    def test_random_faults_by_seed(self):
+        for seed in (*seeds_to_play(SEEDS), *FAILED_SEEDS):
+            with self.subTest(seed=seed):
+                self._run_seed(seed)
+
+    def _run_seed(self, seed):
+        source = random.Random(seed)
+        model = make_model(self.fail, workers=3)
+        for number in range(source.randint(1, 3)):
+            model.submit(f"job{number}", make_job(count=2, steps=2))
+        model.submit("lasting", make_job(count=2, is_lasting=True, may_miss=1))
+        faults = (*FAULTS.elements, "schedule", "hold", "hold", "hold one", "submit")
+        for _ in range(source.randint(5, 60)):
+            apply_fault(model, source.choice(faults), source.randint(0, 2))
+        model.settle()
+        model.check_all_finished()
+
+
+if __name__ == "__main__":
+    unittest.main()
