Extend no leases once a release may have taken effect

Cause: a daemon that stops releases its duties, the answer is lost, and it goes on extending leases for up to 3.5 s, while the next owner takes the duty for handed over and waits 4.7 s for leases that may then last 8.2 s. What callers saw: a task of a worker that only the stopping daemon reaches may run twice.

Evidence, before the change: FAIL: test_holder_whose_release_got_no_answer_extends_nothing AssertionError: True is not false FAIL: test_holder_extends_nothing_while_its_release_is_under_way [True] != [False]

Change: from the attempt to release on, owners extend no leases and send no starts, unless the store has refused every attempt. While the store does not answer, no attempt is made, so that leases outlast an outage at a stop as before.

--- a/basilwind/entry/daemon.py
+++ b/basilwind/entry/daemon.py
@@ -287,7 +287,9 @@
         """Journals every start for the next owners, then releases the duties."""
         for owner in self._pool_owners():
             await owner.flush()
-        await self._shared_services.duties.release_all(self._is_settled)
+        await self._shared_services.duties.release_all(
+            self._is_settled, lambda: self._store_monitor.is_unavailable
+        )
 
     def _is_settled(self, duty):
         """Returns whether all runs of a duty's previous holders are known here."""
--- a/basilwind/entry/duties.py
+++ b/basilwind/entry/duties.py
@@ -12,7 +12,7 @@
 
 from basilwind.checked_json import Count, check_address, check_name, decode_json
 from basilwind.entry.follower import KeyedFollower
-from basilwind.errors import PlatformError, RecordInvalid, StoreConflict
+from basilwind.errors import PlatformError, RecordInvalid, StoreConflict, StoreRefused
 from basilwind.logs import log
 from basilwind.platform.store import encode_keyed_record
 from basilwind.scheduling.ownership import (
@@ -96,6 +96,8 @@
         self._heartbeat_offsets = {}
         # Offset up to which some daemon knows the claims, according to its heartbeat.
         self._announced_claims_end = 0
+        # Whether a release may have taken effect that is not known here.
+        self._is_release_open = False
         self._follower = KeyedFollower(
             store, TOPIC, self._apply_records, self._apply_records, clock
         )
@@ -123,8 +125,11 @@
 
         A claimant announces its claim before it counts how long leases of its
         predecessors may last, so owners here may extend leases for a time that counts
-        from here.
+        from here. Minus infinity from a release on, after which a successor does not
+        wait for that time.
         """
+        if self._is_release_open:
+            return -math.inf
         confirmed_at = self._follower.confirmed_at
         if self._announced_claims_end <= self._known_claims_end:
             # Claims are read by a long poll, heartbeats several times in that time.
@@ -276,17 +281,25 @@
         ]
         return outdated[:MAX_DELETED_HEARTBEATS]
 
-    async def release_all(self, is_settled=lambda duty: True):
+    async def release_all(
+        self, is_settled=lambda duty: True, is_store_away=lambda: False
+    ):
         """Releases all duties, so that other daemons claim them immediately.
 
-        The duties stay held until the store has recorded the release.
+        The duties stay held until the store has recorded the release, but no leases are
+        extended once it may have.
 
         Args:
             is_settled: Returns whether everything that previous holders of a duty
                 started is known here.
+            is_store_away: Returns whether the store does not answer this daemon. Then
+                no release is attempted, as leases would end that may outlast this.
         """
         self._is_stopping = True
         while held := self.held_tokens():
+            if is_store_away():
+                await anyio.sleep(RELEASE_RETRY_S)
+                continue
             settled = {duty for duty in held if is_settled(duty)}
             records = [
                 encode_keyed_record(
@@ -295,9 +308,13 @@
                 )
                 for duty, token in held.items()
             ]
+            was_release_open = self._is_release_open
+            self._is_release_open = True
             try:
                 await self._store.append(TOPIC, records)
             except PlatformError as error:
+                if isinstance(error, StoreRefused):
+                    self._is_release_open = was_release_open
                 log("releasing duties failed", error=str(error))
                 await anyio.sleep(RELEASE_RETRY_S)
                 continue
--- a/tests/entry/test_previous_holders.py
+++ b/tests/entry/test_previous_holders.py
@@ -13,6 +13,7 @@
 
 DUTY = "pool/a"
 FREEZE_S = 5.0  # a successor claims after 1 to 2 s of it
+RELEASE_S = 0.25  # of attempts to release the duties
 
 
 class Daemon:
@@ -117,8 +118,8 @@
         self.assertFalse(self._has_previous_holder(again))
 
 
-class TestAuthority(unittest.TestCase):
-    """What renews a holder's authority must prove that it had no successor."""
+class HolderTestCase(unittest.TestCase):
+    """A daemon that holds the duty, and one that claims it."""
 
     def setUp(self):
         self.topics, self.clock = LogTopics(), Clock()
@@ -141,6 +142,10 @@
         )
         self.assertTrue(self.holder.may_extend_leases())
 
+
+class TestAuthority(HolderTestCase):
+    """What renews a holder's authority must prove that it had no successor."""
+
     def test_frozen_holder_extends_nothing_before_it_has_read_the_claims(self):
         # Regression: the answer to a heartbeat renewed the authority of a holder that
         # had been replaced while it was frozen.
@@ -216,3 +221,69 @@
         )
         self.clock.now += MAX_STORE_SILENCE_S
         self.assertFalse(self.holder.may_extend_leases())
+
+
+class TestLostRelease(HolderTestCase):
+    """A successor counts a holder that released its duties as inactive."""
+
+    async def _release(self):
+        with anyio.move_on_after(RELEASE_S):
+            await self.holder.duties.release_all(
+                is_store_away=lambda: self.holder.services.store_monitor.is_unavailable
+            )
+
+    def test_holder_whose_release_got_no_answer_extends_nothing(self):
+        # Regression: such a holder extended leases for 3.5 s more, for which the next
+        # owner did not wait.
+        self._hold()
+        self.holder.store.loses_answer = lambda name, topic: True
+        self._run(self._release)
+        self.assertFalse(self.holder.may_extend_leases())
+        self._run(self.successor.claim)
+        self.assertIsNone(self.successor.duties.previous_claim(DUTY))
+
+    def test_holder_extends_nothing_while_its_release_is_under_way(self):
+        self._hold()
+        seen = []
+
+        def look(name, topic):
+            if (name, topic) == ("append", TOPIC):
+                seen.append(self.holder.may_extend_leases())
+            return False
+
+        self.holder.store.refuses = look
+        self._run(self._release)
+        self.assertEqual(seen, [False])
+        self.assertEqual(self.holder.duties.held_tokens(), {})
+
+    def test_holder_whose_release_was_refused_goes_on(self):
+        self._hold()
+        self.holder.store.refuses = lambda name, topic: topic == TOPIC
+        self._run(self._release)
+        self.assertTrue(self.holder.may_extend_leases())
+
+    def test_refusal_after_a_lost_answer_proves_nothing(self):
+        self._hold()
+        self.holder.store.loses_answer = lambda name, topic: topic == TOPIC
+        self._run(self._release)
+        self.holder.store.refuses = lambda name, topic: topic == TOPIC
+        self._run(self._release)
+        self.assertFalse(self.holder.may_extend_leases())
+
+    def test_release_waits_for_the_store_in_an_outage(self):
+        # A release without an answer would end leases that outlast the outage.
+        self._hold()
+        appends = []
+
+        def refuses(name, topic):
+            appends.append(topic)
+            return True
+
+        self.holder.store.refuses = refuses
+        self.clock.now += MAX_STORE_SILENCE_S / 2
+        self._run(self._release)
+        self.assertNotIn(TOPIC, appends)
+        self.assertTrue(self.holder.may_extend_leases())
+        self.holder.store.refuses = lambda name, topic: False
+        self._run(self.holder.follow_heartbeats, self._release)
+        self.assertEqual(self.holder.duties.held_tokens(), {})
