Explain a task: join logs of daemons and workers, and why each run followed

'basilwind explain' knew jobs only, kept no daemon's name, and could not read rows; whoever looked into a task that ran twice joined logs by hand.

It takes a task's name: its lines, those of its pool's owners and its workers, and for each run its token, its owner, what gave it up and how old the facts were.

--- a/basilwind/cli/definition.py
+++ b/basilwind/cli/definition.py
@@ -85,13 +85,13 @@
 
 
 @cli.command()
-@click.argument("job_id")
+@click.argument("name")
 @click.argument("files", nargs=-1, type=click.Path(exists=True, dir_okay=False))
 @JSON_LINES
 @click.pass_obj
-def explain(context, job_id, files, as_json):
-    """Explain what happened to a job, from log files or standard input."""
-    return _run("explain", context, job_id=job_id, files=files, as_json=as_json)
+def explain(context, name, files, as_json):
+    """Explain what happened to a job or task, from log files or standard input."""
+    return _run("explain", context, name=name, files=files, as_json=as_json)
 
 
 @cli.command()
--- a/basilwind/explain.py
+++ b/basilwind/explain.py
@@ -1,116 +1,137 @@
-"""Reconstructs the history of a job from the log lines of all daemons.
+"""Reconstructs the history of a job or task from the log lines of all daemons.
 
 Clocks of hosts differ, so timestamps alone do not order the lines. The submission
 comes before everything that followed from it, and lines with equal timestamps are
 ordered by cause and effect (a job is placed before a worker rejects it).
 """
 
-import json
-from dataclasses import dataclass, field
+from dataclasses import dataclass
+
+from basilwind.log_lines import LogLine, is_task, read_stream, select
+from basilwind.run_history import explain_runs
 
 # Rank of each event; of lines with equal timestamps, lower ranks come first.
 _EVENT_RANKS = {
     "job refused": 0,
     "job submitted": 0,
     "pool taken over": 1,
+    "runs restored": 1,
     "step placed": 2,
+    "runs ordered": 2,
+    "run began": 3,
     "start rejected": 3,
     "start unanswered": 3,
     "run stalled": 4,
     "run failed": 4,
+    "run ended": 4,
     "run ended early": 4,
     "runs lost": 4,
     "lease lapsed": 4,
     "job cancel": 5,
     "job ended": 6,
 }
-_METADATA_FIELDS = frozenset(("timestamp", "task_uuid", "task_level", "message_type"))
-
-
-@dataclass
-class LogLine:
-    """A log line that concerns a job.
-
-    Attributes:
-        at: Timestamp by the clock of its daemon, in seconds since the Unix epoch.
-        event: What happened.
-        fields: The other fields of the line.
-    """
-
-    at: float
-    event: str
-    fields: dict = field(default_factory=dict)
+# Events of a pool or of a worker, which belong to the history of its tasks.
+_POOL_EVENTS = frozenset(("pool taken over", "order fenced"))
+_DUTY_EVENTS = frozenset(
+    ("duty claimed", "duty released", "duty lost", "duty fenced", "duty failed")
+)
+_WORKER_EVENTS = frozenset(
+    (
+        "worker joined",
+        "worker lost",
+        "worker regained",
+        "worker replaced",
+        "worker restarted",
+        "worker dropped",
+    )
+)
+_LEFT_OUT = "log lines left out"
+_CONTEXT = _POOL_EVENTS | _DUTY_EVENTS | _WORKER_EVENTS | {_LEFT_OUT}
 
 
 @dataclass
 class Explanation:
-    """The history of a job.
+    """The history of a job or task.
 
     Attributes:
-        job_id: Id of the job.
+        name: Id of the job, or name of the task.
         lines: ``LogLine`` objects in causal order.
         findings: Sentences on what took time or went wrong.
     """
 
-    job_id: str
+    name: str
     lines: list[LogLine]
     findings: list[str]
 
 
-def read_lines(streams, job_id):
-    """Collects the lines of a job and the takeovers of its pools.
+def read_lines(streams, name):
+    """Collects the lines of a job or task, and those of its pools and workers.
 
     Args:
         streams: Iterables of text lines; those that are not log lines are skipped.
-        job_id: Id of the job.
+        name: Id of the job, or name of the task.
 
     Returns:
         List of ``LogLine``.
     """
-    lines, takeovers = [], []
+    lines, context = [], []
     for stream in streams:
-        for text in stream:
-            start = text.find("{")
-            if start < 0:
-                continue
-            try:
-                message = json.loads(text[start:])
-            except json.JSONDecodeError:
-                continue
-            line = LogLine(
-                message.get("timestamp", 0.0),
-                message.get("message_type", ""),
-                {k: v for k, v in message.items() if k not in _METADATA_FIELDS},
-            )
-            if job_id in text:
-                lines.append(line)
-            elif line.event == "pool taken over":
-                takeovers.append(line)
-    pools = {line.fields.get("pool") for line in lines}
-    return lines + [line for line in takeovers if line.fields.get("pool") in pools]
-
-
-def explain(lines, job_id):
-    """Orders a job's lines and derives what took time or went wrong.
+        for line in read_stream(stream):
+            selected = select(line, name)
+            if selected is not None:
+                lines.append(selected)
+            elif line.event in _CONTEXT:
+                context.append(line)
+    return lines + _select_context(lines, context, is_task(name))
+
+
+def _select_context(lines, context, has_details):
+    """Returns the lines of a job's pools while it ran, and a task's of its workers."""
+    begin = min((line.at for line in lines), default=0.0)
+    end = max((line.at for line in lines), default=0.0)
+    tokens = {line.fields.get("token") for line in lines} - {None}
+    pools = {line.fields.get("pool") for line in lines} - {None}
+    workers = {line.fields.get("worker") for line in lines} - {None}
+
+    def is_related(line):
+        if line.event == "pool taken over":
+            return line.fields.get("pool") in pools
+        if not has_details:
+            return False
+        if line.event in _DUTY_EVENTS:
+            return str(line.fields.get("duty")).removeprefix("pool/") in pools
+        if line.event in _WORKER_EVENTS:
+            return line.fields.get("worker") in workers
+        return line.event == _LEFT_OUT or line.fields.get("pool") in pools
+
+    selected = {}
+    for line in context:
+        is_own_claim = line.event == "duty claimed" and line.fields["token"] in tokens
+        if is_related(line) and (is_own_claim or begin <= line.at <= end):
+            # Every daemon logs the claims of all.
+            is_shared = line.event in ("duty claimed", "duty released")
+            key = repr((line.event, line.fields)) if is_shared else len(selected)
+            if key not in selected or line.at < selected[key].at:
+                selected[key] = line
+    return list(selected.values())
+
+
+def explain(lines, name):
+    """Orders the lines of a job or task and derives what took time or went wrong.
 
     Args:
         lines: List of ``LogLine`` from ``read_lines``.
-        job_id: Id of the job.
+        name: Id of the job, or name of the task.
 
     Returns:
         ``Explanation``.
     """
-    job_lines = [line for line in lines if line.event != "pool taken over"]
-    begin = min((line.at for line in job_lines), default=0.0)
-    end = max((line.at for line in job_lines), default=0.0)
-    lines = [
-        line
-        for line in lines
-        if line.event != "pool taken over" or begin <= line.at <= end
-    ]
-    lines.sort(key=lambda line: (line.at, _EVENT_RANKS.get(line.event, 3)))
+    lines = sorted(lines, key=lambda line: (line.at, _EVENT_RANKS.get(line.event, 3)))
     _move_submission_first(lines)
-    return Explanation(job_id, lines, _findings(lines))
+    findings = _findings(lines)
+    if is_task(name):
+        findings += explain_runs(lines)
+    return Explanation(name, lines, findings)
 
 
 def _move_submission_first(lines):
@@ -153,6 +174,10 @@
     ):
         if event in events:
             findings.append(f"{event}: {events.count(event)} times")
+    left_out = [line for line in lines if line.event == _LEFT_OUT]
+    if left_out:
+        sources = ", ".join(sorted({line.source for line in left_out}))
+        findings.append(f"lines may lack, as some were left out by: {sources}")
     rejected = events.count("start rejected") + events.count("start unanswered")
     if rejected:
         findings.append(f"starts that workers rejected or did not answer: {rejected}")
--- a/extras/soak/__main__.py
+++ b/extras/soak/__main__.py
@@ -12,6 +12,7 @@
 from extras.entry_fleet import EntryFleet
 from extras.soak.checks import Service, find_interruptions, find_violations
 from extras.soak.faults import inject_fault, make_schedule
+from extras.soak.worker_log import write_worker_log
 
 JOB_INTERVAL_S = 0.25  # short enough that some jobs are running at every fault
 COMPLETION_TIMEOUT_S = 60.0  # much longer than any lease or silence of a worker
@@ -29,7 +30,8 @@
         seed: Seed of the schedules of faults and jobs.
         faults: Number of faults.
         daemons: Number of daemons.
-        log_folder: Directory in which the daemons' logs are kept; not kept if None.
+        log_folder: Directory in which the logs of daemons and workers are kept; not
+            kept if None.
         crashing_jobs: Number of jobs with a task that crashes its workers.
         services: Number of long-running jobs, of which one task may be interrupted at
             a time while their workers' hosts go into maintenance one by one.
@@ -41,6 +43,7 @@
         self._schedule = make_schedule(seed, faults)
         self._random = random.Random(seed + 1)
         self._fleet = EntryFleet(daemons, log_folder)
+        self._log_folder = log_folder
         self._seed = seed
         self._outcomes = {}
         self._crashing_jobs = crashing_jobs
@@ -75,6 +78,8 @@
                 violations += find_interruptions(fleet.platform, service)
             return violations + find_violations(fleet.platform, self._outcomes)
         finally:
+            if self._log_folder:
+                write_worker_log(fleet.platform, self._log_folder / "workers.log")
             await fleet.stop()
 
     async def _start_services(self):
--- a/tests/processes/test_soak.py
+++ b/tests/processes/test_soak.py
@@ -1,11 +1,15 @@
+import tempfile
 import unittest
+from pathlib import Path
 
 import anyio
 
+from basilwind.explain import explain, read_lines
 from basilwind.standin.entry_worker import RunEnd, RunStart
 from extras.soak.__main__ import SoakRun, parse_seeds
 from extras.soak.checks import Service, find_interruptions, find_violations
 from extras.soak.faults import make_schedule
+from extras.soak.worker_log import write_worker_log
 
 
 class FakePlatform:
@@ -52,6 +56,22 @@
         self.assertIn("s.0.0.2", found)
 
 
+class TestWorkerLog(unittest.TestCase):
+    def test_runs_of_workers_are_explained(self):
+        starts = [RunStart(1.0, "j.0.0.0", 1, "w"), RunStart(3.0, "j.0.0.0", 2, "v")]
+        ends = [RunEnd(3.5, "j.0.0.0", 1, "lapsed")]
+        with tempfile.TemporaryDirectory() as folder:
+            file = Path(folder) / "workers.log"
+            write_worker_log(FakePlatform(starts, ends), file)
+            with file.open() as stream:
+                result = explain(read_lines([stream], "j.0.0.0"), "j.0.0.0")
+        self.assertEqual(
+            [(entry.event, entry.fields["worker"]) for entry in result.lines],
+            [("run began", "w"), ("run began", "v"), ("run ended", "w")],
+        )
+        self.assertIn("executed at once for 0.500 s", result.findings[-1])
+
+
 class TestSoak(unittest.TestCase):
     def test_seed_determines_schedule(self):
         self.assertEqual(make_schedule(7, 20), make_schedule(7, 20))
