--- a/basilwind/run_history.py
+++ b/basilwind/run_history.py
@@ -67,6 +67,9 @@
         fields = line.fields
         if "run" not in fields or "worker" not in fields:
             continue
+        if not fields["worker"]:
+            _end_restored(runs.values(), line)
+            continue
         key = (fields["run"], fields["worker"])
         run = runs.setdefault(key, Run(*key, line.at))
         if run.token is None:
@@ -82,6 +85,13 @@
     return sorted(runs.values(), key=lambda run: (run.ordered_at, run.run))
 
 
+def _end_restored(runs, line):
+    """Applies that a later owner's records tell of no worker for a run."""
+    for run in runs:
+        if run.run == line.fields["run"] and run.given_up is None:
+            run.given_up = line
+
+
 def explain_runs(lines):
     """Returns a sentence on each pair of successive runs, and on those that overlap.
 
--- a/basilwind/scheduling/pool_workers.py
+++ b/basilwind/scheduling/pool_workers.py
@@ -162,9 +162,9 @@
                 else:
                     # Its end follows on a later page; until then its outcome is open.
                     task.progress_percent = 0
-        self._report_requeued(
-            missing, RequeueReason.MISSING, **worker_evidence(worker, now)
-        )
+        if missing:
+            evidence = worker_evidence(worker, now)
+            self._report_requeued(missing, RequeueReason.MISSING, **evidence)
         worker.has_reported_fully |= report.is_complete
         unwanted = {}
         for (name, run), reported in reported_runs.items():
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -135,6 +135,14 @@
             events, ["runs ordered", "duty claimed", "pool taken over", "runs ordered"]
         )
 
+    def test_run_that_was_restored_as_ended_names_the_successor(self):
+        row = [self.NAME, 1, "", 5, "waiting"]
+        restored = line(11.0, "runs restored", pool="p", runs=[row], owner_token=6)
+        first = self._order(10.0, 1, "w1", 5, "c-2")
+        result = self._explain((first, restored, self._order(11.2, 2, "w2", 6, "b-1")))
+        (finding,) = [text for text in result.findings if "run 1 on w1" in text]
+        self.assertIn("runs restored (state=waiting owner_token=6)", finding)
+
     def test_run_after_a_done_one_is_found(self):
         workers = self._workers(
             (1.0, "run began", 1, "w1"),
