--- a/basilwind/scheduling/pool_workers.py
+++ b/basilwind/scheduling/pool_workers.py
@@ -178,9 +178,9 @@
                 else:
                     # Its end follows on a later page; until then its outcome is open.
                     task.progress_percent = 0
-        self._report_requeued(
-            missing, RequeueReason.MISSING, **worker_evidence(worker, now)
-        )
+        if missing:
+            evidence = worker_evidence(worker, now)
+            self._report_requeued(missing, RequeueReason.MISSING, **evidence)
         worker.has_reported_fully |= report.is_complete
         if report.is_complete:
             self._unreported_workers.discard(worker.worker_id)
