--- a/basilwind/scheduling/pool_workers.py
+++ b/basilwind/scheduling/pool_workers.py
@@ -14,6 +14,8 @@
 )
 from basilwind.scheduling.workers import WorkerView
 
+REVOCATION_VALID_S = 300.0  # bytes of a cut connection may be sent again for minutes
+
 
 class PoolWorkers(PoolJobs):
     """Jobs and workers of one pool; see ``PoolJobs`` for its arguments."""
@@ -34,6 +36,9 @@
             worker = self.workers.get(worker_id)
             if worker is None:
                 worker = self.workers[worker_id] = WorkerView(entry)
+                revoked = self._revoked_starts.pop(worker_id, None)
+                if revoked is not None:
+                    worker.revoked_starts, _ = revoked
                 added.append(worker)
                 self._report(
                     "worker joined",
@@ -59,14 +64,6 @@
                     self._drop_worker(worker, now)
         return added
 
-    def _drop_worker(self, worker, now):
-        self._report(
-            "worker dropped",
-            worker=worker.worker_id,
-            **worker_evidence(worker, now),
-        )
-        del self.workers[worker.worker_id]
-
     def expect_workers(self, worker_ids):
         """Notes the workers on which a previous owner may have started tasks.
 
@@ -529,6 +526,7 @@
                 continue
             if not worker.is_replaced:
                 self._crashes.record_lapse(worker, now)
+            worker.revoke_unconfirmed_starts(self.token)
             self._requeue(
                 list(worker.tasks.values()),
                 RequeueReason.LEASE_EXPIRED,
@@ -540,6 +538,23 @@
                 self._drop_worker(worker, now)
         self._requeue_unlisted(now)
 
+    def _drop_worker(self, worker, now):
+        """Removes a worker; if it is listed again, its starts are still revoked."""
+        self._report(
+            "worker dropped",
+            worker=worker.worker_id,
+            **worker_evidence(worker, now),
+        )
+        del self.workers[worker.worker_id]
+        self._revoked_starts = {
+            worker_id: (starts, dropped_at)
+            for worker_id, (starts, dropped_at) in self._revoked_starts.items()
+            if now - dropped_at < REVOCATION_VALID_S
+        }
+        if worker.revoked_starts:
+            starts = dict.fromkeys(worker.revoked_starts)
+            self._revoked_starts[worker.worker_id] = starts, now
+
     def _requeue_unlisted(self, now):
         """Requeues tasks of a previous owner on workers that never registered again."""
         if now < self.previous_leases_until or self.previous_leases_until == 0.0:
--- a/basilwind/scheduling/workers.py
+++ b/basilwind/scheduling/workers.py
@@ -81,6 +81,10 @@
             task name.
         unanswered_start_sent_at: Boot time at which the last start that got no answer
             was sent, or None.
+        revoked_starts: Starts that got no answer and were given up with their lease, as
+            task names and runs, and the boot time at which a stop was last sent for
+            each, or None. They may arrive late, so the worker gets neither leases nor
+            tasks before it has accepted these stops.
     """
 
     __slots__ = (
@@ -111,6 +115,7 @@
         "run_time_ratio",
         "pending_starts",
         "unanswered_start_sent_at",
+        "revoked_starts",
         "_last_worker_clock_s",
         "_clock_read_at",
         "_latest_lease_end_s",
@@ -145,6 +150,7 @@
         self.run_time_ratio = 1.0
         self.pending_starts = {}
         self.unanswered_start_sent_at = None
+        self.revoked_starts = {}
         self._last_worker_clock_s = None
         self._clock_read_at = None
         # Latest end of a lease granted here, on the worker's clock.
@@ -267,6 +273,16 @@
         self._granted_at = now
         return lease_end_s
 
+    def revoke_unconfirmed_starts(self, token):
+        """Has the starts of an owner revoked that may still arrive.
+
+        Args:
+            token: Fencing token of the owner.
+        """
+        for task in self.tasks.values():
+            if task.state is TaskState.UNCONFIRMED and task.token == token:
+                self.revoked_starts[task.name, task.run] = None
+
     def extend_lease(self, lease_s, now):
         """Returns the end of a lease for the next hold, or None; see ``grant_lease``.
 
@@ -275,6 +291,8 @@
         """
         if self._last_worker_clock_s is None or self.unanswered_since is not None:
             return None
+        if self.revoked_starts:
+            return None
         return self.grant_lease(lease_s, now)
 
     def has_lapsed(self, limits, now):
