--- a/basilwind/standin/entry_platform.py
+++ b/basilwind/standin/entry_platform.py
@@ -142,7 +142,7 @@
             handlers[int(worker.address.rpartition(":")[2])] = worker.handle
         async with anyio.create_task_group() as tasks:
             for port, handle in handlers.items():
-                server = HttpServer(_make_app(handle), f"127.0.0.1:{port}")
+                server = HttpServer(make_app(handle), f"127.0.0.1:{port}")
                 tasks.start_soon(server.serve_until_stopped)
                 await server.wait_started()
             for worker in self.workers.values():
@@ -212,7 +212,9 @@
             await anyio.sleep(HEARTBEAT_INTERVAL_S)
 
 
-def _make_app(handle):
+def make_app(handle):
+    """Returns an ASGI application that answers with ``handle(request)``."""
+
     async def app(scope, receive, send):
         try:
             request = await read_request(scope, receive)
--- a/basilwind/standin/entry_worker.py
+++ b/basilwind/standin/entry_worker.py
@@ -37,12 +37,14 @@
         task: Name of the task.
         run: Number of the run.
         worker_id: Id of the worker.
+        token: Fencing token of the order.
     """
 
     at: float
     task: str
     run: int
     worker_id: str
+    token: int = 0
 
 
 @dataclass(frozen=True)
@@ -215,6 +217,9 @@
             return self._start(order)
         if path == "/run-stop":
             return self._stop(order)
+        return self._answer()
+
+    def _answer(self):
         return json_response({"clockMs": int(self.clock_ms)})
 
     def _reject(self, reason):
@@ -224,7 +229,7 @@
         name, number = order["task"], order["run"]
         current = self.runs.get(name)
         if current is not None and current.number == number:
-            return json_response({"clockMs": int(self.clock_ms)})
+            return self._answer()
         if current is not None or number <= self._rejected_runs.get(name, 0):
             return self._reject("old")
         if order["expiresAtMs"] <= self.clock_ms:
@@ -234,11 +239,13 @@
         work_s = _parse_work_s(order["spec"])
         done_at = UNTIL_STOPPED if work_s == UNTIL_STOPPED else now + work_s
         self.runs[name] = _Run(number, done_at, now)
-        self.run_starts.append(RunStart(now, name, number, self.worker_id))
+        self.run_starts.append(
+            RunStart(now, name, number, self.worker_id, self._highest_token)
+        )
         if int(name.rpartition(".")[2]) in _parse_crashes(order["spec"]):
             self.crash()
             return NO_ANSWER
-        return json_response({"clockMs": int(self.clock_ms)})
+        return self._answer()
 
     def _stop(self, order):
         name, number = order["task"], order["run"]
@@ -246,7 +253,7 @@
         current = self.runs.get(name)
         if current is not None and current.number <= number:
             self._end(name, "stopped")
-        return json_response({"clockMs": int(self.clock_ms)})
+        return self._answer()
 
     def _end(self, name, kind):
         run = self.runs.pop(name)
