--- a/extras/soak/partition_faults.py
+++ b/extras/soak/partition_faults.py
@@ -9,13 +9,14 @@
 from extras.soak.proxy import ANSWERS, BOTH, REQUESTS
 
 MAX_FREEZE_S = 6.0
-HOLDER_FAULTS = (1, 2, 2, 3, 4)  # in a series
+HOLDER_FAULTS = (0, 1, 2, 2, 3, 4)  # in a series
 MAX_PAUSE_S = 5.0  # between faults of holders
 CHANGE_TIMEOUT_S = 7.0  # a silent holder is replaced sooner
 CHECK_S = 0.02
 SETTLE_S = 4.0  # between series, so that the pool works again
 STORE_FAULTS = ("refuse", "silent", "silent", "slow", "lose", "late")
 STORE_TOPICS = (
+    (),
     (),
     (),
     ("keyed.duties",),
@@ -38,14 +39,43 @@
         self._random = source
 
     async def run(self):
-        """Plays one series.
+        """Plays one series."""
+        pool = self._random.choice(POOLS)
+        kinds = (self._run_mixed, self._run_mixed, self._run_old_holder)
+        await self._random.choice((*kinds, self._run_turned_away))(pool)
+        await anyio.sleep(self._random.uniform(0.0, SETTLE_S))
+
+    async def _run_old_holder(self, pool):
+        """Lets only the holder of a pool reach a worker, and gives the pool another.
 
-        A busy worker of one pool is cut off, or crashes, while the pool's holders, one
-        after the other, are killed, stopped, frozen, cut off or turned away.
+        The next holder may be killed as soon as it has claimed the pool.
         """
-        pool = self._random.choice(POOLS)
+        index = self._fleet.holder(pool)
+        faults = (self._freeze, self._cut_from_store, self._turn_away, self._terminate)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._cut_worker_from_all_but_holder, pool)
+            await anyio.sleep(self._random.uniform(0.0, 1.0))
+            tasks.start_soon(self._random.choice(faults), index)
+            for _ in range(self._random.choice((0, 1, 1, 2))):
+                await self._wait_for_holder_after(pool, index)
+                index = self._fleet.holder(pool)
+                fault = self._random.choice((self._kill, self._kill, self._terminate))
+                tasks.start_soon(fault, index)
+
+    async def _run_turned_away(self, pool):
+        """Lets the store turn away most holders for longer than a takeover takes."""
+        async with anyio.create_task_group() as tasks:
+            if self._random.random() < 0.3:
+                tasks.start_soon(self._later, self._cut_worker, pool)
+            indexes = self._fleet.holders()
+            if len(indexes) > 2 and self._random.random() < 0.3:
+                indexes.discard(self._random.choice(sorted(indexes)))
+            await self._disturb_store(indexes, "of holders", "silent", (), (2.5, 9.0))
+
+    async def _run_mixed(self, pool):
+        """Gives a worker, the store or a zone trouble, and a pool's holders in turn."""
         async with anyio.create_task_group() as tasks:
-            if self._random.random() < 0.5:
+            if self._random.random() < 0.6:
                 trouble = self._random.choice(self._wide_faults())
                 tasks.start_soon(self._later, trouble, pool)
             if self._random.random() < 0.85:
@@ -55,6 +85,8 @@
                 trouble = self._random.choice(self._worker_faults())
                 tasks.start_soon(self._later, trouble, self._random.choice(POOLS))
             for _ in range(self._random.choice(HOLDER_FAULTS)):
+                # Holders have something to do between their faults.
+                await anyio.sleep(self._random.uniform(0.0, 1.0))
                 fault = self._random.choice(self._holder_faults())
                 index = self._fleet.holder(pool)
                 if index is not None and index not in self._fleet.restarting:
@@ -63,7 +95,6 @@
                     await self._wait_for_holder_after(pool, index)
                 else:
                     await anyio.sleep(self._random.uniform(0.2, MAX_PAUSE_S))
-        await anyio.sleep(self._random.uniform(0.0, SETTLE_S))
 
     async def _later(self, fault, pool):
         await anyio.sleep(self._random.choice((0.0, self._random.uniform(0.0, 3.0))))
@@ -74,7 +105,7 @@
         deadline = time.monotonic() + CHANGE_TIMEOUT_S
         while self._fleet.holder(pool) == index and time.monotonic() < deadline:
             await anyio.sleep(CHECK_S)
-        await anyio.sleep(self._random.uniform(0.0, 1.0))
+        await anyio.sleep(self._random.choice((0.0, self._random.uniform(0.0, 1.0))))
 
     async def _last(self, name, heals, range_s, **fields):
         """Notes a fault that has begun, and ends it after a time."""
@@ -141,6 +172,10 @@
         links = self._fleet.links_around({index})
         await self._cut("daemon cut", links, (0.5, 8.0), daemon=index)
 
+    async def _cut_from_store(self, index):
+        links = self._fleet.links({index}, {"store"})
+        await self._cut("daemon cut from store", links, (1.0, 9.0), daemon=index)
+
     async def _silence_daemon(self, index):
         for link in self._fleet.links_around({index}):
             link.silence()
@@ -155,7 +190,6 @@
         return (
             self._disturb_some,
             self._disturb_holders,
-            self._disturb_holders,
             self._cut_zone,
         )
 
@@ -167,9 +201,11 @@
     async def _disturb_holders(self, pool):
         await self._disturb_store(self._fleet.holders(), "of holders")
 
-    async def _disturb_store(self, indexes, scope):
-        kind = self._random.choice(STORE_FAULTS)
-        topics = self._random.choice(STORE_TOPICS)
+    async def _disturb_store(
+        self, indexes, scope, kind=None, topics=None, range_s=(0.5, 8.0)
+    ):
+        kind = kind or self._random.choice(STORE_FAULTS)
+        topics = self._random.choice(STORE_TOPICS) if topics is None else topics
         ports = [self._fleet.store_ports[index] for index in indexes]
         delay_s = self._random.uniform(0.1, 2.0)
         self._fleet.is_registry_down = len(indexes) == DAEMONS
@@ -178,7 +214,7 @@
         await self._last(
             f"store fault {scope}",
             (),
-            (0.5, 8.0),
+            range_s,
             fault=kind,
             daemons=sorted(indexes),
             topics=topics,
@@ -245,7 +281,7 @@
         if number is None:
             return
         daemons = set(range(DAEMONS)) - {holder}
-        await self._cut_worker_from(number, daemons, (4.0, 15.0))
+        await self._cut_worker_from(number, daemons, (6.0, 18.0))
 
     async def _cut_worker_from_holder(self, pool):
         number, holder = self._draw_worker(pool), self._fleet.holder(pool)
