--- a/extras/soak/partitions.py
+++ b/extras/soak/partitions.py
@@ -24,7 +24,7 @@
 LONG_INTERVAL_S = 2.0  # between jobs of tasks of LONG_WORK_S, in each pool
 LONG_WORK_S = (5.0, 20.0)
 TASKS = 4  # of a job
-TASK_CPU = 1600  # so that some tasks always wait for a worker
+TASK_CPU = (1000, 1600)  # with the latter some tasks always wait for a worker
 START_TIMEOUT_S = 40.0
 WARM_UP_S = 4.0
 SETTLE_S = 12.0  # leases and takeovers take less
@@ -47,6 +47,7 @@
         self._series = series
         self._fleet = PartitionFleet(seed, code, log_folder)
         self._random = random.Random(seed)
+        self._task_cpu = self._random.choice(TASK_CPU)
         self._job_count = 0
         self._accepted = 0
 
@@ -112,7 +113,7 @@
         path = f"/{pool}/{self._seed:08x}{self._job_count:08x}"
         step = {
             "count": TASKS,
-            "cpu": TASK_CPU,
+            "cpu": self._task_cpu,
             "memMb": 100,
             "estimateMs": int(work_s * 1000),
         }
