--- a/extras/soak/partition_fleet.py
+++ b/extras/soak/partition_fleet.py
@@ -444,16 +444,19 @@
 
     def holder(self, pool):
         """Returns the index of the daemon that last claimed a pool, or None."""
-        claims = self.store.latest_values("keyed.duties")
-        claim = claims.get(f"claim/pool/{pool}")
-        if claim is None:
-            return None
-        name = json.loads(claim)[0].partition("#")[0]
-        return int(name.rpartition("-")[2])
+        return self._holders().get(f"claim/pool/{pool}")
 
     def holders(self):
-        """Returns the indexes of all daemons that last claimed a pool."""
-        return {holder for pool in POOLS if (holder := self.holder(pool)) is not None}
+        """Returns the indexes of all daemons that last claimed a duty."""
+        return set(self._holders().values())
+
+    def _holders(self):
+        holders = {}
+        for key, value in self.store.latest_values("keyed.duties").items():
+            if key.startswith("claim/"):
+                host = json.loads(value)[0].partition("#")[0]
+                holders[key] = int(host.rpartition("-")[2])
+        return holders
 
     async def call(self, method, index, path, body=None):
         """Calls a daemon as a client does; returns the status, or None."""
