Soak: workers that drain and stop listening before their runs end

The plays of cut connections had no worker that leaves as a real process does: it drains, stops listening, leaves the registry, and what runs goes on for a while.

--- a/extras/soak/harsh_worker.py
+++ b/extras/soak/harsh_worker.py
@@ -6,6 +6,7 @@
 
 import json
 import random
+import signal
 import sys
 import time
 from dataclasses import asdict, dataclass
@@ -20,6 +21,7 @@
 MAX_HOLD_MS = 10_000
 HEARTBEAT_S = 1.5
 HEARTBEAT_TIMEOUT_S = 1.0
+DRAIN_S = 3.0  # from the notice that it drains until it stops listening
 LATE_START_SHARE = 0.01
 MAX_LATE_START_S = 3.0
 SLOW_HOLD_SHARE = 0.02
@@ -82,6 +84,7 @@
         # When and how each run that is being ended will have ended, by task name.
         self._dying = {}
         self._is_lease_over = True
+        self.is_draining = False
         super().__init__(
             config.worker_id,
             config.pool,
@@ -100,6 +103,8 @@
         """Returns the worker's registry entry as JSON, bytes."""
         entry = json.loads(super().registry_entry(sequence))
         entry |= {"zone": self._config.zone, "machine": self._config.host}
+        if self.is_draining:
+            entry["state"] = "draining"
         return json.dumps(entry).encode()
 
     async def run(self):
@@ -175,11 +180,24 @@
         tasks.start_soon(worker.run)
         await server.wait_started()
         write_event("up", at=time.monotonic(), pool=config.pool)
-        tasks.start_soon(_send_heartbeats, worker, config)
+        tasks.start_soon(_serve_until_told_to_leave, worker, server, config)
         await anyio.to_thread.run_sync(sys.stdin.read, abandon_on_cancel=True)
         tasks.cancel_scope.cancel()
 
 
+async def _serve_until_told_to_leave(worker, server, config):
+    """Drains on SIGTERM, then stops listening and lets runs go on."""
+    with anyio.open_signal_receiver(signal.SIGTERM) as signals:
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(_send_heartbeats, worker, config)
+            async for _ in signals:
+                worker.is_draining = True
+                await anyio.sleep(DRAIN_S)
+                tasks.cancel_scope.cancel()
+    write_event("left", at=time.monotonic())
+    server.stop()
+
+
 async def _send_heartbeats(worker, config):
     sequence = 0
     url = f"http://{config.registry}/{worker.worker_id}"
--- a/extras/soak/partition_faults.py
+++ b/extras/soak/partition_faults.py
@@ -13,6 +13,7 @@
 MAX_PAUSE_S = 5.0  # between faults of holders
 CHANGE_TIMEOUT_S = 7.0  # a silent holder is replaced sooner
 CHECK_S = 0.02
+MAX_LEAVE_S = 8.0  # from the end of listening until the end of the process
 SETTLE_S = 4.0  # between series, so that the pool works again
 STORE_FAULTS = ("refuse", "silent", "silent", "slow", "lose", "late")
 STORE_TOPICS = (
@@ -246,6 +247,7 @@
             self._crash_worker,
             self._crash_and_cut_worker,
             self._move_worker,
+            self._drain_worker,
         )
 
     def _draw_worker(self, pool):
@@ -342,6 +344,22 @@
         links = self._fleet.links_around({target})
         await self._cut("worker cut again", links, (6.0, 15.0), number=number)
 
+    async def _drain_worker(self, pool):
+        """Replaces a worker that drains; its last runs go on when it has left."""
+        number = self._draw_worker(pool)
+        if number is None or len(self._fleet.workers_of_pool(pool)) < 2:
+            return
+        if number in self._fleet.draining:
+            return
+        self._fleet.draining.add(number)
+        if await self._fleet.drain_worker(number):
+            config = self._fleet.workers[number]
+            await anyio.sleep(self._random.uniform(0.0, MAX_LEAVE_S))
+            if self._fleet.workers.get(number) is config:
+                await self._fleet.kill_worker(number)
+                await self._fleet.start_worker(number, pool)
+        self._fleet.draining.discard(number)
+
     async def _move_worker(self, pool):
         """Ends a worker; one of another pool starts at its address."""
         number = self._draw_worker(pool)
--- a/extras/soak/partition_fleet.py
+++ b/extras/soak/partition_fleet.py
@@ -8,6 +8,7 @@
 import base64
 import json
 import random
+import signal
 import struct
 import sys
 import tempfile
@@ -24,7 +25,12 @@
 from basilwind.standin.entry_store import StoreStandIn
 from basilwind.standin.entry_worker import NO_ANSWER
 from extras.entry_fleet import PORTS_PER_DAEMON, ROOT, reserve_ports
-from extras.soak.harsh_worker import HEARTBEAT_S, MAX_HOLD_MS, WorkerConfig
+from extras.soak.harsh_worker import (
+    DRAIN_S,
+    HEARTBEAT_S,
+    MAX_HOLD_MS,
+    WorkerConfig,
+)
 from extras.soak.proxy import Link
 
 ZONES = ("zone-a", "zone-b", "zone-c")
@@ -122,6 +128,7 @@
         store_ports: ``StorePort`` of each daemon.
         workers: ``WorkerConfig`` of each worker that is up, by number.
         restarting: Indexes of daemons and names of workers that a fault restarts.
+        draining: Numbers of workers that a fault has drain and replaced.
         events: Everything that happened, in the order in which it was heard of; the
             times, ``at``, are those of the monotonic clock.
     """
@@ -149,6 +156,7 @@
         self._registered = {}
         self._lives = 0
         self.restarting = set()
+        self.draining = set()
         self.events = []
         # Runs that execute on each worker, by its id.
         self._load = Counter()
@@ -386,6 +394,23 @@
         self._tasks.start_soon(self._read_events, process, config)
         self.note("worker started", worker=config.worker_id, pool=pool, number=number)
 
+    async def drain_worker(self, number):
+        """Has a worker drain, stop listening and leave the registry; its runs go on.
+
+        Returns:
+            Whether it did, and no other fault ended it before.
+        """
+        config = self.workers[number]
+        self.note("worker draining", worker=config.worker_id, number=number)
+        self._worker_processes[number].send_signal(signal.SIGTERM)
+        await anyio.sleep(DRAIN_S)
+        if self.workers.get(number) is not config:
+            return False
+        for link in self.links(targets=(self.worker_source(number),)):
+            link.set_down(True)
+        self.unregister(config.worker_id)
+        return True
+
     async def kill_worker(self, number):
         """Kills a worker; its runs end with it.
 
