Log when an owner ends, when it last extended leases, and pauses of a process

A process that was frozen, and an owner that went on after its successor's claim, left no line: it was not to be seen when an owner noticed that it had lost a pool, nor until when it had extended leases, and a pause of seconds looked like silence of the store.

'pool given up' tells the age of the last extension and of the read that allowed it; 'duty check late' for how long a daemon did nothing; an order the age of its authority, which counts from the last read of the claims. explain shows them with a task.

The tests on the code before: 'not enough values to unpack (expected 1, got 0)' for the end of ownership, [] != [('duty check late', {'seconds': 4.0})], KeyError: 'authority_age_s'.

--- a/basilwind/entry/duties.py
+++ b/basilwind/entry/duties.py
@@ -327,8 +327,11 @@
             )
         # After a pause of this process, heartbeats of all others seem to be missing,
         # also if an answer from before the pause was read meanwhile.
-        was_paused = now - self._checked_at > PAUSE_S
+        since_check_s = now - self._checked_at
+        was_paused = since_check_s > PAUSE_S
         self._checked_at = now
+        if was_paused:
+            log("duty check late", seconds=round(since_check_s, 3))
         if was_paused or (
             follower.read_at is not None and now - follower.read_at > HEARTBEAT_S * 3
         ):
--- a/basilwind/entry/owner.py
+++ b/basilwind/entry/owner.py
@@ -127,18 +127,27 @@
             ProducerFenced: A later owner has taken over.
         """
         await self._load()
-        async with anyio.create_task_group() as tasks:
-            self._tasks = tasks
-            for record in self._to_forward:
-                tasks.start_soon(self._forward, record)
-            tasks.start_soon(self._rule_out_unrecorded_runs)
-            tasks.start_soon(self._journal.run)
-            tasks.start_soon(self._journal.run_forgetting)
-            tasks.start_soon(self._follow_intake)
-            tasks.start_soon(self._schedule)
-            tasks.start_soon(self._run_housekeeping)
-            tasks.start_soon(self._query_policy)
-            self.update_workers()
+        try:
+            async with anyio.create_task_group() as tasks:
+                self._tasks = tasks
+                for record in self._to_forward:
+                    tasks.start_soon(self._forward, record)
+                tasks.start_soon(self._rule_out_unrecorded_runs)
+                tasks.start_soon(self._journal.run)
+                tasks.start_soon(self._journal.run_forgetting)
+                tasks.start_soon(self._follow_intake)
+                tasks.start_soon(self._schedule)
+                tasks.start_soon(self._run_housekeeping)
+                tasks.start_soon(self._query_policy)
+                self.update_workers()
+        finally:
+            self._report(
+                "pool given up",
+                token=self.token,
+                runs=self._state.count_active_runs(),
+                extension_age_s=age_s(self._leases.extended_at, self._clock()),
+                authority_age_s=self._authority_age_s(),
+            )
 
     async def job_state(self, job_id):
         """Returns a job's durable ``JobState``, or None if there is no such job.
@@ -180,6 +189,10 @@
         if not self._services.is_sole_holder(now):
             raise NotOwner(f"pool {self.pool!r} may have a later owner by now")
 
+    def _authority_age_s(self):
+        """Returns for how long leases may have been extended without confirmation."""
+        return age_s(self._services.duties.confirmed_at, self._clock())
+
     def _report(self, event, **fields):
         self._services.report(event, pool=self.pool, **fields)
 
@@ -457,14 +470,14 @@
 
     async def _report_sent(self):
         sent_rows, self._sent_rows = self._sent_rows, {}
-        confirmed_at = self._services.store_monitor.confirmed_at
+        authority_age_s = self._authority_age_s()
         for step, rows in sent_rows.items():
             self._report(
                 "runs ordered",
                 step=step,
                 token=self.token,
                 lease_s=self._lease_s,
-                store_age_s=age_s(confirmed_at, self._clock()),
+                authority_age_s=authority_age_s,
                 runs=rows,
             )
 
--- a/basilwind/entry/worker_leases.py
+++ b/basilwind/entry/worker_leases.py
@@ -37,6 +37,10 @@
         schedule_event: ``AutoResetEvent`` that triggers scheduling.
         on_fenced: Called with a worker that has seen a higher fencing token.
         send_stops: Called with a worker and the boot time after each of its reports.
+
+    Attributes:
+        extended_at: Boot time at which a hold that extends leases was last sent, or
+            None.
     """
 
     def __init__(
@@ -52,6 +56,7 @@
         self._schedule_event = schedule_event
         self._on_fenced = on_fenced
         self._send_stops = send_stops
+        self.extended_at = None
 
     async def run(self, worker):
         """Sends hold calls to a worker until it has left the pool."""
@@ -97,6 +102,8 @@
         lease_end_s = None
         if self._services.may_extend_leases(sent_at):
             lease_end_s = worker.extend_lease(self._lease_s, sent_at)
+        if lease_end_s is not None:
+            self.extended_at = sent_at
         report = await self._worker_control.hold(
             worker.entry.address,
             worker.worker_id,
--- a/basilwind/explain.py
+++ b/basilwind/explain.py
@@ -31,7 +31,7 @@
     "job ended": 6,
 }
 # Events of a pool or of a worker, which belong to the history of its tasks.
-_POOL_EVENTS = frozenset(("pool taken over", "order fenced"))
+_POOL_EVENTS = frozenset(("pool taken over", "pool given up", "order fenced"))
 _DUTY_EVENTS = frozenset(
     ("duty claimed", "duty released", "duty lost", "duty fenced", "duty failed")
 )
@@ -46,7 +46,9 @@
     )
 )
 _LEFT_OUT = "log lines left out"
-_CONTEXT = _POOL_EVENTS | _DUTY_EVENTS | _WORKER_EVENTS | {_LEFT_OUT}
+# The daemon did nothing for a while, or waited for the store.
+_LATE = "duty check late"
+_CONTEXT = _POOL_EVENTS | _DUTY_EVENTS | _WORKER_EVENTS | {_LEFT_OUT, _LATE}
 
 
 @dataclass
@@ -91,6 +93,7 @@
     end = max((line.at for line in lines), default=0.0)
     tokens = {line.fields.get("token") for line in lines} - {None}
     pools = {line.fields.get("pool") for line in lines} - {None}
+    sources = {line.source for line in lines}
     workers = {line.fields.get("worker") for line in lines} - {None}
 
     def is_related(line):
@@ -102,6 +105,8 @@
             return str(line.fields.get("duty")).removeprefix("pool/") in pools
         if line.event in _WORKER_EVENTS:
             return line.fields.get("worker") in workers
+        if line.event == _LATE:
+            return line.source in sources
         return line.event == _LEFT_OUT or line.fields.get("pool") in pools
 
     selected = {}
--- a/tests/entry/test_run_events.py
+++ b/tests/entry/test_run_events.py
@@ -1,17 +1,21 @@
 """What an owner logs of the orders that it sends and of the state that it restores."""
 
+import types
 import unittest
 from dataclasses import replace
+from unittest import mock
 
 import anyio
 
+from basilwind.entry.duties import PAUSE_S, DutyManager
 from basilwind.entry.journal import journal_topic
 from basilwind.entry.owner import PoolOwner
+from basilwind.entry.store_monitor import StoreMonitor
 from basilwind.errors import CallRefused, WorkerReplaced
 from basilwind.scheduling.jobs import TaskState
 from basilwind.scheduling.ownership import MAX_STORE_SILENCE_S, Claim
 from tests.scheduling.model import LEASE_S, make_job
-from tests.utils.entry_fakes import Clock, make_services
+from tests.utils.entry_fakes import Clock, FakeStore, make_services
 
 JOB = "a" * 16
 SETTLE_S = 0.3  # some scheduling rounds
@@ -49,7 +53,7 @@
         self._run(self._submit)
         (fields,) = self._fields("runs ordered")
         self.assertEqual((fields["step"], fields["token"]), (f"{JOB}.0.0", 7))
-        self.assertEqual(fields["store_age_s"], 0.0)
+        self.assertEqual(fields["authority_age_s"], 0.0)
         rows = [[n, 1, "w1", self.clock() + LEASE_S, 0.0, 0.0] for n in range(3)]
         self.assertEqual(fields["runs"], rows)
 
@@ -118,3 +122,49 @@
                 )
                 self.assertEqual(fields["is_handed_over"], is_handed_over)
                 self.assertAlmostEqual(fields["previous_leases_s"], leases_s, 3)
+
+    def test_end_of_ownership_is_logged_with_the_last_extension_of_leases(self):
+        async def scenario(owner):
+            await self._submit(owner, count=1)
+            self.clock.now += MAX_STORE_SILENCE_S + 1.0
+
+        self._run(scenario)
+        (fields,) = self._fields("pool given up")
+        self.assertEqual((fields["token"], fields["runs"]), (7, 1))
+        for name in ("extension_age_s", "authority_age_s"):
+            self.assertEqual(fields[name], MAX_STORE_SILENCE_S + 1.0)
+
+
+class TestDutyEvents(unittest.TestCase):
+    def setUp(self):
+        self.clock = Clock()
+        self.events = []
+        logged = mock.patch(
+            "basilwind.entry.duties.log",
+            lambda event, **fields: self.events.append((event, fields)),
+        )
+        logged.start()
+        self.addCleanup(logged.stop)
+        settings = types.SimpleNamespace(cpu_cores=1.0, zone="a", name="e1")
+        store = FakeStore(self.clock, StoreMonitor(self.clock))
+        self.duties = DutyManager(
+            store, settings, "e1#1", "e1:1", self.clock, lambda: None, None
+        )
+
+    def test_claim_is_logged_with_the_one_before(self):
+        self.duties._record_claim("pool/a", Claim("e2#5", "e2:1", 6))
+        self.duties._record_claim("pool/a", Claim("e1#1", "e1:1", 9))
+        _, fields = self.events[-1]
+        self.assertEqual(
+            (fields["previous_holder"], fields["previous_token"]), ("e2#5", 6)
+        )
+        self.assertFalse(fields["is_handed_over"])
+        self.assertTrue(fields["may_previous_be_active"])
+
+    def test_process_that_stood_still_logs_for_how_long(self):
+        self.clock.now += PAUSE_S / 2
+        self.duties._update_heartbeats_reliable_since()
+        self.assertEqual(self.events, [])
+        self.clock.now += 4.0
+        self.duties._update_heartbeats_reliable_since()
+        self.assertEqual(self.events, [("duty check late", {"seconds": 4.0})])
