--- a/basilwind/entry/owner.py
+++ b/basilwind/entry/owner.py
@@ -27,9 +27,9 @@
 from basilwind.scheduling.records import decode_submission
 from basilwind.scheduling.reports import StartOutcome
 from basilwind.scheduling.run_events import age_s, order_row
+from basilwind.scheduling.workers import WorkerLimits
 
 LEASE_S = 4.5  # outlasts 1.7 s of silence, 1 s of takeover and a hold call of 1.5 s
-DRIFT_ALLOWANCE = 1.05  # workers' clocks may be 2% slow
 POLICY_CHECK_S = 0.02  # steps become ready within milliseconds
 OUTAGE_CHECK_S = 0.1  # an outage is confirmed every 0.2 s
 SCHEDULE_DELAY_S = 0.003  # submitted jobs and ended tasks arrive in bursts
@@ -61,12 +61,16 @@
         self._worker_control = services.worker_control
         self._clock = services.clock
         self._wall_clock = services.wall_clock
+        self._worker_limits = WorkerLimits(
+            services.settings.max_lease_s, services.settings.max_stop_s
+        )
         self._state = PoolState(
             pool,
             token,
             services.configuration.find_queue,
             services.settings.finished_job_retention_s,
             self._report,
+            self._worker_limits,
         )
         self._journal = JobJournal(
             services.store,
@@ -199,7 +203,7 @@
     # Takeover
 
     async def _load(self):
-        """Restores the jobs and computes how long previous owners' leases may last."""
+        """Restores the jobs and computes how long previous owners' runs may last."""
         started_at = self._clock()
         await self._journal.fence()
         async with anyio.create_task_group() as tasks:
@@ -217,7 +221,7 @@
             )
         self._to_forward = elsewhere
         now = self._clock()
-        previous_lease_s = self._lease_s * DRIFT_ALLOWANCE
+        previous_lease_s = self._worker_limits.longest_run_s(self._lease_s)
         if self._previous_claim is not None:
             previous_lease_s += MAX_STORE_SILENCE_S
         self._state.previous_leases_until = now + previous_lease_s
--- a/basilwind/scheduling/pool_workers.py
+++ b/basilwind/scheduling/pool_workers.py
@@ -67,6 +67,20 @@
         )
         del self.workers[worker.worker_id]
 
+    def expect_workers(self, worker_ids):
+        """Notes the workers on which a previous owner may have started tasks.
+
+        The registry drops workers that cannot reach the store.
+
+        Args:
+            worker_ids: Ids of the workers that it had recorded.
+        """
+        self._unreported_workers = set(worker_ids)
+
+    def workers_to_record(self):
+        """Returns the ids of the workers that a successor has to expect."""
+        return frozenset(self.workers) | self._unreported_workers
+
     def _remove_predecessors(self, entries, now):
         """Removes the workers whose host has started another one since.
 
@@ -134,7 +148,9 @@
             and report.incarnation_started_ms
             and worker.incarnation_started_ms != report.incarnation_started_ms
         ):
-            self._start_incarnation(worker, report, now)
+            self._start_incarnation(worker, report, sent_at, now)
+        elif worker.reported_at is None and now < self.previous_leases_until:
+            worker.expect_previous_lease(report, self._worker_limits)
         worker.incarnation_started_ms = (
             report.incarnation_started_ms or worker.incarnation_started_ms
         )
@@ -166,6 +182,8 @@
             evidence = worker_evidence(worker, now)
             self._report_requeued(missing, RequeueReason.MISSING, **evidence)
         worker.has_reported_fully |= report.is_complete
+        if report.is_complete:
+            self._unreported_workers.discard(worker.worker_id)
         unwanted = {}
         for (name, run), reported in reported_runs.items():
             if not self._adopt_run(worker, reported, now):
@@ -246,7 +264,7 @@
                 worker.is_clock_known and not worker.has_reported_fully
                 for worker in self.workers.values()
             )
-        if now < self.registry_complete_at:
+        if now < self.registry_complete_at or self._unreported_workers:
             return True
         return not all(worker.has_reported_fully for worker in self.workers.values())
 
@@ -401,7 +419,7 @@
         if task.failures >= limit and not task.spec.is_lasting and task.job.is_live:
             self._end_job(task.job, JobState.FAILED, now)
 
-    def _start_incarnation(self, worker, report, now):
+    def _start_incarnation(self, worker, report, sent_at, now):
         """Resets what the previous incarnation of a worker reported.
 
         Runs of the previous incarnation are missing from the report, while runs that
@@ -425,7 +443,7 @@
             unanswered_starts=len(worker.pending_starts),
             **worker_evidence(worker, now),
         )
-        worker.reset_incarnation()
+        worker.reset_incarnation(report, sent_at, self._worker_limits)
         for task in worker.tasks.values():
             task.stop_answered_at = None
 
@@ -460,6 +478,21 @@
             )
             self._end_job(task.job, JobState.FAILED, now)
 
+    def mark_replaced(self, worker, now):
+        """Records that another worker answers at a worker's address.
+
+        That says nothing about its runs, whose leases may last.
+
+        Args:
+            worker: ``WorkerView``.
+            now: Boot time in seconds.
+        """
+        if worker.is_replaced:
+            return
+        worker.replaced_address = worker.entry.address
+        self._report("worker replaced", worker=worker.worker_id)
+        self._record_crash(worker, list(worker.tasks.values()), now)
+
     def remove_worker(self, worker, now, cause="gone"):
         """Requeues all tasks of a worker that is known to be gone and removes it.
 
@@ -479,17 +512,23 @@
             **worker_evidence(worker, now),
         )
         self.workers.pop(worker.worker_id, None)
+        self._unreported_workers.discard(worker.worker_id)
 
     def expire_leases(self, now):
-        """Requeues tasks whose leases have certainly expired."""
+        """Requeues tasks whose runs have certainly ended with their leases."""
+        if now >= self.unrecorded_runs_until:
+            self._unreported_workers.clear()
         for worker in list(self.workers.values()):
             if worker.unanswered_since is None and worker.is_clock_known:
                 continue
             if now < self.previous_leases_until:
                 continue
-            if worker.is_clock_known and not worker.has_lease_expired(now):
+            if worker.is_clock_known and not worker.has_lapsed(
+                self._worker_limits, now
+            ):
                 continue
-            self._crashes.record_lapse(worker, now)
+            if not worker.is_replaced:
+                self._crashes.record_lapse(worker, now)
             self._requeue(
                 list(worker.tasks.values()),
                 RequeueReason.LEASE_EXPIRED,
