--- a/basilwind/entry/duties.py
+++ b/basilwind/entry/duties.py
@@ -4,15 +4,23 @@
 holds it.
 """
 
+import math
+from dataclasses import replace
+
 import anyio
 import msgspec
 
 from basilwind.checked_json import Count, check_address, check_name, decode_json
 from basilwind.entry.follower import KeyedFollower
-from basilwind.errors import PlatformError, RecordInvalid, StoreConflict
+from basilwind.errors import PlatformError, RecordInvalid, StoreConflict, StoreRefused
 from basilwind.logs import log
 from basilwind.platform.store import encode_keyed_record
-from basilwind.scheduling.ownership import HEARTBEAT_S, Claim, DutyTable
+from basilwind.scheduling.ownership import (
+    HEARTBEAT_S,
+    Claim,
+    DutyTable,
+    may_still_be_active,
+)
 
 TOPIC = "keyed.duties"
 # Heartbeats have their own topic, since appending them to the claims' topic would
@@ -32,6 +40,7 @@
 HEARTBEAT_POLL_S = 0.25  # limits reads, as all holders append heartbeats
 HEARTBEAT_WAIT_S = 0.6  # heartbeats arrive every 0.5 s; silence means a dead connection
 MAX_TOKEN_DIGITS = 15
+ANNOUNCE_RETRY_S = 0.15  # a busy store rejects calls for some tenths of a second
 RELEASE_RETRY_S = 0.1  # shutdown takes seconds, and other daemons wait for it
 
 
@@ -40,11 +49,14 @@
     address: str
     token: Count
     zone: str = ""
+    has_predecessor: bool = False
 
 
 class _HeartbeatRecord(msgspec.Struct, array_like=True):
     address: str
     zone: str
+    # Offset up to which the daemon knows the claims.
+    claims_end: Count = 0
 
 
 class DutyManager:
@@ -82,6 +94,10 @@
         self._daemons = {}
         # Offset of the newest heartbeat of each incarnation.
         self._heartbeat_offsets = {}
+        # Offset up to which some daemon knows the claims, according to its heartbeat.
+        self._announced_claims_end = 0
+        # Whether a release may have taken effect that is not known here.
+        self._is_release_open = False
         self._follower = KeyedFollower(
             store, TOPIC, self._apply_records, self._apply_records, clock
         )
@@ -103,6 +119,31 @@
         """Returns the fencing tokens of the duties held here, by duty."""
         return self._table.held_duties()
 
+    @property
+    def confirmed_at(self):
+        """Latest boot time of which all claims announced until then are known here.
+
+        A claimant announces its claim before it counts how long leases of its
+        predecessors may last, so owners here may extend leases for a time that counts
+        from here. Minus infinity from a release on, after which a successor does not
+        wait for that time.
+        """
+        if self._is_release_open:
+            return -math.inf
+        confirmed_at = self._follower.confirmed_at
+        if self._announced_claims_end <= self._known_claims_end:
+            # Claims are read by a long poll, heartbeats several times in that time.
+            confirmed_at = max(
+                confirmed_at or -math.inf, self._heartbeats.confirmed_at or -math.inf
+            )
+        return -math.inf if confirmed_at is None else confirmed_at
+
+    @property
+    def _known_claims_end(self):
+        """Offset up to which the claims are known here."""
+        # Nothing precedes a claim of this daemon that it has not read.
+        return max([self._follower.position or 0, *self.held_tokens().values()])
+
     def find_claim(self, duty):
         """Returns a duty's newest ``Claim``, or None."""
         return self._table.claims.get(duty)
@@ -131,7 +172,7 @@
         """Returns the claim that the newest one replaced.
 
         Returns:
-            ``Claim`` of a holder that may still be active, or None.
+            Its ``Claim`` if its holder or one before it may still be active, or None.
         """
         return self._table.previous_claims.get(duty)
 
@@ -191,8 +232,6 @@
 
         The others tell the other daemons where this one can be reached.
         """
-        value = msgspec.json.encode(_HeartbeatRecord(self._address, self._zone))
-        record = encode_keyed_record(self._incarnation, value)
         announced_at = None
         while True:
             now = self._clock()
@@ -200,15 +239,31 @@
             if self.held_tokens() or (is_due and self._heartbeats.position is not None):
                 outdated = self._outdated_heartbeats() if is_due else []
                 try:
-                    await self._store.append(
-                        HEARTBEATS_TOPIC,
-                        [record, *(encode_keyed_record(key, b"") for key in outdated)],
-                    )
+                    await self._append_heartbeat(outdated)
                     announced_at = now
                 except PlatformError as error:
                     log("heartbeat failed", error=str(error))
             await anyio.sleep(HEARTBEAT_S)
 
+    async def announce_claims(self):
+        """Appends a heartbeat at once, retrying until the store accepts it.
+
+        From then on, no holder that has not read the claims of this daemon renews its
+        authority by reading heartbeats.
+        """
+        while True:
+            try:
+                return await self._append_heartbeat([])
+            except PlatformError as error:
+                log("announcing claims failed", error=str(error))
+                await anyio.sleep(ANNOUNCE_RETRY_S)
+
+    async def _append_heartbeat(self, outdated):
+        heartbeat = _HeartbeatRecord(self._address, self._zone, self._known_claims_end)
+        record = encode_keyed_record(self._incarnation, msgspec.json.encode(heartbeat))
+        deletions = [encode_keyed_record(key, b"") for key in outdated]
+        await self._store.append(HEARTBEATS_TOPIC, [record, *deletions])
+
     def _outdated_heartbeats(self):
         """Returns keys of heartbeats to delete, as they would add up for ever.
 
@@ -226,17 +281,25 @@
         ]
         return outdated[:MAX_DELETED_HEARTBEATS]
 
-    async def release_all(self, is_settled=lambda duty: True):
+    async def release_all(
+        self, is_settled=lambda duty: True, is_store_away=lambda: False
+    ):
         """Releases all duties, so that other daemons claim them immediately.
 
-        The duties stay held until the store has recorded the release.
+        The duties stay held until the store has recorded the release, but no leases are
+        extended once it may have.
 
         Args:
             is_settled: Returns whether everything that previous holders of a duty
                 started is known here.
+            is_store_away: Returns whether the store does not answer this daemon. Then
+                no release is attempted, as leases would end that may outlast this.
         """
         self._is_stopping = True
         while held := self.held_tokens():
+            if is_store_away():
+                await anyio.sleep(RELEASE_RETRY_S)
+                continue
             settled = {duty for duty in held if is_settled(duty)}
             records = [
                 encode_keyed_record(
@@ -245,9 +308,13 @@
                 )
                 for duty, token in held.items()
             ]
+            was_release_open = self._is_release_open
+            self._is_release_open = True
             try:
                 await self._store.append(TOPIC, records)
             except PlatformError as error:
+                if isinstance(error, StoreRefused):
+                    self._is_release_open = was_release_open
                 log("releasing duties failed", error=str(error))
                 await anyio.sleep(RELEASE_RETRY_S)
                 continue
@@ -277,8 +344,11 @@
             )
         # After a pause of this process, heartbeats of all others seem to be missing,
         # also if an answer from before the pause was read meanwhile.
-        was_paused = now - self._checked_at > PAUSE_S
+        since_check_s = now - self._checked_at
+        was_paused = since_check_s > PAUSE_S
         self._checked_at = now
+        if was_paused:
+            log("duty check late", seconds=round(since_check_s, 3))
         if was_paused or (
             follower.read_at is not None and now - follower.read_at > HEARTBEAT_S * 3
         ):
@@ -286,7 +356,10 @@
 
     async def _try_claim(self, duty):
         position = self._follower.position
-        claim = _ClaimRecord(self._incarnation, self._address, position + 1, self._zone)
+        claim = Claim(self._incarnation, self._address, position + 1, self._zone)
+        known = self._table.claims.get(duty)
+        if known is not None and may_still_be_active(known, claim):
+            claim = replace(claim, has_predecessor=True)
         try:
             await self._store.append(TOPIC, [_encode_claim(duty, claim)], at=position)
         except StoreConflict:
@@ -298,12 +371,20 @@
             return
         self._record_claim(duty, claim)
 
-    def _record_claim(self, duty, record):
-        claim = Claim(record.holder, record.address, record.token, record.zone)
+    def _record_claim(self, duty, claim):
         known = self._table.claims.get(duty)
         self._table.apply_claim(duty, claim, self._clock())
         if self._table.claims.get(duty) != known:
-            log("duty claimed", duty=duty, holder=claim.holder, token=claim.token)
+            log(
+                "duty claimed",
+                duty=duty,
+                holder=claim.holder,
+                token=claim.token,
+                previous_holder=known.holder if known else None,
+                previous_token=known.token if known else None,
+                is_handed_over=duty in self._table.handed_over,
+                may_previous_be_active=duty in self._table.previous_claims,
+            )
             self._on_change()
 
     def _apply_records(self, records):
@@ -322,12 +403,19 @@
     def _apply_claim(self, record):
         what = f"claim {record.key!r}"
         try:
-            claim = decode_json(record.value, _ClaimRecord, what, RecordInvalid)
-            check_name(claim.holder, what, RecordInvalid)
-            check_address(claim.address, what, RecordInvalid)
+            decoded = decode_json(record.value, _ClaimRecord, what, RecordInvalid)
+            check_name(decoded.holder, what, RecordInvalid)
+            check_address(decoded.address, what, RecordInvalid)
         except RecordInvalid as error:
             log("invalid record ignored", topic=TOPIC, error=str(error))
             return
+        claim = Claim(
+            decoded.holder,
+            decoded.address,
+            decoded.token,
+            decoded.zone,
+            has_predecessor=decoded.has_predecessor,
+        )
         self._record_claim(record.key[len(_CLAIM_PREFIX) :], claim)
 
     def _apply_heartbeats(self, records):
@@ -336,7 +424,7 @@
             if record.value:
                 self._heartbeat_offsets[record.key] = record.offset
                 self._table.apply_heartbeat(record.key, now)
-                self._remember_daemon(record)
+                self._apply_heartbeat(record)
             else:
                 self._heartbeat_offsets.pop(record.key, None)
                 self._forget_daemon(record.key)
@@ -346,11 +434,8 @@
         if host in self._daemons and self._daemons[host][1].holder == incarnation:
             del self._daemons[host]
 
-    def _remember_daemon(self, record):
-        """Keeps the address of a daemon from the newest heartbeat of its host."""
-        host = record.key.partition("#")[0]
-        if host in self._daemons and self._daemons[host][0] > record.offset:
-            return
+    def _apply_heartbeat(self, record):
+        """Applies what a heartbeat tells of its daemon."""
         what = f"heartbeat of {record.key!r}"
         try:
             heartbeat = decode_json(record.value, _HeartbeatRecord, what, RecordInvalid)
@@ -358,6 +443,13 @@
         except RecordInvalid:
             # Daemons of earlier versions don't tell where they are.
             return
+        self._announced_claims_end = max(
+            self._announced_claims_end, heartbeat.claims_end
+        )
+        # The address counts from the newest heartbeat of the host.
+        host = record.key.partition("#")[0]
+        if host in self._daemons and self._daemons[host][0] > record.offset:
+            return
         claim = Claim(record.key, heartbeat.address, 0, heartbeat.zone)
         self._daemons[host] = record.offset, claim
 
@@ -366,5 +458,8 @@
     return value.isdigit() and len(value) <= MAX_TOKEN_DIGITS
 
 
-def _encode_claim(duty, record):
+def _encode_claim(duty, claim):
+    record = _ClaimRecord(
+        claim.holder, claim.address, claim.token, claim.zone, claim.has_predecessor
+    )
     return encode_keyed_record(_CLAIM_PREFIX + duty, msgspec.json.encode(record))
--- a/basilwind/scheduling/workers.py
+++ b/basilwind/scheduling/workers.py
@@ -66,6 +66,8 @@
         is_withheld: Whether the fleet planner wants it to run no tasks.
         is_at_risk: Whether an order for its host may still end its runs.
         is_listed: Whether the registry lists it.
+        replaced_address: Address at which another worker answered in its place; empty
+            if there is none.
         isolated_job_id: Id of the job whose suspects it was last kept for.
         answered_at: Boot time of its last answer, or None.
         unanswered_since: Boot time at which the first unanswered call was sent, or
@@ -104,6 +106,7 @@
         "is_withheld",
         "is_at_risk",
         "is_listed",
+        "replaced_address",
         "isolated_job_id",
         "answered_at",
         "unanswered_since",
@@ -139,6 +142,7 @@
         self.is_withheld = False
         self.is_at_risk = False
         self.is_listed = True
+        self.replaced_address = ""
         self.isolated_job_id = ""
         self.answered_at = None
         self.unanswered_since = None
@@ -167,6 +171,11 @@
         """Whether its end is planned."""
         return self.entry.is_draining or self.is_withheld
 
+    @property
+    def is_replaced(self):
+        """Whether another worker has its address; its runs may go on."""
+        return self.replaced_address == self.entry.address
+
     @property
     def _has_answered_starts(self):
         """Whether each start that was sent to it got an answer."""
@@ -271,6 +280,16 @@
         self._granted_at = now
         return lease_end_s
 
+    def revoke_unconfirmed_starts(self, token):
+        """Has the starts of an owner revoked that may still arrive.
+
+        Args:
+            token: Fencing token of the owner.
+        """
+        for task in self.tasks.values():
+            if task.state is TaskState.UNCONFIRMED and task.token == token:
+                self.revoked_starts[task.name, task.run] = None
+
     def extend_lease(self, lease_s, now):
         """Returns the end of a lease for the next hold, or None; see ``grant_lease``.
 
@@ -299,6 +318,16 @@
         )
         return worker_clock_s > self._latest_lease_end_s + limits.lapse_s
 
+    def lease_evidence(self, now):
+        """Returns log fields with the latest lease and the worker's estimated clock."""
+        if self._last_worker_clock_s is None:
+            return {"lease_end_s": None, "worker_clock_s": None}
+        worker_clock_s = self._last_worker_clock_s + now - self._clock_read_at
+        return {
+            "lease_end_s": round(self._latest_lease_end_s, 3),
+            "worker_clock_s": round(worker_clock_s, 3),
+        }
+
     def reset_incarnation(self, report, sent_at, limits):
         """Resets the state that belongs to one incarnation of the worker.
 
