Send no starts to workers that do not answer

A worker starts again under its id, gets a start for the incarnation before, and is cut off before its first report. Its runs were started elsewhere after 5.6 s, while its lease lasted for 10 s.

Cause: tasks are placed on a worker for 1.2 s after a call got no answer, if no other is in reach, and an order that waits for its record was sent however long the worker had been silent. Its lease ends by the clock of an incarnation that may be gone.

Change: an order is sent only while its worker answers; otherwise its task waits again. The break of the connection tells of a restart before a start can reach the next incarnation.

--- a/basilwind/scheduling/pool.py
+++ b/basilwind/scheduling/pool.py
@@ -345,6 +345,8 @@
     def may_send(order):
         """Returns whether an order that had to wait for its record is still valid.
 
+        A worker that does not answer may have started anew, with another clock.
+
         Args:
             order: ``StartOrder``.
         """
@@ -352,6 +354,7 @@
             not order.task.is_stopping
             and order.task.job.is_live
             and order.worker.is_clock_known
+            and order.worker.unanswered_since is None
             and not order.worker.is_over_capacity
         )
 
--- a/tests/scheduling/test_expired_leases.py
+++ b/tests/scheduling/test_expired_leases.py
@@ -19,7 +19,8 @@
 
 SEEDS = 400
 # Regression: a previous owner's start reached a new incarnation (4462).
-FAILED_SEEDS = (4462,)
+# Starts reached a new incarnation that had not reported yet (the others).
+FAILED_SEEDS = (4462, 12346, 12709, 17082, 18168, 19137)
 CLOCK_RATES = (0.98, 1.0, 0.99)
 
 
@@ -165,6 +166,16 @@
         self.assertEqual(set(worker.runs), {"next.0.0.0"})
         self.assertEqual(model.state.workers[worker_id].revoked_starts, {})
 
+    def test_start_was_sent_to_a_worker_that_no_longer_answered(self):
+        # It may have started anew, under the same id and with another clock.
+        model = make_model(self.fail)
+        model.submit("job", make_job(count=1))
+        model.hold()
+        (order,) = model.state.schedule(model.now, model.now)
+        self.assertTrue(model.state.may_send(order))
+        model.restart(order.worker.worker_id)
+        self.assertFalse(model.state.may_send(order))
+
     def test_random_faults_by_seed(self):
         for seed in (*seeds_to_play(SEEDS), *FAILED_SEEDS):
             with self.subTest(seed=seed):
