--- a/extras/soak/partition_faults.py
+++ b/extras/soak/partition_faults.py
@@ -63,10 +63,14 @@
                 tasks.start_soon(fault, index)
 
     async def _run_turned_away(self, pool):
-        """Lets the store turn away most holders for longer than a takeover takes."""
+        """Lets the store turn away most holders for longer than a takeover takes.
+
+        The next holder hears from some of the workers late.
+        """
+        faults = (self._delay_answers, self._cut_worker_from_all_but_holder)
         async with anyio.create_task_group() as tasks:
-            if self._random.random() < 0.3:
-                tasks.start_soon(self._later, self._cut_worker, pool)
+            if self._random.random() < 0.8:
+                tasks.start_soon(self._random.choice(faults), pool)
             indexes = self._fleet.holders()
             if len(indexes) > 2 and self._random.random() < 0.3:
                 indexes.discard(self._random.choice(sorted(indexes)))
