--- a/basilwind/entry/worker_leases.py
+++ b/basilwind/entry/worker_leases.py
@@ -16,11 +16,13 @@
     WorkerReplaced,
 )
 from basilwind.scheduling.jobs import TaskState
+from basilwind.scheduling.run_events import age_s, worker_evidence
 
 HOLD_WAIT_S = 1.5  # short enough that a lease survives two lost answers
 SUSPECT_HOLD_WAIT_S = 0.5  # tasks on probation are cleared by a report
 UNCONFIRMED_HOLD_WAIT_S = 0.5  # lost starts of services are revoked after a report
 PACED_HOLD_WAIT_S = 0.5  # period over which serving tasks report tail latency
+REVOKING_HOLD_WAIT_S = 0.1  # a stop is answered within milliseconds
 JOURNAL_WAIT_S = 0.4  # a slow store takes 0.24 s; leases of 4.5 s need hold calls
 RECONNECT_DELAY_S = 0.3  # workers restart within seconds
 
@@ -36,6 +38,10 @@
         schedule_event: ``AutoResetEvent`` that triggers scheduling.
         on_fenced: Called with a worker that has seen a higher fencing token.
         send_stops: Called with a worker and the boot time after each of its reports.
+
+    Attributes:
+        extended_at: Boot time at which a hold that extends leases was last sent, or
+            None.
     """
 
     def __init__(
@@ -51,6 +57,7 @@
         self._schedule_event = schedule_event
         self._on_fenced = on_fenced
         self._send_stops = send_stops
+        self.extended_at = None
 
     async def run(self, worker):
         """Sends hold calls to a worker until it has left the pool."""
@@ -59,14 +66,12 @@
             try:
                 await self._renew_once(worker, sent_at)
             except WorkerReplaced:
-                self._report("worker replaced", worker=worker.worker_id)
-                self._state.remove_worker(worker, self._clock())
-                self._schedule_event.set()
+                self._mark_unreachable(worker, sent_at, "replaced")
+                self._state.mark_replaced(worker, self._clock())
+                await anyio.sleep(RECONNECT_DELAY_S)
             except CallRefused:
+                # A worker may stop listening before its runs have ended.
                 self._mark_unreachable(worker, sent_at, "refused")
-                if worker.entry.is_draining and not worker.is_listed:
-                    self._state.remove_worker(worker, self._clock())
-                    self._schedule_event.set()
                 await anyio.sleep(RECONNECT_DELAY_S)
             except (CallTimedOut, WorkerCallFailed):
                 self._mark_unreachable(worker, sent_at, "silent")
@@ -80,31 +85,43 @@
 
     def _mark_unreachable(self, worker, sent_at, cause):
         if worker.unanswered_since is None:
-            self._report("worker lost", worker=worker.worker_id, cause=cause)
+            self._report(
+                "worker lost",
+                worker=worker.worker_id,
+                cause=cause,
+                **worker_evidence(worker, self._clock()),
+            )
         worker.mark_unanswered(sent_at, cause == "broken", self._clock())
 
     async def _renew_once(self, worker, sent_at):
         lease_end_s = None
         if self._services.may_extend_leases(sent_at):
             lease_end_s = worker.extend_lease(self._lease_s, sent_at)
+        if lease_end_s is not None:
+            self.extended_at = sent_at
         report = await self._worker_control.hold(
             worker.entry.address,
             worker.worker_id,
             self._state.token,
             worker.acknowledged_sequence,
             lease_end_s,
-            self._hold_wait_s(worker) if lease_end_s is not None else 0.0,
+            self._hold_wait_s(worker, lease_end_s is not None),
         )
         if self._state.workers.get(worker.worker_id) is not worker:
             # The worker left during the call; if it returned, it has a new
             # ``WorkerView``.
             return
-        was_silent = worker.unanswered_since is not None
         now = self._clock()
+        silent_s = age_s(worker.unanswered_since, now)
         last_applied_sequence = self._state.apply_report(worker, report, sent_at, now)
         self._send_stops(worker, now)
-        if was_silent:
-            self._report("worker regained", worker=worker.worker_id)
+        if silent_s is not None:
+            self._report(
+                "worker regained",
+                worker=worker.worker_id,
+                silent_s=silent_s,
+                **worker_evidence(worker, now),
+            )
         self._schedule_event.set()
         if last_applied_sequence > worker.acknowledged_sequence:
             await self._acknowledge_ends(worker, last_applied_sequence)
@@ -126,12 +143,14 @@
             worker.acknowledged_sequence = last_applied_sequence
             worker.pending_ack = None
 
-    def _hold_wait_s(self, worker):
+    def _hold_wait_s(self, worker, is_extending):
         """Returns how long a hold call may wait.
 
-        Less for suspects on probation, for long-running tasks whose start got no answer
-        and where filler tasks are paced.
+        Less while starts are revoked, for suspects on probation, for long-running tasks
+        whose start got no answer and where filler tasks are paced.
         """
+        if not is_extending:
+            return REVOKING_HOLD_WAIT_S if worker.revoked_starts else 0.0
         if any(
             task.state is TaskState.UNCONFIRMED and task.spec.is_lasting
             for task in worker.tasks.values()
--- a/basilwind/scheduling/pool.py
+++ b/basilwind/scheduling/pool.py
@@ -34,6 +34,7 @@
 from basilwind.scheduling.pool_stops import PoolStops
 from basilwind.scheduling.reachability import reachable_workers
 from basilwind.scheduling.reports import StartOutcome
+from basilwind.scheduling.run_events import RequeueReason, worker_evidence
 
 UNPLACED_AFTER_S = 0.5  # short tasks free capacity within a second
 WITHHOLD_S = 3.0  # the planner renews it every 0.4 s; a new planner needs 3 s
@@ -320,21 +321,25 @@
             task.token < self.token for task in step.waiting()
         )
 
-    @staticmethod
-    def may_start_unrecorded(order):
+    def may_start_unrecorded(self, order):
         """Returns whether an order may be sent before its start is recorded.
 
         Load pattern: the store is away, an owner starts accepted work unrecorded, and
         its successor must find the runs. It waits for them with all jobs of which the
         journal has a record, and only with those, as others may have been accepted
-        after the outage, when the previous owner was out of reach.
+        after the outage, when the previous owner was out of reach. The journal must
+        have the worker as well, as the registry may have dropped it by then.
 
         Args:
             order: ``StartOrder``.
         """
         job = order.task.job
         # A crash of its worker could not be recorded either.
-        return job.is_recorded and not job.suspects
+        return (
+            job.is_recorded
+            and not job.suspects
+            and order.worker.worker_id in self.recorded_workers
+        )
 
     @staticmethod
     def may_send(order):
@@ -413,8 +418,11 @@
         self._report(
             "step placed",
             step=step.name,
-            runs=[[order.task.index, order.run] for order in orders],
-            workers=sorted({order.worker.worker_id for order in orders}),
+            token=self.token,
+            runs=[
+                [order.task.index, order.run, order.worker.worker_id]
+                for order in orders
+            ],
         )
         job.has_started = True
         if job.state is JobState.PENDING:
@@ -488,14 +496,13 @@
             health.back_off(order.worker, now)
         elif outcome is StartOutcome.NO_TICKET:
             (task.step.tickets or {}).pop(order.worker.worker_id, None)
-        self._report(
-            "start rejected",
-            task=task.name,
-            run=order.run,
-            worker=order.worker.worker_id,
+        self._requeue(
+            [task],
+            RequeueReason.START_REJECTED,
+            now,
             outcome=outcome.value,
+            **worker_evidence(order.worker, now),
         )
-        self._requeue(task)
 
     def apply_unanswered_start(self, order):
         """Records that a start order got no answer; the worker may still execute it."""
@@ -507,4 +514,5 @@
                 task=task.name,
                 run=task.run,
                 worker=order.worker.worker_id,
+                token=task.token,
             )
