--- a/extras/soak/partitions.py
+++ b/extras/soak/partitions.py
@@ -6,6 +6,7 @@
 
 import json
 import random
+import signal
 import sys
 import tempfile
 import time
@@ -150,6 +151,7 @@
 @click.option("--logs", type=click.Path(file_okay=False), help="Directory for logs.")
 def main(seeds, series, code, logs):
     """Play cut connections with each seed and report tasks that ran twice."""
+    signal.signal(signal.SIGTERM, signal.default_int_handler)  # ends all processes
     failed = 0
     with tempfile.TemporaryDirectory() as temporary:
         for seed in parse_seeds(seeds):
--- a/tests/processes/test_partitions.py
+++ b/tests/processes/test_partitions.py
@@ -1,12 +1,17 @@
 import asyncio
+import tempfile
 import unittest
 
+import anyio
+
 from extras.soak.overlaps import collect_runs, find_overlaps
+from extras.soak.partitions import PartitionPlay
 from extras.soak.proxy import ANSWERS, REQUESTS, Link
 from tests.utils.fleet import free_ports
 
 PROXY_HOST = "127.9.0.1"
 WAIT_S = 0.3  # loopback delivers within milliseconds
+MIN_RUNS = 100  # fewer show that the play did not work
 
 
 def start(at, run, worker):
@@ -152,3 +157,11 @@
         self.link.reset()
         with self.assertRaises(ConnectionResetError):
             await self._ask(connection, b"b\n")
+
+
+class TestPartitionPlay(unittest.TestCase):
+    def test_short_seeded_play_runs_no_task_twice(self):
+        with tempfile.TemporaryDirectory() as folder:
+            finds, runs = anyio.run(PartitionPlay(1, 2, None, folder).run)
+        self.assertEqual(finds, [])
+        self.assertGreater(len(runs), MIN_RUNS)
