--- a/basilwind/entry/owner.py
+++ b/basilwind/entry/owner.py
@@ -240,6 +240,7 @@
             jobs=len(self._state.jobs),
             runs=self._state.count_active_runs(),
             may_lack_runs=self._state.unrecorded_runs_until > 0.0,
+            expected_workers=len(self._state.workers_to_record()),
             previous_holder=previous.holder if previous else None,
             previous_token=previous.token if previous else None,
             is_handed_over=self._is_handed_over,
--- a/basilwind/run_history.py
+++ b/basilwind/run_history.py
@@ -21,6 +21,7 @@
     "unanswered_s",
     "lease_end_s",
     "worker_clock_s",
+    "lapse_s",
     "previous_leases_age_s",
 )
 
--- a/basilwind/scheduling/pool_workers.py
+++ b/basilwind/scheduling/pool_workers.py
@@ -533,6 +533,8 @@
                 list(worker.tasks.values()),
                 RequeueReason.LEASE_EXPIRED,
                 now,
+                lapse_s=round(self._worker_limits.lapse_s, 3),
+                is_replaced=worker.is_replaced,
                 previous_leases_age_s=age_s(self.previous_leases_until or None, now),
                 **worker_evidence(worker, now),
             )
--- a/tests/scheduling/test_run_events.py
+++ b/tests/scheduling/test_run_events.py
@@ -177,7 +177,9 @@
         model = self._model()
         let_lease_lapse(model)
         (fields,) = model.rows("lease lapsed")
-        self.assertGreater(fields["worker_clock_s"], fields["lease_end_s"])
+        margin_s = fields["worker_clock_s"] - fields["lease_end_s"]
+        self.assertGreater(margin_s, fields["lapse_s"])
+        self.assertGreater(fields["lapse_s"], 0.0)
         self.assertEqual(fields["lease_end_s"], model.workers["w0"].lease_until)
 
     def test_end_as_done_writes_no_line(self):
