Revoke starts that are still pending when their lease has ended

Cause: starts without an answer are revoked with the lease, but only once their call has timed out. An owner that was paused for longer than a lease finds its housekeeping and the time-out due at the same time; housekeeping comes first and forgets the start. It may run under a later lease, beside the run elsewhere. Found by reading.

Change: a pending start is revoked as well.

--- a/basilwind/scheduling/pool_workers.py
+++ b/basilwind/scheduling/pool_workers.py
@@ -526,7 +526,8 @@
                 continue
             if not worker.is_replaced:
                 self._crashes.record_lapse(worker, now)
-            worker.revoke_unconfirmed_starts(self.token)
+            for task in worker.tasks.values():
+                worker.revoke_start(task, self.token)
             self._requeue(
                 list(worker.tasks.values()),
                 RequeueReason.LEASE_EXPIRED,
--- a/basilwind/scheduling/workers.py
+++ b/basilwind/scheduling/workers.py
@@ -280,15 +280,18 @@
         self._granted_at = now
         return lease_end_s
 
-    def revoke_unconfirmed_starts(self, token):
-        """Has the starts of an owner revoked that may still arrive.
+    def revoke_start(self, task, token):
+        """Has a task's start revoked if an owner sent it and it may still arrive.
 
         Args:
+            task: ``Task`` that is given up.
             token: Fencing token of the owner.
         """
-        for task in self.tasks.values():
-            if task.state is TaskState.UNCONFIRMED and task.token == token:
-                self.revoked_starts[task.name, task.run] = None
+        is_open = task.state is TaskState.UNCONFIRMED or (
+            task.state is TaskState.STARTING and task.name in self.pending_starts
+        )
+        if is_open and task.token == token:
+            self.revoked_starts[task.name, task.run] = None
 
     def extend_lease(self, lease_s, now):
         """Returns the end of a lease for the next hold, or None; see ``grant_lease``.
--- a/tests/scheduling/test_expired_leases.py
+++ b/tests/scheduling/test_expired_leases.py
@@ -9,6 +9,7 @@
 
 from basilwind.scheduling.workers import MAX_CALL_S
 from tests.scheduling.model import (
+    LEASE_S,
     LONGEST_RUN_S,
     MAX_STOP_S,
     PoolModel,
@@ -176,6 +177,21 @@
         model.restart(order.worker.worker_id)
         self.assertFalse(model.state.may_send(order))
 
+    def test_start_of_a_paused_owner_arrived_after_its_task_was_given_up(self):
+        # The pause ended with the leases, before the call had timed out here.
+        model = make_model(self.fail)
+        model.submit("job", make_job(count=1))
+        model.hold()
+        (order,) = model.state.schedule(model.now, model.now)
+        view, task = order.worker, order.task
+        view.grant_lease(LEASE_S, model.now)
+        view.pending_starts[task.name] = model.now
+        view.mark_unanswered(model.now, False, model.now)
+        model.now += LONGEST_RUN_S + 1.0
+        model.state.expire_leases(model.now)
+        self.assertFalse(task.is_active)
+        self.assertIn((task.name, order.run), view.revoked_starts)
+
     def test_random_faults_by_seed(self):
         for seed in (*seeds_to_play(SEEDS), *FAILED_SEEDS):
             with self.subTest(seed=seed):
