Revoke starts without an answer when their task is done

Cause: the end of an earlier run can show that a task is done while a start of it has no answer yet. One stop was sent for it, once; if that was lost as well, e.g. as the same link is cut, nothing remembered the start. Members of a gang got no stop at all.

The task starts after its end was acknowledged.

Change: such a start is kept as revoked; its stop is repeated until the worker accepts it.

--- a/basilwind/scheduling/pool_jobs.py
+++ b/basilwind/scheduling/pool_jobs.py
@@ -227,6 +227,9 @@
             if member.state is TaskState.DONE:
                 continue
             if member.is_active:
+                worker = self.workers.get(member.worker_id)
+                if worker is not None:
+                    worker.revoke_start(member, self.token)
                 self._unassign(member)
             member.state = TaskState.DONE
             self._crashes.clear(member)
--- a/tests/scheduling/test_expired_leases.py
+++ b/tests/scheduling/test_expired_leases.py
@@ -7,6 +7,7 @@
 import random
 import unittest
 
+from basilwind.scheduling.reports import EndKind
 from basilwind.scheduling.workers import MAX_CALL_S
 from tests.scheduling.model import (
     LEASE_S,
@@ -177,6 +178,32 @@
         model.restart(order.worker.worker_id)
         self.assertFalse(model.state.may_send(order))
 
+    def test_start_without_an_answer_was_executed_after_its_task_was_done(self):
+        model = make_model(self.fail)
+        model.submit("job", make_job(count=1))
+        model.hold()
+        model.schedule()
+        (task,) = model.all_tasks()
+        first = model.workers[task.worker_id]
+        first.is_reachable = False
+        first.end(task.name, EndKind.DONE)
+        while task.is_active:
+            model.hold()
+            model.advance(0.25)
+        model.schedule(lambda: "delayed")
+        second = model.workers[task.worker_id]
+        self.assertIsNot(first, second)
+        second.is_reachable = False
+        first.is_reachable = True
+        model.hold()
+        second.is_reachable = True
+        model.hold(stops="lost")
+        model.hold(stops="lost")
+        model.advance(1.0)
+        model.hold()
+        model.deliver_delayed_orders()
+        self.assertEqual(second.runs, {})
+
     def test_start_of_a_paused_owner_arrived_after_its_task_was_given_up(self):
         # The pause ended with the leases, before the call had timed out here.
         model = make_model(self.fail)
