--- a/tests/scheduling/test_pool.py
+++ b/tests/scheduling/test_pool.py
@@ -319,6 +319,21 @@
         model.hold()
         self.assertEqual(model.state.schedule(model.now, model.now), [])
 
+    def test_worker_that_answers_at_its_address_again_got_no_tasks(self):
+        # Regression: another worker had answered there for a while.
+        model = PoolModel(self.fail, workers=1)
+        model.hold()
+        view = model.state.workers["w0"]
+        view.mark_unanswered(model.now, False, model.now)
+        model.state.mark_replaced(view, model.now)
+        model.submit("job", make_job(count=1))
+        model.schedule()
+        self.assertEqual(model.workers["w0"].runs, {})
+        model.workers["w0"].restart()
+        model.hold()
+        model.schedule()
+        self.assertEqual(set(model.workers["w0"].runs), {"job.0.0.0"})
+
     def test_draining_worker_gets_no_tasks(self):
         model = self._model(workers=1)
         model.workers["w0"].entry = make_entry("w0", is_draining=True)
