End the wait for a recorded worker once its host has started another

Callers saw: not seen in a record, found by reading. After a crash of hosts together with an owner, waiting tasks of all jobs that the owner knew waited 6 s on all workers; a daemon that has just started can't rule an outage out, so it always waited.

Evidence: test_successor_waited_for_worker_whose_host_had_started_another failed, "Items in the second set but not the first: 'job.0.0.0'". 176 tests of scheduling and 167 of entry pass.

Two tests that wrote or read the list have it in the new form.

--- a/basilwind/entry/journal.py
+++ b/basilwind/entry/journal.py
@@ -8,7 +8,7 @@
 from basilwind.entry.intake import CANCEL_PREFIX
 from basilwind.errors import StoreRefused, StoreUnanswered
 from basilwind.platform.store import encode_keyed_record
-from basilwind.scheduling.records import encode_job_records, encode_worker_ids
+from basilwind.scheduling.records import encode_job_records, encode_workers
 
 PRODUCER = "owner"  # shared by all owners, as fencing is per producer
 BATCH_DELAY_S = 0.02  # each call costs money; an append alone takes 10 ms
@@ -141,9 +141,7 @@
         workers = state.workers_to_record()
         if workers != state.recorded_workers:
             # Written along with jobs only, as each call costs money.
-            groups.append(
-                [encode_keyed_record(WORKERS_KEY, encode_worker_ids(workers))]
-            )
+            groups.append([encode_keyed_record(WORKERS_KEY, encode_workers(workers))])
         for chunk in _split_by_size(groups):
             await self._topic.append(chunk)
         for job_id in job_ids:
--- a/basilwind/entry/takeover.py
+++ b/basilwind/entry/takeover.py
@@ -16,7 +16,7 @@
 from basilwind.scheduling.records import (
     decode_decline,
     decode_job_record,
-    decode_worker_ids,
+    decode_workers,
     restore_job,
 )
 
@@ -105,7 +105,7 @@
     if value is None:
         return
     try:
-        state.expect_workers(decode_worker_ids(value))
+        state.expect_workers(decode_workers(value))
     except RecordInvalid as error:
         report("job record damaged", job=WORKERS_KEY, error=str(error))
 
--- a/basilwind/scheduling/pool_jobs.py
+++ b/basilwind/scheduling/pool_jobs.py
@@ -35,7 +35,8 @@
         unrecorded_runs_until: Boot time until which runs may exist that the previous
             owner could not record.
         registry_complete_at: Boot time until which the registry may lack live workers.
-        recorded_workers: Ids of the workers that a successor would know of.
+        recorded_workers: Workers that a successor would know of; see
+            ``workers_to_record``.
     """
 
     def __init__(
@@ -52,9 +53,9 @@
         self.previous_leases_until = 0.0
         self.unrecorded_runs_until = 0.0
         self.registry_complete_at = 0.0
-        self.recorded_workers = frozenset()
-        # Ids of the previous owner's workers that have not reported here.
-        self._unreported_workers = set()
+        self.recorded_workers = {}
+        # The previous owner's workers that have not reported here.
+        self._unreported_workers = {}
         # Ids of jobs that a previous owner recorded, which may have unrecorded runs.
         self._jobs_known_before = set()
         self._find_queue = find_queue
--- a/basilwind/scheduling/pool_workers.py
+++ b/basilwind/scheduling/pool_workers.py
@@ -64,19 +64,26 @@
                     self._drop_worker(worker, now)
         return added
 
-    def expect_workers(self, worker_ids):
+    def expect_workers(self, workers):
         """Notes the workers on which a previous owner may have started tasks.
 
         The registry drops workers that cannot reach the store.
 
         Args:
-            worker_ids: Ids of the workers that it had recorded.
+            workers: Those that it had recorded; see ``workers_to_record``.
         """
-        self._unreported_workers = set(worker_ids)
+        self._unreported_workers = dict(workers)
 
     def workers_to_record(self):
-        """Returns the ids of the workers that a successor has to expect."""
-        return frozenset(self.workers) | self._unreported_workers
+        """Returns the workers that a successor has to expect.
+
+        Returns:
+            Host, and start in Unix milliseconds, by worker id.
+        """
+        return self._unreported_workers | {
+            worker_id: (worker.entry.host, worker.entry.incarnation_started_ms)
+            for worker_id, worker in self.workers.items()
+        }
 
     def _remove_predecessors(self, entries, now):
         """Removes the workers whose host has started another one since.
@@ -102,6 +109,13 @@
             ):
                 self._report("worker replaced", worker=worker.worker_id)
                 self.remove_worker(worker, now, "its host started another")
+        self._unreported_workers = {
+            worker_id: (host, started_ms)
+            for worker_id, (host, started_ms) in self._unreported_workers.items()
+            if host not in newest
+            or newest[host].worker_id == worker_id
+            or newest[host].incarnation_started_ms <= started_ms
+        }
         return {
             worker_id: entry
             for worker_id, entry in entries.items()
@@ -181,7 +195,7 @@
             self._report_requeued(missing, RequeueReason.MISSING, **evidence)
         worker.has_reported_fully |= report.is_complete
         if report.is_complete:
-            self._unreported_workers.discard(worker.worker_id)
+            self._unreported_workers.pop(worker.worker_id, None)
         unwanted = {}
         for (name, run), reported in reported_runs.items():
             if not self._adopt_run(worker, reported, now):
@@ -510,7 +524,7 @@
             **worker_evidence(worker, now),
         )
         self.workers.pop(worker.worker_id, None)
-        self._unreported_workers.discard(worker.worker_id)
+        self._unreported_workers.pop(worker.worker_id, None)
 
     def expire_leases(self, now):
         """Requeues tasks whose runs have certainly ended with their leases."""
--- a/basilwind/scheduling/records.py
+++ b/basilwind/scheduling/records.py
@@ -225,18 +225,22 @@
     return submission
 
 
-def decode_worker_ids(data):
-    """Decodes the ids of the workers of an owner; see ``encode_worker_ids``.
+def decode_workers(data):
+    """Decodes the workers of an owner; see ``encode_workers``.
 
     Raises:
         RecordInvalid: The record is damaged.
     """
-    return decode_json(data, list[str], "workers", RecordInvalid)
+    return decode_json(data, dict[str, tuple[str, int]], "workers", RecordInvalid)
 
 
-def encode_worker_ids(worker_ids):
-    """Encodes the ids of the workers on which an owner may start tasks."""
-    return msgspec.json.encode(sorted(worker_ids))
+def encode_workers(workers):
+    """Encodes the workers on which an owner may start tasks.
+
+    Args:
+        workers: Host, and start in Unix milliseconds, by worker id.
+    """
+    return msgspec.json.encode(workers, order="sorted")
 
 
 def decode_decline(data):
--- a/tests/entry/test_journal.py
+++ b/tests/entry/test_journal.py
@@ -18,7 +18,7 @@
     JobRecord,
     SubmissionRecord,
     decode_job_record,
-    decode_worker_ids,
+    decode_workers,
     encode_job,
     encode_job_records,
     restore_job,
@@ -119,7 +119,7 @@
         self.assertIn((f"{OTHER}.0.0.0", 1), self.services.worker_control.starts)
         # A successor finds the whole state.
         records = self.store.newest(journal_topic("pool"))
-        self.assertEqual(decode_worker_ids(records[WORKERS_KEY]), [WORKER])
+        self.assertEqual(decode_workers(records[WORKERS_KEY]), {WORKER: ("", 1)})
         self.store.latest = {
             journal_topic("pool"): [KeyedRecord(0, *item) for item in records.items()],
             intake_topic("pool"): [
--- a/tests/entry/test_partial_outage.py
+++ b/tests/entry/test_partial_outage.py
@@ -26,7 +26,7 @@
 from basilwind.scheduling.records import (
     JobRecord,
     SubmissionRecord,
-    encode_worker_ids,
+    encode_workers,
 )
 from basilwind.scheduling.reports import ReportedRun, WorkerReport
 from tests.scheduling.model import QUEUE, make_entry, make_job
@@ -35,6 +35,7 @@
 JOB = "a" * 16
 TASK = f"{JOB}.0.0.0"
 REPORT_DELAY_S = 0.3  # of the worker that executes the unrecorded run
+WORKERS = {"w1": ("", 1), "w2": ("", 1)}
 PREVIOUS = Claim("e2#1", "e2:1", 5, "a")
 
 
@@ -60,7 +61,7 @@
         ]
         services.store.latest[journal_topic("pool")] = [
             KeyedRecord(0, JOB, msgspec.json.encode(JobRecord("pending"))),
-            KeyedRecord(1, WORKERS_KEY, encode_worker_ids(["w1", "w2"])),
+            KeyedRecord(1, WORKERS_KEY, encode_workers(WORKERS)),
         ]
 
         async def hold(address, worker_id, *arguments):
--- a/tests/scheduling/model.py
+++ b/tests/scheduling/model.py
@@ -278,8 +278,8 @@
         # Pairs of order and delivery that wait for the store to record their jobs.
         self.unrecorded_orders = []
         self.is_store_unavailable = False
-        # Ids of the workers that the journal has.
-        self.recorded_workers = frozenset()
+        # Workers that the journal has.
+        self.recorded_workers = {}
         # Number of started runs, by task name.
         self.starts = Counter()
         # Pairs of progress (percent) and load that workers report, by task name.
--- a/tests/scheduling/test_pool.py
+++ b/tests/scheduling/test_pool.py
@@ -1,5 +1,6 @@
 import random
 import unittest
+from dataclasses import replace
 
 from hypothesis import given
 from hypothesis import strategies as st
@@ -564,6 +565,24 @@
         self.assertEqual(model.state.schedule(model.now, model.now), [])
         self.assertEqual({task.run for task in model.all_tasks()}, {1})
 
+    def test_successor_waited_for_worker_whose_host_had_started_another(self):
+        # Regression: after a crash of hosts, waiting tasks of all jobs that the
+        # previous owner knew waited for the end of all leases.
+        model = self._model()
+        for name, worker in model.workers.items():
+            worker.entry = replace(worker.entry, host=f"host-{name}")
+        model.refresh()
+        model.submit("job", make_job(count=1, cpu=9000))
+        model.hold()
+        model.schedule()
+        crashed = model.workers.pop("w0").entry
+        entry = make_entry("new", 9000, host=crashed.host, incarnation_started_ms=2)
+        model.workers["new"] = ModelWorker(entry, lambda: model.now)
+        model.take_over()
+        model.hold()
+        model.schedule()
+        self.assertEqual(set(model.workers["new"].runs), {"job.0.0.0"})
+
     def test_next_successor_waits_for_the_dropped_worker_as_well(self):
         model = self._model()
         model.submit("job", make_job(count=3))
