Keep the runs of a worker that answers while its host starts another

Cause: as soon as the registry listed a later worker on a worker's host, all its tasks were started elsewhere, also if it answered and its runs went on. A process that is replaced may end its runs beside the next one.

Change: a worker that answers is kept, without new tasks, until its runs have ended or a call gets no answer.

Tests: in the test of the log line for this cause the connection breaks before, as it does when a host starts anew; the line and its fields are checked as before.

Evidence: test_worker_that_answered_was_taken_for_gone_as_its_host_started_another failed, the task was waiting and not running.

--- a/basilwind/scheduling/pool_workers.py
+++ b/basilwind/scheduling/pool_workers.py
@@ -82,7 +82,7 @@
         """Removes the workers whose host has started another one since.
 
         A host runs one worker at a time, but the entry of one that crashed is listed
-        until it expires.
+        until it expires. One that still answers is kept until its runs have ended.
 
         Returns:
             The entries of the others by worker id.
@@ -96,6 +96,8 @@
             ):
                 newest[entry.host] = entry
         for worker in list(self.workers.values()):
+            if worker.is_clock_known and worker.unanswered_since is None:
+                continue
             successor = newest.get(worker.entry.host, worker.entry)
             if successor.worker_id != worker.worker_id and _is_older(
                 worker.entry, successor
--- a/tests/scheduling/test_expired_leases.py
+++ b/tests/scheduling/test_expired_leases.py
@@ -7,11 +7,14 @@
 import random
 import unittest
 
+from basilwind.scheduling.jobs import TaskState
+from basilwind.scheduling.placement import is_usable
 from basilwind.scheduling.workers import MAX_CALL_S
 from tests.scheduling.model import (
     LONGEST_RUN_S,
     MAX_STOP_S,
     PoolModel,
+    make_entry,
     make_job,
     seeds_to_play,
 )
@@ -176,6 +179,26 @@
         model.restart(order.worker.worker_id)
         self.assertFalse(model.state.may_send(order))
 
+    def test_worker_that_answered_was_taken_for_gone_as_its_host_started_another(self):
+        model = make_model(self.fail, workers=1)
+        model.workers["w0"].entry = make_entry("w0", host="host")
+        model.refresh()
+        model.submit("job", make_job(count=1, is_lasting=True))
+        model.hold()
+        model.schedule()
+        model.hold()
+        successor = make_entry("w1", host="host", incarnation_started_ms=2)
+        entries = {"w0": model.workers["w0"].entry, "w1": successor}
+        model.state.set_workers(entries, model.now)
+        (task,) = model.all_tasks()
+        self.assertIs(task.state, TaskState.RUNNING)
+        self.assertFalse(is_usable(model.state.workers["w0"], model.now))
+        # It is gone once its connection has broken.
+        model.state.workers["w0"].mark_unanswered(model.now, True, model.now)
+        model.state.set_workers(entries, model.now)
+        self.assertIs(task.state, TaskState.WAITING)
+        self.assertEqual(set(model.state.workers), {"w1"})
+
     def test_random_faults_by_seed(self):
         for seed in (*seeds_to_play(SEEDS), *FAILED_SEEDS):
             with self.subTest(seed=seed):
--- a/tests/scheduling/test_run_events.py
+++ b/tests/scheduling/test_run_events.py
@@ -113,6 +113,7 @@
     model.workers["w0"].entry = make_entry("w0", host="h")
     model.refresh()
     model.start()
+    model.state.workers["w0"].mark_unanswered(model.now, True, model.now)
     entries = {"w9": make_entry("w9", host="h", incarnation_started_ms=9)}
     model.state.set_workers(entries, model.now)
 
