--- a/tests/scheduling/test_expired_leases.py
+++ b/tests/scheduling/test_expired_leases.py
@@ -9,8 +9,10 @@
 
 from basilwind.scheduling.jobs import TaskState
 from basilwind.scheduling.placement import is_usable
+from basilwind.scheduling.reports import EndKind
 from basilwind.scheduling.workers import MAX_CALL_S
 from tests.scheduling.model import (
+    LEASE_S,
     LONGEST_RUN_S,
     MAX_STOP_S,
     PoolModel,
@@ -199,6 +201,47 @@
         self.assertIs(task.state, TaskState.WAITING)
         self.assertEqual(set(model.state.workers), {"w1"})
 
+    def test_start_without_an_answer_was_executed_after_its_task_was_done(self):
+        model = make_model(self.fail)
+        model.submit("job", make_job(count=1))
+        model.hold()
+        model.schedule()
+        (task,) = model.all_tasks()
+        first = model.workers[task.worker_id]
+        first.is_reachable = False
+        first.end(task.name, EndKind.DONE)
+        while task.is_active:
+            model.hold()
+            model.advance(0.25)
+        model.schedule(lambda: "delayed")
+        second = model.workers[task.worker_id]
+        self.assertIsNot(first, second)
+        second.is_reachable = False
+        first.is_reachable = True
+        model.hold()
+        second.is_reachable = True
+        model.hold(stops="lost")
+        model.hold(stops="lost")
+        model.advance(1.0)
+        model.hold()
+        model.deliver_delayed_orders()
+        self.assertEqual(second.runs, {})
+
+    def test_start_of_a_paused_owner_arrived_after_its_task_was_given_up(self):
+        # The pause ended with the leases, before the call had timed out here.
+        model = make_model(self.fail)
+        model.submit("job", make_job(count=1))
+        model.hold()
+        (order,) = model.state.schedule(model.now, model.now)
+        view, task = order.worker, order.task
+        view.grant_lease(LEASE_S, model.now)
+        view.pending_starts[task.name] = model.now
+        view.mark_unanswered(model.now, False, model.now)
+        model.now += LONGEST_RUN_S + 1.0
+        model.state.expire_leases(model.now)
+        self.assertFalse(task.is_active)
+        self.assertIn((task.name, order.run), view.revoked_starts)
+
     def test_random_faults_by_seed(self):
         for seed in (*seeds_to_play(SEEDS), *FAILED_SEEDS):
             with self.subTest(seed=seed):
