Soak: write the workers' runs of a play for explain, with their tokens

A play of cut connections records what its workers ran in a format of its own; workers.log beside it lets 'basilwind explain TASK logs/SEED/*.log' join the runs with the daemons' lines.

--- a/extras/soak/partitions.py
+++ b/extras/soak/partitions.py
@@ -19,6 +19,7 @@
 from extras.soak.overlaps import collect_runs, find_overlaps
 from extras.soak.partition_faults import FaultSeries
 from extras.soak.partition_fleet import DAEMONS, POOLS, PartitionFleet
+from extras.soak.worker_log import write_run_log
 
 SHORT_INTERVAL_S = 0.5  # between jobs of tasks of SHORT_WORK_S, in each pool
 SHORT_WORK_S = 1.0
@@ -165,6 +166,7 @@
                 f"seed {seed}: {len(finds)} finds, {len(runs)} runs, {play.accepted} "
                 f"jobs accepted, {time.monotonic() - begun_at:.0f} s"
             )
+            write_run_log(runs, folder / "workers.log")
             with open(folder / "finds.txt", "w", encoding="utf-8") as file:
                 write_report(file, finds, play.events, play.started_at)
             click.echo((folder / "finds.txt").read_text(), nl=False)
--- a/extras/soak/worker_log.py
+++ b/extras/soak/worker_log.py
@@ -1,11 +1,12 @@
-"""Writes what the stand-in's workers ran as log lines, for ``basilwind explain``."""
+"""Writes what workers ran as log lines, for ``basilwind explain``."""
 
 import json
+import math
 import time
 
 
 def write_worker_log(platform, file):
-    """Writes a line for each start and end of a run.
+    """Writes a line for each start and end of a run on the stand-in's workers.
 
     Args:
         platform: ``EntryPlatformStandIn``.
@@ -24,6 +25,29 @@
         fields = {"worker": next(iter(on))} if len(on) == 1 else {}
         fields["kind"] = end.kind
         entries.append((end.at, "run ended", end.task, end.run, fields))
+    _write(entries, file)
+
+
+def write_run_log(runs, file):
+    """Writes a line for each start and end of a run.
+
+    Args:
+        runs: ``Run`` objects of ``extras.soak.overlaps``.
+        file: ``Path`` to write to.
+    """
+    entries = []
+    for run in runs:
+        name = (run.task, run.run)
+        begun = {"worker": run.worker, "token": run.token}
+        entries.append((run.started_at, "run began", *name, begun))
+        if run.ended_at < math.inf:
+            ended = {"worker": run.worker, "kind": run.how}
+            entries.append((run.ended_at, "run ended", *name, ended))
+    _write(entries, file)
+
+
+def _write(entries, file):
+    """Writes entries of monotonic time, event, task, run and further fields."""
     offset_s = time.time() - time.monotonic()
     lines = [
         {"timestamp": at + offset_s, "message_type": event, "task": task, "run": run}
--- a/tests/processes/test_soak.py
+++ b/tests/processes/test_soak.py
@@ -9,7 +9,8 @@
 from extras.soak.__main__ import SoakRun, parse_seeds
 from extras.soak.checks import Service, find_interruptions, find_violations
 from extras.soak.faults import make_schedule
-from extras.soak.worker_log import write_worker_log
+from extras.soak.overlaps import Run
+from extras.soak.worker_log import write_run_log, write_worker_log
 
 
 class FakePlatform:
@@ -71,6 +72,22 @@
         )
         self.assertIn("executed at once for 0.500 s", result.findings[-1])
 
+    def test_runs_of_a_play_are_explained_with_their_tokens(self):
+        runs = [
+            Run("j.0.0.0", 1, "w", 5, 1.0, 3.5, "lapsed"),
+            Run("j.0.0.0", 1, "v", 7, 3.0),
+        ]
+        with tempfile.TemporaryDirectory() as folder:
+            file = Path(folder) / "workers.log"
+            write_run_log(runs, file)
+            with file.open() as stream:
+                result = explain(read_lines([stream], "j.0.0.0"), "j.0.0.0")
+        self.assertEqual(
+            result.findings[-1],
+            "run 1 on w (token 5, ?) and run 1 on v (token 7, ?) executed at once for "
+            "0.500 s",
+        )
+
 
 class TestSoak(unittest.TestCase):
     def test_seed_determines_schedule(self):
