--- a/tests/utils/log_store.py
+++ b/tests/utils/log_store.py
@@ -12,7 +12,7 @@
 )
 from basilwind.platform.store import KeyedRecord
 
-POLL_S = 0.002  # in real time, as are the waits of reads
+CALL_S = 0.002  # in time of the event loop, as are the waits of reads
 
 
 class LogTopics:
@@ -21,6 +21,7 @@
     def __init__(self):
         self.records = defaultdict(list)
         self.epochs = {}
+        self._appended = None
 
     def append(self, topic, framed):
         """Appends framed records; returns the offset that the next one will get."""
@@ -29,8 +30,17 @@
             end = 5 + record[4]
             key, value = record[5:end].decode(), record[end:]
             records.append(KeyedRecord(len(records), key, value))
+        if framed and self._appended is not None:
+            self._appended.set()
+            self._appended = None
         return len(records)
 
+    async def wait(self):
+        """Waits for the next append to any topic."""
+        if self._appended is None:
+            self._appended = anyio.Event()
+        await self._appended.wait()
+
     def latest(self, topic):
         """Returns the newest record of each key, ordered by key."""
         newest = {record.key: record for record in self.records[topic]}
@@ -73,11 +83,11 @@
         return end
 
     async def read(self, topic, start, wait_s=0.0):
-        """Reads records from an offset on; may wait for one in real time."""
+        """Reads records from an offset on; may wait for one."""
         sent_at = await self._arrive("read", topic)
         with anyio.move_on_after(wait_s):
             while len(self._topics.records[topic]) <= start:
-                await anyio.sleep(POLL_S)
+                await self._topics.wait()
         records = self._topics.records[topic][start:]
         self._answer("read", topic, sent_at)
         return records
@@ -91,7 +101,7 @@
 
     async def _arrive(self, name, topic):
         sent_at = self._clock()
-        await anyio.sleep(POLL_S)
+        await anyio.sleep(CALL_S)
         if self.refuses(name, topic):
             raise StoreRefused("status 503")
         return sent_at
