--- a/basilwind/entry/duties.py
+++ b/basilwind/entry/duties.py
@@ -344,8 +344,11 @@
             )
         # After a pause of this process, heartbeats of all others seem to be missing,
         # also if an answer from before the pause was read meanwhile.
-        was_paused = now - self._checked_at > PAUSE_S
+        since_check_s = now - self._checked_at
+        was_paused = since_check_s > PAUSE_S
         self._checked_at = now
+        if was_paused:
+            log("duty check late", seconds=round(since_check_s, 3))
         if was_paused or (
             follower.read_at is not None and now - follower.read_at > HEARTBEAT_S * 3
         ):
@@ -372,7 +375,16 @@
         known = self._table.claims.get(duty)
         self._table.apply_claim(duty, claim, self._clock())
         if self._table.claims.get(duty) != known:
-            log("duty claimed", duty=duty, holder=claim.holder, token=claim.token)
+            log(
+                "duty claimed",
+                duty=duty,
+                holder=claim.holder,
+                token=claim.token,
+                previous_holder=known.holder if known else None,
+                previous_token=known.token if known else None,
+                is_handed_over=duty in self._table.handed_over,
+                may_previous_be_active=duty in self._table.previous_claims,
+            )
             self._on_change()
 
     def _apply_records(self, records):
--- a/basilwind/entry/owner.py
+++ b/basilwind/entry/owner.py
@@ -26,9 +26,10 @@
 from basilwind.scheduling.pool import PoolState
 from basilwind.scheduling.records import decode_submission
 from basilwind.scheduling.reports import StartOutcome
+from basilwind.scheduling.run_events import age_s, order_row
+from basilwind.scheduling.workers import WorkerLimits
 
 LEASE_S = 4.5  # outlasts 1.7 s of silence, 1 s of takeover and a hold call of 1.5 s
-DRIFT_ALLOWANCE = 1.05  # workers' clocks may be 2% slow
 POLICY_CHECK_S = 0.02  # steps become ready within milliseconds
 OUTAGE_CHECK_S = 0.1  # an outage is confirmed every 0.2 s
 SCHEDULE_DELAY_S = 0.003  # submitted jobs and ended tasks arrive in bursts
@@ -60,12 +61,16 @@
         self._worker_control = services.worker_control
         self._clock = services.clock
         self._wall_clock = services.wall_clock
+        self._worker_limits = WorkerLimits(
+            services.settings.max_lease_s, services.settings.max_stop_s
+        )
         self._state = PoolState(
             pool,
             token,
             services.configuration.find_queue,
             services.settings.finished_job_retention_s,
             self._report,
+            self._worker_limits,
         )
         self._journal = JobJournal(
             services.store,
@@ -89,6 +94,8 @@
         self._is_loaded = False
         # Restored submissions that other pools get.
         self._to_forward = []
+        # Rows of the sent orders that are not logged yet, by step.
+        self._sent_rows = {}
         # Highest fencing token of a planner that has called.
         self._planner_token = 0
 
@@ -124,18 +131,27 @@
             ProducerFenced: A later owner has taken over.
         """
         await self._load()
-        async with anyio.create_task_group() as tasks:
-            self._tasks = tasks
-            for record in self._to_forward:
-                tasks.start_soon(self._forward, record)
-            tasks.start_soon(self._rule_out_unrecorded_runs)
-            tasks.start_soon(self._journal.run)
-            tasks.start_soon(self._journal.run_forgetting)
-            tasks.start_soon(self._follow_intake)
-            tasks.start_soon(self._schedule)
-            tasks.start_soon(self._run_housekeeping)
-            tasks.start_soon(self._query_policy)
-            self.update_workers()
+        try:
+            async with anyio.create_task_group() as tasks:
+                self._tasks = tasks
+                for record in self._to_forward:
+                    tasks.start_soon(self._forward, record)
+                tasks.start_soon(self._rule_out_unrecorded_runs)
+                tasks.start_soon(self._journal.run)
+                tasks.start_soon(self._journal.run_forgetting)
+                tasks.start_soon(self._follow_intake)
+                tasks.start_soon(self._schedule)
+                tasks.start_soon(self._run_housekeeping)
+                tasks.start_soon(self._query_policy)
+                self.update_workers()
+        finally:
+            self._report(
+                "pool given up",
+                token=self.token,
+                runs=self._state.count_active_runs(),
+                extension_age_s=age_s(self._leases.extended_at, self._clock()),
+                authority_age_s=self._authority_age_s(),
+            )
 
     async def job_state(self, job_id):
         """Returns a job's durable ``JobState``, or None if there is no such job.
@@ -177,13 +193,17 @@
         if not self._services.is_sole_holder(now):
             raise NotOwner(f"pool {self.pool!r} may have a later owner by now")
 
+    def _authority_age_s(self):
+        """Returns for how long leases may have been extended without confirmation."""
+        return age_s(self._services.duties.confirmed_at, self._clock())
+
     def _report(self, event, **fields):
         self._services.report(event, pool=self.pool, **fields)
 
     # Takeover
 
     async def _load(self):
-        """Restores the jobs and computes how long previous owners' leases may last."""
+        """Restores the jobs and computes how long previous owners' runs may last."""
         started_at = self._clock()
         await self._journal.fence()
         async with anyio.create_task_group() as tasks:
@@ -201,7 +221,7 @@
             )
         self._to_forward = elsewhere
         now = self._clock()
-        previous_lease_s = self._lease_s * DRIFT_ALLOWANCE
+        previous_lease_s = self._worker_limits.longest_run_s(self._lease_s)
         if self._previous_claim is not None:
             previous_lease_s += MAX_STORE_SILENCE_S
         self._state.previous_leases_until = now + previous_lease_s
@@ -212,12 +232,19 @@
                 self._services.store_monitor.silence_ended_at + REAPPEAR_S
             )
         self._is_loaded = True
+        self._state.report_restored_runs()
+        previous = self._previous_claim
         self._report(
             "pool taken over",
             token=self.token,
             jobs=len(self._state.jobs),
             runs=self._state.count_active_runs(),
             may_lack_runs=self._state.unrecorded_runs_until > 0.0,
+            expected_workers=len(self._state.workers_to_record()),
+            previous_holder=previous.holder if previous else None,
+            previous_token=previous.token if previous else None,
+            is_handed_over=self._is_handed_over,
+            previous_leases_s=round(self._state.previous_leases_until - now, 3),
             seconds=round(now - started_at, 3),
         )
 
@@ -378,7 +405,13 @@
             (sendable if may_start else kept).append(order)
         if sendable:
             self._report(
-                "starts not recorded", reason="the store is away", starts=len(sendable)
+                "starts not recorded",
+                reason="the store is away",
+                starts=len(sendable),
+                runs=[
+                    [order.task.name, order.run, order.worker.worker_id]
+                    for order in sendable
+                ],
             )
         for order in sendable:
             self._tasks.start_soon(self._send_start, order)
@@ -386,14 +419,26 @@
 
     async def _send_start(self, order):
         task, worker = order.task, order.worker
+        now = self._clock()
         if task.run != order.run or not task.is_active:
+            self._report(
+                "start withdrawn",
+                task=task.name,
+                run=order.run,
+                worker=worker.worker_id,
+                token=self.token,
+                ordered_age_s=age_s(task.ordered_at, now),
+                known_run=task.run,
+                state=task.state.value,
+            )
             return
-        now = self._clock()
         # This process may have been paused since the order was journalled.
         if not self._state.may_send(order) or not self._services.may_extend_leases(now):
             self._state.apply_start_outcome(order, StartOutcome.NOT_SENT, now)
             return
         ticket = (task.step.tickets or {}).get(worker.worker_id)
+        lease_end_s = worker.grant_lease(self._lease_s, now)
+        self._note_sent(order, lease_end_s, now)
         worker.pending_starts[task.name] = now
         try:
             outcome, worker_clock_s = await self._worker_control.start(
@@ -402,7 +447,7 @@
                 task.name,
                 order.run,
                 task.job.spec.text,
-                worker.grant_lease(self._lease_s, now),
+                lease_end_s,
                 self.token,
                 task.checkpoint,
                 ticket.text if ticket else "",
@@ -414,13 +459,34 @@
         finally:
             worker.pending_starts.pop(task.name, None)
         if worker_clock_s is not None:
-            worker.set_clock(worker_clock_s, self._clock())
+            # The clock may be that of another incarnation than the last report's.
+            worker.record_answer(self._clock())
         if outcome is StartOutcome.FENCED:
             self._handle_fenced(worker)
         self._state.apply_start_outcome(order, outcome, self._clock())
         if outcome is not StartOutcome.STARTED:
             self._schedule_event.set()
 
+    def _note_sent(self, order, lease_end_s, now):
+        """Has a sent order logged, with those that are sent at the same time."""
+        if not self._sent_rows:
+            self._tasks.start_soon(self._report_sent)
+        rows = self._sent_rows.setdefault(order.task.step.name, [])
+        rows.append(order_row(order, lease_end_s, now))
+
+    async def _report_sent(self):
+        sent_rows, self._sent_rows = self._sent_rows, {}
+        authority_age_s = self._authority_age_s()
+        for step, rows in sent_rows.items():
+            self._report(
+                "runs ordered",
+                step=step,
+                token=self.token,
+                lease_s=self._lease_s,
+                authority_age_s=authority_age_s,
+                runs=rows,
+            )
+
     async def _query_policy(self):
         """Queries the placement policy, one step at a time as the service requires."""
         while True:
--- a/basilwind/scheduling/pool_jobs.py
+++ b/basilwind/scheduling/pool_jobs.py
@@ -4,6 +4,7 @@
 from basilwind.scheduling.estimates import RunTimes
 from basilwind.scheduling.jobs import Job, JobState, TaskState
 from basilwind.scheduling.records import DeclineRecord
+from basilwind.scheduling.run_events import MAX_ROWS, identity_row, requeue_row
 
 DECLINE_VALID_S = 60.0  # callers repeat a submission within seconds
 
@@ -20,6 +21,7 @@
         find_queue: Returns the ``Queue`` of a name, or None.
         finished_job_retention_s: How long an ended job is kept, seconds.
         report: Called with an event's name and fields, for logs and metrics.
+        worker_limits: ``WorkerLimits``.
 
     Attributes:
         jobs: ``Job`` by id.
@@ -28,15 +30,17 @@
         dirty: Ids of jobs to write to the journal.
         dropped: Ids of ended jobs to delete from the store.
         declined: ``DeclineRecord`` by id of jobs that another pool may have.
-        previous_leases_until: Boot time until which leases of previous owners may be
-            valid on workers that cannot be reached.
+        previous_leases_until: Boot time until which runs may execute under leases of
+            previous owners on workers that cannot be reached.
         unrecorded_runs_until: Boot time until which runs may exist that the previous
             owner could not record.
         registry_complete_at: Boot time until which the registry may lack live workers.
         recorded_workers: Ids of the workers that a successor would know of.
     """
 
-    def __init__(self, name, token, find_queue, finished_job_retention_s, report):
+    def __init__(
+        self, name, token, find_queue, finished_job_retention_s, report, worker_limits
+    ):
         self.name = name
         self.token = token
         self.jobs = {}
@@ -56,6 +60,7 @@
         self._find_queue = find_queue
         self._finished_job_retention_s = finished_job_retention_s
         self._report = report
+        self._worker_limits = worker_limits
         self._withheld_until = 0.0
         self._withholding_unknown_until = 0.0
         # Ids of workers that the previous planner withheld.
@@ -70,6 +75,9 @@
         # Ids of live jobs whose occurrences have due times.
         self._timed_jobs = set()
         self._crashes = CrashTracker()
+        # Starts to revoke on workers that were dropped, and the boot time of that, by
+        # worker id.
+        self._revoked_starts = {}
         # Stops of runs that no task needs.
         self._pending_stops = []
         # Work of waiting tasks at the last ranking, core-seconds.
@@ -256,7 +264,40 @@
             worker.release(task)
         task.reset()
 
-    def _requeue(self, task):
+    def report_restored_runs(self):
+        """Logs the runs that a previous owner's records tell of."""
+        rows = [
+            identity_row(task)
+            for job in self.jobs.values()
+            if job.is_live
+            for task in job.tasks()
+            if task.run and task.state is not TaskState.DONE
+        ]
+        self._report_runs("runs restored", rows, owner_token=self.token)
+
+    def _report_runs(self, event, rows, **fields):
+        """Logs an event that concerns several runs, in lines of limited length."""
+        for start in range(0, len(rows), MAX_ROWS):
+            self._report(event, runs=rows[start : start + MAX_ROWS], **fields)
+
+    def _requeue(self, tasks, reason, now, **evidence):
+        """Gives up the runs of tasks, and logs why.
+
+        Args:
+            tasks: Tasks with a run.
+            reason: ``RequeueReason``.
+            now: Boot time in seconds.
+            **evidence: Further fields of the log line: what the decision rests on.
+        """
+        rows = [requeue_row(task, now) for task in tasks]
+        self._report_requeued(rows, reason, **evidence)
+        for task in tasks:
+            self._make_waiting(task)
+
+    def _report_requeued(self, rows, reason, **evidence):
+        self._report_runs(reason.value, rows, owner_token=self.token, **evidence)
+
+    def _make_waiting(self, task):
         """Makes a task wait for a worker again, if its job is live."""
         self._unassign(task)
         self.dirty.add(task.job.job_id)
