--- a/extras/soak/partition_faults.py
+++ b/extras/soak/partition_faults.py
@@ -14,7 +14,9 @@
 CHANGE_TIMEOUT_S = 7.0  # a silent holder is replaced sooner
 CHECK_S = 0.02
 MAX_LEAVE_S = 8.0  # from the end of listening until the end of the process
+QUIET_S = 10.0
 SETTLE_S = 4.0  # between series, so that the pool works again
+KINDS = ("mixed", "old-holder", "turned-away")
 STORE_FAULTS = ("refuse", "silent", "silent", "slow", "lose", "late")
 STORE_TOPICS = (
     (),
@@ -39,11 +41,20 @@
         self._fleet = fleet
         self._random = source
 
-    async def run(self):
-        """Plays one series."""
+    async def run(self, kind=None):
+        """Plays one series.
+
+        Args:
+            kind: One of ``KINDS``, or None to draw one.
+        """
         pool = self._random.choice(POOLS)
-        kinds = (self._run_mixed, self._run_mixed, self._run_old_holder)
-        await self._random.choice((*kinds, self._run_turned_away))(pool)
+        kind = kind or self._random.choice((*KINDS, "mixed"))
+        if kind == "old-holder":
+            await self._run_old_holder(pool)
+        elif kind == "turned-away":
+            await self._run_turned_away(pool)
+        else:
+            await self._run_mixed(pool)
         await anyio.sleep(self._random.uniform(0.0, SETTLE_S))
 
     async def _run_old_holder(self, pool):
@@ -68,6 +79,8 @@
 
         The next holder hears from some of the workers late.
         """
+        # Only then does the next holder know of no time without the store.
+        await anyio.sleep(QUIET_S)
         faults = (self._delay_answers, self._cut_worker_from_all_but_holder)
         async with anyio.create_task_group() as tasks:
             if self._random.random() < 0.8:
--- a/extras/soak/partitions.py
+++ b/extras/soak/partitions.py
@@ -17,7 +17,7 @@
 
 from extras.soak.__main__ import parse_seeds
 from extras.soak.overlaps import collect_runs, find_overlaps
-from extras.soak.partition_faults import FaultSeries
+from extras.soak.partition_faults import KINDS, FaultSeries
 from extras.soak.partition_fleet import DAEMONS, POOLS, PartitionFleet
 
 SHORT_INTERVAL_S = 0.5  # between jobs of tasks of SHORT_WORK_S, in each pool
@@ -41,10 +41,12 @@
         series: Number of series of faults.
         code: Directory of the daemons' code; None for this one.
         log_folder: Directory for logs and the record.
+        kind: Kind of all series; None to draw each.
     """
 
-    def __init__(self, seed, series, code, log_folder):
+    def __init__(self, seed, series, code, log_folder, kind=None):
         self._seed = seed
+        self._kind = kind
         self._series = series
         self._fleet = PartitionFleet(seed, code, log_folder)
         self._random = random.Random(seed)
@@ -71,7 +73,7 @@
                 for number in range(self._series):
                     fleet.note("series", number=number)
                     source = random.Random(f"{self._seed}/{number}")
-                    await FaultSeries(fleet, source).run()
+                    await FaultSeries(fleet, source).run(self._kind)
                 await anyio.sleep(SETTLE_S)
                 tasks.cancel_scope.cancel()
         finally:
@@ -147,9 +149,10 @@
 @click.command()
 @click.option("--seeds", default="1-3", show_default=True, help="A seed or a range.")
 @click.option("--series", default=5, show_default=True, help="Series of faults.")
+@click.option("--kind", type=click.Choice(KINDS), help="Kind of all series.")
 @click.option("--code", type=click.Path(file_okay=False), help="Another checkout.")
 @click.option("--logs", type=click.Path(file_okay=False), help="Directory for logs.")
-def main(seeds, series, code, logs):
+def main(seeds, series, kind, code, logs):
     """Play cut connections with each seed and report tasks that ran twice."""
     signal.signal(signal.SIGTERM, signal.default_int_handler)  # ends all processes
     failed = 0
@@ -157,7 +160,7 @@
         for seed in parse_seeds(seeds):
             folder = Path(logs or temporary) / str(seed)
             folder.mkdir(parents=True, exist_ok=True)
-            play = PartitionPlay(seed, series, code, folder)
+            play = PartitionPlay(seed, series, code, folder, kind)
             begun_at = time.monotonic()
             finds, runs = anyio.run(play.run)
             failed += bool(finds)
