Give tasks again to a worker that answers again at its address

Cause: a worker counted as replaced from the first answer of another one at its address, and nothing ended that. If it started again there under its id, it was listed, answered and got no task for ever.

Evidence, before: test_worker_that_answers_again_at_its_address_gets_tasks, AssertionError: True is not false. Change: each report of the worker ends it.

--- a/basilwind/scheduling/pool_workers.py
+++ b/basilwind/scheduling/pool_workers.py
@@ -153,6 +153,7 @@
         worker.incarnation_started_ms = (
             report.incarnation_started_ms or worker.incarnation_started_ms
         )
+        worker.replaced_address = ""
         worker.set_clock(report.worker_clock_s, now)
         worker.report_asked_at, worker.reported_at = sent_at, now
         for end in report.ended:
--- a/tests/entry/test_run_events.py
+++ b/tests/entry/test_run_events.py
@@ -11,6 +11,7 @@
 from basilwind.entry.journal import journal_topic
 from basilwind.entry.owner import HOUSEKEEPING_S, PoolOwner
 from basilwind.entry.store_monitor import StoreMonitor
+from basilwind.entry.worker_leases import RECONNECT_DELAY_S
 from basilwind.errors import CallRefused, WorkerReplaced
 from basilwind.scheduling.jobs import TaskState
 from basilwind.scheduling.ownership import MAX_STORE_SILENCE_S, Claim
@@ -127,6 +128,27 @@
         self.assertEqual(len(self._fields("runs lost")), 1)
         self.assertEqual(len(self._fields("lease lapsed")), 1)
 
+    def test_worker_that_answers_again_at_its_address_gets_tasks(self):
+        # Regression: one that another had replaced for a moment got no task for ever.
+        async def scenario(owner):
+            view = owner.state.workers["w1"]
+            answer, errors = self.services.worker_control.hold, [WorkerReplaced("421")]
+
+            async def hold(*arguments):
+                if errors:
+                    raise errors.pop()
+                return await answer(*arguments)
+
+            self.services.worker_control.hold = hold
+            await anyio.sleep(SETTLE_S)
+            self.assertTrue(view.is_replaced)
+            await anyio.sleep(RECONNECT_DELAY_S)
+            self.assertFalse(view.is_replaced)
+            await self._submit(owner, count=1)
+            self.assertEqual(len(self._fields("runs ordered")), 1)
+
+        self._run(scenario)
+
     def test_takeover_is_logged_with_the_previous_claim_and_its_leases(self):
         async def idle(owner):
             pass
