--- a/basilwind/scheduling/pool_workers.py
+++ b/basilwind/scheduling/pool_workers.py
@@ -89,7 +89,7 @@
         """Removes the workers whose host has started another one since.
 
         A host runs one worker at a time, but the entry of one that crashed is listed
-        until it expires.
+        until it expires. One that still answers is kept until its runs have ended.
 
         Returns:
             The entries of the others by worker id.
@@ -103,6 +103,8 @@
             ):
                 newest[entry.host] = entry
         for worker in list(self.workers.values()):
+            if worker.is_clock_known and worker.unanswered_since is None:
+                continue
             successor = newest.get(worker.entry.host, worker.entry)
             if successor.worker_id != worker.worker_id and _is_older(
                 worker.entry, successor
@@ -165,6 +167,7 @@
         worker.incarnation_started_ms = (
             report.incarnation_started_ms or worker.incarnation_started_ms
         )
+        worker.replaced_address = ""
         worker.set_clock(report.worker_clock_s, now)
         worker.replaced_address = ""
         worker.report_asked_at, worker.reported_at = sent_at, now
