Let the plays of takeovers use the model's workers as they are now

Cause: the plays and the model's workers were changed at the same time; both merged without a conflict, but workers now take the time as an argument of their constructor.

Also drops a line that a merge had doubled.

--- a/basilwind/scheduling/pool_workers.py
+++ b/basilwind/scheduling/pool_workers.py
@@ -169,7 +169,6 @@
         )
         worker.replaced_address = ""
         worker.set_clock(report.worker_clock_s, now)
-        worker.replaced_address = ""
         worker.report_asked_at, worker.reported_at = sent_at, now
         for end in report.ended:
             # Ends are listed until acknowledged, and reports may arrive out of order.
--- a/tests/utils/takeover_play.py
+++ b/tests/utils/takeover_play.py
@@ -27,7 +27,13 @@
 from basilwind.platform.store import encode_keyed_record
 from basilwind.scheduling.records import SubmissionRecord
 from basilwind.scheduling.reports import EndKind, StartOutcome
-from tests.scheduling.model import QUEUE, ModelWorker, make_entry, make_job
+from tests.scheduling.model import (
+    MAX_STOP_S,
+    QUEUE,
+    ModelWorker,
+    make_entry,
+    make_job,
+)
 from tests.utils.entry_fakes import make_services
 from tests.utils.log_store import LogStore, LogTopics
 
@@ -163,6 +169,8 @@
 class Workers:
     """Simulated workers, each with a slow clock, and the judge of their runs.
 
+    Ending a run takes as long as it may, and a late start is executed.
+
     Args:
         source: ``random.Random``.
 
@@ -173,24 +181,26 @@
 
     def __init__(self, source):
         self.by_name = {
-            f"w-{zone}": ModelWorker(make_entry(f"w-{zone}")) for zone in ZONES
+            f"w-{zone}": ModelWorker(
+                make_entry(f"w-{zone}"),
+                anyio.current_time,
+                clock_rate=WORKER_RATE,
+                stop_s=MAX_STOP_S,
+                is_strict=True,
+            )
+            for zone in ZONES
         }
         self.violations = []
         self.done = set()
         self._source = source
         self._finish_at = {}
 
-    @staticmethod
-    def clock():
-        """Returns the workers' clock, seconds."""
-        return anyio.current_time() * WORKER_RATE
-
     def start(self, name, task, run, expires, token):
         """Executes a start and checks that the task has no other run."""
-        worker, now = self.by_name[name], self.clock()
-        worker.expire(now)
+        worker = self.by_name[name]
+        worker.end_runs()
         is_repeated = worker.runs.get(task) == run
-        outcome = worker.start(task, run, expires, token, now)
+        outcome = worker.start(task, run, expires, token)
         if outcome is StartOutcome.STARTED and not is_repeated:
             self._judge(name, task, run, token)
             work_s = self._source.choice((0.5, 1.0, 3.0, 12.0))
@@ -199,7 +209,7 @@
 
     def _judge(self, name, task, run, token):
         for other, worker in self.by_name.items():
-            worker.expire(self.clock())
+            worker.end_runs()
             if other != name and task in worker.runs:
                 self.violations.append(
                     f"{anyio.current_time():.3f}: {task} run {run} on {name} (token "
@@ -212,7 +222,7 @@
         while True:
             await anyio.sleep(WORKER_TICK_S)
             for name, worker in self.by_name.items():
-                worker.expire(self.clock())
+                worker.end_runs()
                 for task, run in list(worker.runs.items()):
                     if anyio.current_time() >= self._finish_at[name, task, run]:
                         worker.end(task, EndKind.DONE)
@@ -234,7 +244,7 @@
 
         async def execute():
             outcome = self._workers.start(worker_id, task, run, lease_end_s, token)
-            return outcome, self._workers.clock()
+            return outcome, self._workers.by_name[worker_id].clock_s
 
         return await self._call(worker_id, CALL_TIMEOUT_S, execute)
 
@@ -251,17 +261,14 @@
         worker = self._workers.by_name[worker_id]
 
         async def execute():
-            worker.expire(self._workers.clock())
-            arguments = token, acknowledged, lease_end_s, {}
-            report = worker.hold(*arguments, self._workers.clock())
+            report = worker.hold(token, acknowledged, lease_end_s, {})
             with anyio.move_on_after(wait_s):
                 while report is not None and not report.ended:
                     await anyio.sleep(WORKER_TICK_S)
-                    arguments = token, acknowledged, None, {}
-                    report = worker.hold(*arguments, self._workers.clock())
+                    report = worker.hold(token, acknowledged, None, {})
             if report is None:
                 raise ProducerFenced("a higher token was used")
-            return worker.hold(token, acknowledged, None, {}, self._workers.clock())
+            return worker.hold(token, acknowledged, None, {})
 
         return await self._call(worker_id, CALL_TIMEOUT_S + wait_s, execute)
 
@@ -405,6 +412,7 @@
 
     Attributes:
         log: Descriptions of the faults.
+        workers: ``Workers``; None before the play.
     """
 
     def __init__(self, seed, faults=14):
@@ -412,7 +420,7 @@
         self._faults = faults
         self.network = Network(self._source)
         self.topics = LogTopics()
-        self.workers = Workers(self._source)
+        self.workers = None
         self.daemons = {}
         self.log = []
         self._runs = 0
@@ -439,6 +447,7 @@
 
     async def run(self):
         """Plays until all faults have ended and the jobs had time to complete."""
+        self.workers = Workers(self._source)
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
             tasks.start_soon(self.workers.run)
