--- a/tests/scheduling/test_pool.py
+++ b/tests/scheduling/test_pool.py
@@ -1,5 +1,6 @@
 import random
 import unittest
+from dataclasses import replace
 
 from hypothesis import given
 from hypothesis import strategies as st
@@ -319,6 +320,21 @@
         model.hold()
         self.assertEqual(model.state.schedule(model.now, model.now), [])
 
+    def test_worker_that_answers_at_its_address_again_got_no_tasks(self):
+        # Regression: another worker had answered there for a while.
+        model = PoolModel(self.fail, workers=1)
+        model.hold()
+        view = model.state.workers["w0"]
+        view.mark_unanswered(model.now, False, model.now)
+        model.state.mark_replaced(view, model.now)
+        model.submit("job", make_job(count=1))
+        model.schedule()
+        self.assertEqual(model.workers["w0"].runs, {})
+        model.workers["w0"].restart()
+        model.hold()
+        model.schedule()
+        self.assertEqual(set(model.workers["w0"].runs), {"job.0.0.0"})
+
     def test_draining_worker_gets_no_tasks(self):
         model = self._model(workers=1)
         model.workers["w0"].entry = make_entry("w0", is_draining=True)
@@ -549,6 +565,24 @@
         self.assertEqual(model.state.schedule(model.now, model.now), [])
         self.assertEqual({task.run for task in model.all_tasks()}, {1})
 
+    def test_successor_waited_for_worker_whose_host_had_started_another(self):
+        # Regression: after a crash of hosts, waiting tasks of all jobs that the
+        # previous owner knew waited for the end of all leases.
+        model = self._model()
+        for name, worker in model.workers.items():
+            worker.entry = replace(worker.entry, host=f"host-{name}")
+        model.refresh()
+        model.submit("job", make_job(count=1, cpu=9000))
+        model.hold()
+        model.schedule()
+        crashed = model.workers.pop("w0").entry
+        entry = make_entry("new", 9000, host=crashed.host, incarnation_started_ms=2)
+        model.workers["new"] = ModelWorker(entry, lambda: model.now)
+        model.take_over()
+        model.hold()
+        model.schedule()
+        self.assertEqual(set(model.workers["new"].runs), {"job.0.0.0"})
+
     def test_next_successor_waits_for_the_dropped_worker_as_well(self):
         model = self._model()
         model.submit("job", make_job(count=3))
