--- a/extras/soak/partitions.py
+++ b/extras/soak/partitions.py
@@ -42,11 +42,15 @@
         code: Directory of the daemons' code; None for this one.
         log_folder: Directory for logs and the record.
         kind: Kind of all series; None to draw each.
+
+    Attributes:
+        is_stopped: Whether a signal ended the play.
     """
 
     def __init__(self, seed, series, code, log_folder, kind=None):
         self._seed = seed
         self._kind = kind
+        self.is_stopped = False
         self._series = series
         self._fleet = PartitionFleet(seed, code, log_folder)
         self._random = random.Random(seed)
@@ -63,6 +67,7 @@
         fleet = self._fleet
         try:
             async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._stop_on_signal, tasks.cancel_scope)
                 with anyio.fail_after(START_TIMEOUT_S):
                     await tasks.start(fleet.run)
                     await self._wait_until_serving()
@@ -96,6 +101,13 @@
         """Number of jobs that were accepted."""
         return self._accepted
 
+    async def _stop_on_signal(self, scope):
+        """Ends the play, and so all its processes, on SIGTERM."""
+        with anyio.open_signal_receiver(signal.SIGTERM) as signals:
+            async for _ in signals:
+                self.is_stopped = True
+                scope.cancel()
+
     async def _wait_until_serving(self):
         for pool in POOLS:
             while await self._fleet.call("GET", 0, f"/{pool}/") != 200:
@@ -154,7 +166,6 @@
 @click.option("--logs", type=click.Path(file_okay=False), help="Directory for logs.")
 def main(seeds, series, kind, code, logs):
     """Play cut connections with each seed and report tasks that ran twice."""
-    signal.signal(signal.SIGTERM, signal.default_int_handler)  # ends all processes
     failed = 0
     with tempfile.TemporaryDirectory() as temporary:
         for seed in parse_seeds(seeds):
@@ -163,6 +174,8 @@
             play = PartitionPlay(seed, series, code, folder, kind)
             begun_at = time.monotonic()
             finds, runs = anyio.run(play.run)
+            if play.is_stopped:
+                raise click.Abort
             failed += bool(finds)
             click.echo(
                 f"seed {seed}: {len(finds)} finds, {len(runs)} runs, {play.accepted} "
