List a lease that a successor does not count as known to fail

Cause, not mended: a successor waits for leases of 4.5 s. A worker that started again under its id takes one that was granted on the clock of the incarnation before for its longest, 10 s. The successor counts that only with the worker's first report, and this one is cut off from it.

Callers saw: not seen in a record, found by reading; it needs a restart under the same id, a start before the first report, and a takeover beside a cut.

Evidence: test_unheard_incarnation_got_a_longer_lease_from_the_previous_owner fails, "job.0.0.0 is given up while it executes on w0".

--- a/tests/scheduling/test_expired_leases.py
+++ b/tests/scheduling/test_expired_leases.py
@@ -110,6 +110,19 @@
         model.workers[task.worker_id].is_reachable = False
         self._wait_for_restart(model, task.run)
 
+    def test_unheard_incarnation_got_a_longer_lease_from_the_previous_owner(self):
+        # Its successor never hears from the worker.
+        model = make_model(self.fail)
+        model.submit("job", make_job(count=1, is_lasting=True))
+        model.hold()
+        for worker in model.workers.values():
+            worker.restart()
+        model.schedule()
+        model.take_over()
+        (task,) = model.all_tasks()
+        model.workers[task.worker_id].is_reachable = False
+        self._wait_for_restart(model, task.run)
+
     def test_worker_that_crashed_twice_is_given_up_with_its_last_lease(self):
         model, task, worker = self._running_model()
         model.crash(task.worker_id)
