Place no tasks without the authority to start them

It placed and journalled tasks, took them back unsent and placed them again, every few milliseconds, with a higher run number each time.

Evidence, before: test_owner_without_authority_places_no_task, a run had been placed. Change: scheduling waits for the authority.

--- a/basilwind/entry/owner.py
+++ b/basilwind/entry/owner.py
@@ -369,13 +369,13 @@
             await self._schedule_event.wait(HOUSEKEEPING_S)
             await anyio.sleep(max(SCHEDULE_DELAY_S, schedule_s * SCHEDULE_PAUSE_FACTOR))
             now = self._clock()
-            orders = self._state.schedule(now, self._wall_clock())
-            schedule_s = self._clock() - now
             if self._services.may_extend_leases(now):
+                orders = self._state.schedule(now, self._wall_clock())
+                schedule_s = self._clock() - now
                 for stop in self._state.stop_orders(now):
                     self._tasks.start_soon(self._send_stop, stop)
-            if orders:
-                self._tasks.start_soon(self._send_starts, orders)
+                if orders:
+                    self._tasks.start_soon(self._send_starts, orders)
             if self._state.dirty:
                 self._journal.request_write()
 
--- a/tests/entry/test_expired_authority.py
+++ b/tests/entry/test_expired_authority.py
@@ -1,18 +1,19 @@
 """A daemon that was paused must not act on authority that has run out meanwhile."""
 
+import types
 import unittest
 
 import anyio
 
 from basilwind.entry.journal import journal_topic
-from basilwind.entry.owner import PoolOwner
+from basilwind.entry.owner import HOUSEKEEPING_S, PoolOwner
 from basilwind.entry.planner import FleetPlanner
 from basilwind.entry.store_monitor import StoreMonitor
 from basilwind.errors import NotOwner
 from basilwind.scheduling.ownership import HOLDER_SILENCE_S, MAX_STORE_SILENCE_S
 from basilwind.scheduling.reports import StartOutcome
 from tests.scheduling.model import WORKER_LIMITS, make_job
-from tests.utils.entry_fakes import Clock, FakePeers, make_services
+from tests.utils.entry_fakes import Clock, FakeDuties, FakePeers, make_services
 
 PAUSE_S = 5.0  # a successor has taken over after two seconds
 SETTLE_S = 0.3  # some scheduling rounds
@@ -92,6 +93,21 @@
         self._run(scenario)
         self.assertEqual(self.starts, [])
 
+    def test_owner_without_authority_places_no_task(self):
+        # Regression: it placed and journalled tasks that it may not start, took them
+        # back and placed them again, every few milliseconds.
+        async def scenario(owner):
+            self.services.duties = types.SimpleNamespace(confirmed_at=0.0)
+            await self._submit(owner)
+            (task,) = owner.state.jobs["a" * 16].tasks()
+            self.assertEqual(task.run, 0)
+            self.services.duties = FakeDuties(self.services.store_monitor)
+            await anyio.sleep(SETTLE_S + HOUSEKEEPING_S)
+            self.assertEqual(task.run, 1)
+
+        self._run(scenario)
+        self.assertEqual(self.starts, [("a" * 16 + ".0.0.0", 1)])
+
     def test_owner_without_store_reports_nothing_to_planner(self):
         async def scenario(owner):
             owner.withhold([], 1)
