--- a/basilwind/entry/journal.py
+++ b/basilwind/entry/journal.py
@@ -8,13 +8,14 @@
 from basilwind.entry.intake import CANCEL_PREFIX
 from basilwind.errors import StoreRefused, StoreUnanswered
 from basilwind.platform.store import encode_keyed_record
-from basilwind.scheduling.records import encode_job_records
+from basilwind.scheduling.records import encode_job_records, encode_worker_ids
 
 PRODUCER = "owner"  # shared by all owners, as fencing is per producer
 BATCH_DELAY_S = 0.02  # each call costs money; an append alone takes 10 ms
 RETRY_S = 0.15  # a busy store rejects calls for some tenths of a second
 DECLINE_PREFIX = "~"  # never the first character of a job id
 FORGET_INTERVAL_S = 0.5
+WORKERS_KEY = "/workers"  # never the key of a job or of a part of one
 MAX_PARTS = 64  # further records of a job; its state takes up to 1 MB
 MAX_PART_SUFFIX_BYTES = 8
 MAX_CALL_BYTES = 1_000_000  # below the store's limit of 2 MB per call
@@ -137,11 +138,18 @@
             for job_id in forgotten
             if job_id not in state.jobs
         ]
+        workers = state.workers_to_record()
+        if workers != state.recorded_workers:
+            # Written along with jobs only, as each call costs money.
+            groups.append(
+                [encode_keyed_record(WORKERS_KEY, encode_worker_ids(workers))]
+            )
         for chunk in _split_by_size(groups):
             await self._topic.append(chunk)
         for job_id in job_ids:
             if job_id in state.jobs:
                 state.jobs[job_id].is_recorded = True
+        state.recorded_workers = workers
         self._last_written_batch = self._last_batch
         event, self._written_event = self._written_event, anyio.Event()
         event.set()
--- a/basilwind/entry/takeover.py
+++ b/basilwind/entry/takeover.py
@@ -7,6 +7,7 @@
 from basilwind.entry.journal import (
     DECLINE_PREFIX,
     MAX_PARTS,
+    WORKERS_KEY,
     journal_topic,
     part_key,
 )
@@ -15,6 +16,7 @@
 from basilwind.scheduling.records import (
     decode_decline,
     decode_job_record,
+    decode_worker_ids,
     restore_job,
 )
 
@@ -65,6 +67,7 @@
     _note_parts(job_records, note_parts)
     _drop_forgotten(state, job_records, submissions)
     _restore_declines(state, job_records, wall_clock(), report)
+    _restore_workers(state, job_records, report)
     elsewhere = []
     for record in submissions:
         submitted = decode_submitted_job(record, remember_queue, report)
@@ -97,6 +100,16 @@
     state.drop_declines(wall_time)
 
 
+def _restore_workers(state, job_records, report):
+    value = job_records.get(WORKERS_KEY)
+    if value is None:
+        return
+    try:
+        state.expect_workers(decode_worker_ids(value))
+    except RecordInvalid as error:
+        report("job record damaged", job=WORKERS_KEY, error=str(error))
+
+
 def _note_parts(job_records, note_parts):
     parts = {}
     for key in job_records:
--- a/basilwind/scheduling/pool.py
+++ b/basilwind/scheduling/pool.py
@@ -320,21 +320,25 @@
             task.token < self.token for task in step.waiting()
         )
 
-    @staticmethod
-    def may_start_unrecorded(order):
+    def may_start_unrecorded(self, order):
         """Returns whether an order may be sent before its start is recorded.
 
         Load pattern: the store is away, an owner starts accepted work unrecorded, and
         its successor must find the runs. It waits for them with all jobs of which the
         journal has a record, and only with those, as others may have been accepted
-        after the outage, when the previous owner was out of reach.
+        after the outage, when the previous owner was out of reach. The journal must
+        have the worker as well, as the registry may have dropped it by then.
 
         Args:
             order: ``StartOrder``.
         """
         job = order.task.job
         # A crash of its worker could not be recorded either.
-        return job.is_recorded and not job.suspects
+        return (
+            job.is_recorded
+            and not job.suspects
+            and order.worker.worker_id in self.recorded_workers
+        )
 
     @staticmethod
     def may_send(order):
--- a/basilwind/scheduling/pool_workers.py
+++ b/basilwind/scheduling/pool_workers.py
@@ -53,6 +53,20 @@
                     del self.workers[worker_id]
         return added
 
+    def expect_workers(self, worker_ids):
+        """Notes the workers on which a previous owner may have started tasks.
+
+        The registry drops workers that cannot reach the store.
+
+        Args:
+            worker_ids: Ids of the workers that it had recorded.
+        """
+        self._unreported_workers = set(worker_ids)
+
+    def workers_to_record(self):
+        """Returns the ids of the workers that a successor has to expect."""
+        return frozenset(self.workers) | self._unreported_workers
+
     def _remove_predecessors(self, entries, now):
         """Removes the workers whose host has started another one since.
 
@@ -147,6 +161,8 @@
                     # Its end follows on a later page; until then its outcome is open.
                     task.progress_percent = 0
         worker.has_reported_fully |= report.is_complete
+        if report.is_complete:
+            self._unreported_workers.discard(worker.worker_id)
         unwanted = {}
         for (name, run), reported in reported_runs.items():
             if not self._adopt_run(worker, reported, now):
@@ -220,7 +236,7 @@
                 worker.is_clock_known and not worker.has_reported_fully
                 for worker in self.workers.values()
             )
-        if now < self.registry_complete_at:
+        if now < self.registry_complete_at or self._unreported_workers:
             return True
         return not all(worker.has_reported_fully for worker in self.workers.values())
 
@@ -419,9 +435,12 @@
         for task in list(worker.tasks.values()):
             self._requeue(task)
         self.workers.pop(worker.worker_id, None)
+        self._unreported_workers.discard(worker.worker_id)
 
     def expire_leases(self, now):
         """Requeues tasks whose leases have certainly expired."""
+        if now >= self.unrecorded_runs_until:
+            self._unreported_workers.clear()
         for worker in list(self.workers.values()):
             if worker.unanswered_since is None and worker.is_clock_known:
                 continue
--- a/basilwind/scheduling/records.py
+++ b/basilwind/scheduling/records.py
@@ -225,6 +225,20 @@
     return submission
 
 
+def decode_worker_ids(data):
+    """Decodes the ids of the workers of an owner; see ``encode_worker_ids``.
+
+    Raises:
+        RecordInvalid: The record is damaged.
+    """
+    return decode_json(data, list[str], "workers", RecordInvalid)
+
+
+def encode_worker_ids(worker_ids):
+    """Encodes the ids of the workers on which an owner may start tasks."""
+    return msgspec.json.encode(sorted(worker_ids))
+
+
 def decode_decline(data):
     """Decodes the journal's record of a declined job.
 
--- a/tests/entry/test_journal.py
+++ b/tests/entry/test_journal.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies as st
 
 from basilwind.entry.intake import cancellation_key, intake_topic
-from basilwind.entry.journal import journal_topic
+from basilwind.entry.journal import WORKERS_KEY, journal_topic
 from basilwind.entry.owner import PoolOwner
 from basilwind.errors import StoreRefused, StoreUnanswered
 from basilwind.platform.store import KeyedRecord
@@ -18,6 +18,7 @@
     JobRecord,
     SubmissionRecord,
     decode_job_record,
+    decode_worker_ids,
     encode_job,
     encode_job_records,
     restore_job,
@@ -118,6 +119,7 @@
         self.assertIn((f"{OTHER}.0.0.0", 1), self.services.worker_control.starts)
         # A successor finds the whole state.
         records = self.store.newest(journal_topic("pool"))
+        self.assertEqual(decode_worker_ids(records[WORKERS_KEY]), [WORKER])
         self.store.latest = {
             journal_topic("pool"): [KeyedRecord(0, *item) for item in records.items()],
             intake_topic("pool"): [
--- a/tests/scheduling/test_pool.py
+++ b/tests/scheduling/test_pool.py
@@ -8,6 +8,7 @@
 from basilwind.scheduling.reports import EndedRun, EndKind, WorkerReport
 from tests.scheduling.model import (
     LEASE_S,
+    ModelWorker,
     PoolModel,
     make_entry,
     make_job,
@@ -96,6 +97,8 @@
         # Stored, but not read by the present owner.
         model.submitted[f"job{len(model.submitted)}"] = make_job(count=2)
         model.take_over()
+    elif fault == "take over unlisted":
+        model.take_over(listed=[name for name in model.workers if name != f"w{which}"])
     elif fault == "withhold":
         model.withhold(f"w{which}")
     elif fault == "move":
@@ -362,6 +365,12 @@
             with self.subTest(seed=seed):
                 self._run_seed(seed, ("submit", "finish", "finish"), page_size=1)
 
+    def test_random_takeovers_without_a_listed_worker_by_seed(self):
+        # Regression: unrecorded runs of such a worker were started again elsewhere.
+        for seed in seeds_to_play(SEEDS):
+            with self.subTest(seed=seed):
+                self._run_seed(seed, ("take over unlisted", "relist"))
+
     def test_ends_beyond_the_first_page_are_not_taken_for_lost_runs(self):
         # Regression (review/2): 900 of 1600 tasks ran again after an outage.
         model = PoolModel(self.fail, workers=1, page_size=2)
@@ -517,6 +526,44 @@
         model.advance(LEASE_S * 1.05)
         self.assertEqual(len(model.state.schedule(model.now, model.now)), 3)
 
+    def test_successor_waits_for_worker_that_the_registry_has_dropped(self):
+        # Regression: a worker that the store turned away together with its owner was
+        # no longer listed, and its unrecorded runs were started again elsewhere.
+        model = self._model()
+        model.submit("job", make_job(count=3))
+        model.hold()
+        model.is_store_unavailable = True
+        model.schedule()
+        dropped = next(worker for worker in model.workers.values() if worker.runs)
+        name = dropped.entry.worker_id
+        model.take_over(listed=[other for other in model.workers if other != name])
+        model.hold()
+        self.assertEqual(model.state.schedule(model.now, model.now), [])
+        self.assertFalse(model.state.knows_all_runs(model.now))
+        model.refresh()
+        model.hold()
+        self.assertEqual(model.state.schedule(model.now, model.now), [])
+        self.assertEqual({task.run for task in model.all_tasks()}, {1})
+
+    def test_next_successor_waits_for_the_dropped_worker_as_well(self):
+        model = self._model()
+        model.submit("job", make_job(count=3))
+        model.hold()
+        model.is_store_unavailable = True
+        model.schedule()
+        dropped = next(worker for worker in model.workers.values() if worker.runs)
+        name = dropped.entry.worker_id
+        listed = [other for other in model.workers if other != name]
+        model.take_over(listed=listed)
+        model.hold()
+        model.submit("new", make_job(count=1))
+        model.schedule()
+        model.take_over(listed=listed)
+        model.hold()
+        self.assertEqual(model.state.schedule(model.now, model.now), [])
+        model.advance(LEASE_S * 1.05)
+        self.assertEqual(len(model.state.schedule(model.now, model.now)), 3)
+
     def test_successor_does_not_wait_with_jobs_its_predecessor_never_knew(self):
         # Regression (fleetbench sabeel-amman scale-1): after an outage the owner's zone
         # was cut off, and jobs that were accepted meanwhile waited 6 s with the others.
@@ -533,6 +580,21 @@
         (order,) = model.state.schedule(model.now, model.now)
         self.assertEqual(order.task.job.job_id, "unknown")
 
+    def test_worker_without_a_record_gets_no_task_in_an_outage(self):
+        # A successor could not know that the worker may have runs.
+        model = self._model()
+        model.submit("job", make_job(count=2))
+        model.hold()
+        model.is_store_unavailable = True
+        model.workers = {"new": ModelWorker(make_entry("new"))}
+        model.refresh()
+        model.hold()
+        model.schedule()
+        self.assertEqual(model.workers["new"].runs, {})
+        model.is_store_unavailable = False
+        model.flush()
+        self.assertEqual(len(model.workers["new"].runs), 2)
+
     def test_job_without_a_record_is_not_started_in_an_outage(self):
         # A successor could not know that the job may have runs.
         model = self._model()
