--- a/basilwind/entry/planner.py
+++ b/basilwind/entry/planner.py
@@ -28,6 +28,7 @@
     choose_hosts,
     max_hosts_down,
 )
+from basilwind.scheduling.ownership import is_same_daemon
 from basilwind.scheduling.zones import silent_zones
 
 TOPIC = "keyed.fleet"
@@ -112,12 +113,14 @@
         planner that crashed, is cut off or frozen does not respond; the platform
         rejects its token from now on.
         """
-        if self._previous_claim is None:
+        previous = self._previous_claim
+        if previous is None or is_same_daemon(
+            previous.holder, self._services.incarnation
+        ):
+            # An earlier run of this daemon has left nobody to ask.
             return
         lease_s = self._services.settings.machine_lease_s + SETTLE_MARGIN_S
-        ages_s = await self._peers.hand_over_planning(
-            self._previous_claim, self._token, lease_s
-        )
+        ages_s = await self._peers.hand_over_planning(previous, self._token, lease_s)
         if ages_s is None:
             return
         log("planning handed over", recent_orders=sorted(ages_s))
--- a/basilwind/scheduling/ownership.py
+++ b/basilwind/scheduling/ownership.py
@@ -58,6 +58,11 @@
     has_predecessor: bool = False
 
 
+def is_same_daemon(holder, other):
+    """Returns whether two incarnations are runs of one daemon."""
+    return holder.partition("#")[0] == other.partition("#")[0]
+
+
 def may_still_be_active(previous, claim):
     """Returns whether a previous holder of a duty may still act on it.
 
@@ -73,8 +78,9 @@
         return False
     if not previous.holder:
         return not previous.is_settled
-    is_same_daemon = previous.holder.partition("#")[0] == claim.holder.partition("#")[0]
-    return not is_same_daemon or previous.has_predecessor
+    if not is_same_daemon(previous.holder, claim.holder):
+        return True
+    return previous.has_predecessor
 
 
 def may_extend_leases(confirmed_at, now):
--- a/basilwind/scheduling/workers.py
+++ b/basilwind/scheduling/workers.py
@@ -6,7 +6,7 @@
 
 MAX_CLOCK_DRIFT = 0.02  # share by which a worker's clock may be slow
 DRIFT_ALLOWANCE = 1.05  # also covers drift since a lease's owner read the clock
-LAPSE_NOTICE_S = 0.1  # for a worker to notice that a lease has expired
+LAPSE_NOTICE_S = 0.4  # for a busy worker to notice that a lease has expired
 MAX_CALL_S = 2.5  # from a call that grants a lease until it arrives or is given up
 MAX_ORDER_DELAY_S = 5.0  # from the arrival of an order until it is executed
 
