--- a/review/harness2/worker.py
+++ b/review/harness2/worker.py
@@ -9,6 +9,8 @@
 
 TICK_S = 0.01
 HEARTBEAT_S = 1.5
+LASTING_S = 1000  # tasks that last are at work from their start
+FAILS_AFTER_S = 0.3  # on a worker that fails all that it runs
 MAX_HOLD_MS = 10000
 PAGE = 500
 
@@ -37,6 +39,7 @@
         state: ``ready`` or ``draining``.
         is_up: Whether its process runs.
         is_cut: Whether it reaches nobody.
+        is_failing: Whether all that it runs ends ``failed``, with its health good.
         on_hold: Called with the order of each hold that is carried out.
     """
 
@@ -52,6 +55,7 @@
         self.state = "ready"
         self.is_up = True
         self.is_cut = False
+        self.is_failing = False
         self.life = 0
         self.on_hold = lambda order: None
         self._sequence = 0
@@ -145,6 +149,11 @@
         self.server.reset_silent()
         self._note("started again")
 
+    def set_failing(self, is_failing):
+        """Has all that it runs fail ``FAILS_AFTER_S`` after the start, or not."""
+        self.is_failing = is_failing
+        self._note("fails all that it runs" if is_failing else "sound again")
+
     def crash(self):
         """Ends its process: connections are reset, new ones are refused."""
         for name, run in self.runs.items():
@@ -156,7 +165,9 @@
 
     def _advance(self, now):
         for name, run in list(self.runs.items()):
-            if now - run.started_at >= run.work_s:
+            if self.is_failing and now - run.started_at >= FAILS_AFTER_S:
+                self._end(name, "failed")
+            elif now - run.started_at >= run.work_s:
                 self._end(name, "done")
             elif self.clock_ms > self._lease_ms:
                 self._end(name, "lapsed")
@@ -255,4 +266,6 @@
 
     @staticmethod
     def _percent(run, now):
+        if run.work_s >= LASTING_S:
+            return 100
         return min(99, int(100 * (now - run.started_at) / max(run.work_s, 1e-3)))
