--- a/review/harness2/fleet.py
+++ b/review/harness2/fleet.py
@@ -9,6 +9,7 @@
 import tempfile
 import time
 import tomllib
+import traceback
 from contextlib import suppress
 from pathlib import Path
 
@@ -177,6 +178,14 @@
 
     async def __aenter__(self):
         """Starts everything and waits until the daemons are ready."""
+        try:
+            await self._start()
+        except BaseException:
+            await self.__aexit__()
+            raise
+        return self
+
+    async def _start(self):
         for server in (*self.store_links, Server(self._cloud_port, self._handle_cloud)):
             await server.start()
         self._tasks = [asyncio.create_task(worker.run()) for worker in self.workers]
@@ -185,7 +194,6 @@
         for number in range(self._daemons):
             await self._wait_until_ready(number)
         self.record("daemons ready")
-        return self
 
     async def __aexit__(self, *error):
         """Ends all processes."""
@@ -377,8 +385,9 @@
     """
     try:
         broken = asyncio.run(asyncio.wait_for(main(), 110.0))
-    except (CannotRun, TimeoutError, OSError) as error:
-        print(f"could not run: {type(error).__name__} {error}")
+    except Exception:
+        traceback.print_exc()
+        print("could not run")
         sys.exit(2)
     for text in broken:
         print(f"broken: {text}")
