Acknowledge ends only to the incarnation that reported them

Cause: a hold carries lastSeen, a number of one incarnation, and names only the id that the next incarnation keeps. The owner learns of a new incarnation from the answer, too late. The end of a lease in a hold has the same fault.

Change: holds have a connection of their own. The first call on it only reads the state and names the incarnation; later calls acknowledge and extend the lease, and fail without being sent if the connection is gone. A TCP connection leads to one process, so no timing is left.

--- a/basilwind/entry/daemon.py
+++ b/basilwind/entry/daemon.py
@@ -137,6 +137,7 @@
         """Runs until stopped, then closes all connections."""
         await super().run(handle_signals)
         await self._shared_services.transport.stop()
+        await self._shared_services.worker_control.close()
         await self._worker_transport.stop()
 
     def _create_services(self, settings, transport):
--- a/basilwind/entry/worker_leases.py
+++ b/basilwind/entry/worker_leases.py
@@ -61,27 +61,34 @@
 
     async def run(self, worker):
         """Sends hold calls to a worker until it has left the pool."""
-        while self._state.workers.get(worker.worker_id) is worker:
-            sent_at = self._clock()
-            try:
-                await self._renew_once(worker, sent_at)
-            except WorkerReplaced:
-                self._mark_unreachable(worker, sent_at, "replaced")
-                self._state.mark_replaced(worker, self._clock())
-                await anyio.sleep(RECONNECT_DELAY_S)
-            except CallRefused:
-                # A worker may stop listening before its runs have ended.
-                self._mark_unreachable(worker, sent_at, "refused")
-                await anyio.sleep(RECONNECT_DELAY_S)
-            except (CallTimedOut, WorkerCallFailed):
-                self._mark_unreachable(worker, sent_at, "silent")
-                await anyio.sleep(RECONNECT_DELAY_S / 10)
-            except CallUnanswered:
-                self._mark_unreachable(worker, sent_at, "broken")
-                await anyio.sleep(RECONNECT_DELAY_S / 10)
-            except ProducerFenced:
-                self._on_fenced(worker)
-                await anyio.sleep(RECONNECT_DELAY_S)
+        try:
+            while self._state.workers.get(worker.worker_id) is worker:
+                await self._renew(worker)
+        finally:
+            await self._worker_control.forget(worker.worker_id)
+
+    async def _renew(self, worker):
+        """Sends a hold call, and pauses if it fails."""
+        sent_at = self._clock()
+        try:
+            await self._renew_once(worker, sent_at)
+        except WorkerReplaced:
+            self._mark_unreachable(worker, sent_at, "replaced")
+            self._state.mark_replaced(worker, self._clock())
+            await anyio.sleep(RECONNECT_DELAY_S)
+        except CallRefused:
+            # A worker may stop listening before its runs have ended.
+            self._mark_unreachable(worker, sent_at, "refused")
+            await anyio.sleep(RECONNECT_DELAY_S)
+        except (CallTimedOut, WorkerCallFailed):
+            self._mark_unreachable(worker, sent_at, "silent")
+            await anyio.sleep(RECONNECT_DELAY_S / 10)
+        except CallUnanswered:
+            self._mark_unreachable(worker, sent_at, "broken")
+            await anyio.sleep(RECONNECT_DELAY_S / 10)
+        except ProducerFenced:
+            self._on_fenced(worker)
+            await anyio.sleep(RECONNECT_DELAY_S)
 
     def _mark_unreachable(self, worker, sent_at, cause):
         if worker.unanswered_since is None:
@@ -106,6 +113,7 @@
             worker.acknowledged_sequence,
             lease_end_s,
             self._hold_wait_s(worker, lease_end_s is not None),
+            worker.incarnation_started_ms,
         )
         if self._state.workers.get(worker.worker_id) is not worker:
             # The worker left during the call; if it returned, it has a new
--- a/basilwind/errors.py
+++ b/basilwind/errors.py
@@ -113,6 +113,10 @@
     """A call did not reach its receiver, so it had no effect."""
 
 
+class ConnectionGone(CallRefused):
+    """The connection that a call had to use was closed before."""
+
+
 class CallUnanswered(BasilwindError):
     """A call got no answer; it may have taken effect or may do so later."""
 
--- a/basilwind/platform/workers.py
+++ b/basilwind/platform/workers.py
@@ -12,11 +12,12 @@
 from basilwind.errors import (
     CallRefused,
     CallUnanswered,
+    ConnectionGone,
     ProducerFenced,
     WorkerCallFailed,
     WorkerReplaced,
 )
-from basilwind.platform.transport import JSON_HEADERS
+from basilwind.platform.worker_connections import WorkerConnections, worker_headers
 from basilwind.scheduling.reports import (
     EndedRun,
     EndKind,
@@ -121,6 +122,7 @@
 
     def __init__(self, transport):
         self._transport = transport
+        self._hold_connections = WorkerConnections(transport)
 
     async def start(
         self,
@@ -239,10 +241,21 @@
         return status == 200
 
     async def hold(
-        self, address, worker_id, token, acknowledged_sequence, lease_end_s, wait_s
+        self,
+        address,
+        worker_id,
+        token,
+        acknowledged_sequence,
+        lease_end_s,
+        wait_s,
+        incarnation_started_ms=0,
     ):
         """Renews a worker's lease and reads the state of its runs, by long poll.
 
+        The first call on a connection only reads the state, as the next incarnation of
+        the worker may answer it: then nothing is acknowledged, no lease is extended,
+        and the worker does not wait.
+
         Args:
             address: HOST:PORT of the worker.
             worker_id: Id that the worker at the address must have.
@@ -252,6 +265,8 @@
             lease_end_s: New end of the lease on the worker's clock, in seconds, or None
                 to leave the lease as it is.
             wait_s: How long the worker may wait for a run to end, in seconds.
+            incarnation_started_ms: Start of the incarnation whose sequence number and
+                clock these are, Unix milliseconds; 0 if it does not tell.
 
         Returns:
             A ``WorkerReport``.
@@ -263,37 +278,33 @@
             WorkerReplaced: Another worker answered at the address.
             WorkerCallFailed: The worker answered with an error.
         """
-        order = {"fencingToken": token, "lastSeen": acknowledged_sequence}
-        if lease_end_s is not None:
-            order["expiresAtMs"] = int(lease_end_s * 1000)
-        if wait_s:
-            order["waitMs"] = int(wait_s * 1000)
-        status, body = await self._post(
-            address, worker_id, "/hold", order, wait_s + HOLD_MARGIN_S
-        )
-        if status == 421:
-            raise WorkerReplaced(f"worker {worker_id} is no longer at {address}")
-        if status == 409:
-            raise ProducerFenced(f"worker {worker_id} has seen a higher token")
-        if status != 200:
-            raise WorkerCallFailed(
-                f"worker {worker_id}: hold failed with status {status}"
-            )
-        what = f"hold of worker {worker_id}"
-        lists = decode_json(body, _HoldAnswer, what, WorkerCallFailed)
-        try:
-            running = tuple(map(_decode_running, lists.running))
-            ended = tuple(map(_decode_ended, lists.ended))
-        except (IndexError, TypeError) as error:
-            # Acting on a part of the report could restart runs that it lists.
-            raise WorkerCallFailed(f"{what}: malformed row: {error}") from error
-        return WorkerReport(
-            lists.clock_ms / 1000,
-            lists.born,
-            running,
-            ended,
-            is_complete=len(ended) < MAX_LISTED_ENDS,
+        connection = await self._hold_connections.take(
+            worker_id, incarnation_started_ms
         )
+        report = None
+        if connection is not None:
+            order = {"fencingToken": token, "lastSeen": acknowledged_sequence}
+            if lease_end_s is not None:
+                order["expiresAtMs"] = int(lease_end_s * 1000)
+            if wait_s:
+                order["waitMs"] = int(wait_s * 1000)
+            try:
+                report = await _hold(connection, address, worker_id, order, wait_s)
+            except ConnectionGone:
+                pass
+        if report is None:
+            connection = self._hold_connections.create()
+            report = await _read_incarnation(connection, address, worker_id, token)
+        await self._hold_connections.put_back(worker_id, connection)
+        return report
+
+    async def forget(self, worker_id):
+        """Closes the connections that are kept for a worker that has left."""
+        await self._hold_connections.forget(worker_id)
+
+    async def close(self):
+        """Closes the connections that are kept for workers."""
+        await self._hold_connections.close()
 
     async def _post(self, address, worker_id, path, order, timeout_s):
         return await self._transport.call(
@@ -301,5 +312,66 @@
             f"http://{address}{path}",
             timeout_s,
             msgspec.json.encode(order),
-            JSON_HEADERS | {"X-Expect-Instance": worker_id},
+            worker_headers(worker_id),
         )
+
+
+async def _read_incarnation(connection, address, worker_id, token):
+    """Reads a worker's state on a new connection, which then is known to lead there.
+
+    Returns:
+        A ``WorkerReport``.
+
+    Raises:
+        CallRefused: See ``WorkerControlClient.hold``, also for the further errors.
+    """
+    order = {"fencingToken": token, "lastSeen": 0}
+    report = await _hold(connection, address, worker_id, order, wait_s=0.0)
+    connection.incarnation_started_ms = report.incarnation_started_ms
+    return report
+
+
+async def _hold(connection, address, worker_id, order, wait_s):
+    """Sends a hold; closes the connection unless a report comes back."""
+    is_reported = False
+    try:
+        status, body = await connection.post(
+            address, worker_id, "/hold", order, wait_s + HOLD_MARGIN_S
+        )
+        report = _decode_report(address, worker_id, status, body)
+        is_reported = True
+        return report
+    finally:
+        if not is_reported:
+            await connection.close()
+
+
+def _decode_report(address, worker_id, status, body):
+    """Returns the ``WorkerReport`` in the answer to a hold.
+
+    Raises:
+        ProducerFenced: The worker has seen a higher token.
+        WorkerReplaced: Another worker answered at the address.
+        WorkerCallFailed: The worker answered with an error.
+    """
+    if status == 421:
+        raise WorkerReplaced(f"worker {worker_id} is no longer at {address}")
+    if status == 409:
+        raise ProducerFenced(f"worker {worker_id} has seen a higher token")
+    if status != 200:
+        raise WorkerCallFailed(f"worker {worker_id}: hold failed with status {status}")
+    what = f"hold of worker {worker_id}"
+    lists = decode_json(body, _HoldAnswer, what, WorkerCallFailed)
+    try:
+        running = tuple(map(_decode_running, lists.running))
+        ended = tuple(map(_decode_ended, lists.ended))
+    except (IndexError, TypeError) as error:
+        # Acting on a part of the report could restart runs that it lists.
+        raise WorkerCallFailed(f"{what}: malformed row: {error}") from error
+    return WorkerReport(
+        lists.clock_ms / 1000,
+        lists.born,
+        running,
+        ended,
+        is_complete=len(ended) < MAX_LISTED_ENDS,
+    )
--- a/tests/platform/test_borders.py
+++ b/tests/platform/test_borders.py
@@ -249,9 +249,15 @@
         """Returns a client's result for an answer, or None after an error."""
 
         class Transport:
-            async def call(self, method, url, timeout_s, body_=None, headers=None):
+            async def call(self, method, url, timeout_s, sent=None, *rest, **options):
                 return 200, body
 
+            def create_connection(self):
+                return self
+
+            async def close(self):
+                pass
+
         async def main():
             with anyio.fail_after(5.0):
                 return await call(Transport())
--- a/tests/platform/test_malformed_answers.py
+++ b/tests/platform/test_malformed_answers.py
@@ -37,9 +37,15 @@
     def __init__(self, status, body):
         self._answer = status, body
 
-    async def call(self, method, url, timeout_s, body=None, headers=None):
+    async def call(self, method, url, timeout_s, body=None, headers=None, **options):
         return self._answer
 
+    def create_connection(self):
+        return self
+
+    async def close(self):
+        pass
+
 
 def calls(transport):
     """Returns coroutine functions of all calls to other processes."""
--- a/tests/platform/test_workers.py
+++ b/tests/platform/test_workers.py
@@ -11,9 +11,15 @@
     def __init__(self, status, body=b"{}"):
         self._answer = status, body
 
-    async def call(self, method, url, timeout_s, body=None, headers=None):
+    async def call(self, method, url, timeout_s, body=None, headers=None, **options):
         return self._answer
 
+    def create_connection(self):
+        return self
+
+    async def close(self):
+        pass
+
 
 class TestWorkerControlClient(unittest.TestCase):
     def _call(self, name, status, body, *arguments):
--- a/tests/utils/entry_fakes.py
+++ b/tests/utils/entry_fakes.py
@@ -103,6 +103,9 @@
         await anyio.sleep(0.01)
         return WorkerReport(self._clock(), 1, (), ())
 
+    async def forget(self, worker_id):
+        """Closes no connections, as there are none."""
+
 
 class FakeMachines:
     """A machine service with idle hosts in the pool, m1 and so on; keeps the orders."""
--- a/tests/utils/takeover_play.py
+++ b/tests/utils/takeover_play.py
@@ -256,7 +256,9 @@
 
         return await self._call(worker_id, CALL_TIMEOUT_S, execute)
 
-    async def hold(self, address, worker_id, token, acknowledged, lease_end_s, wait_s):
+    async def hold(
+        self, address, worker_id, token, acknowledged, lease_end_s, wait_s, *rest
+    ):
         """See ``WorkerControlClient``."""
         worker = self._workers.by_name[worker_id]
 
@@ -272,6 +274,9 @@
 
         return await self._call(worker_id, CALL_TIMEOUT_S + wait_s, execute)
 
+    async def forget(self, worker_id):
+        """Closes no connections, as there are none."""
+
     async def _call(self, worker_id, timeout_s, execute):
         return await self._network.call(self._name, worker_id, timeout_s, execute)
 
