End a worker's probation by a run that lasts

Cause: a worker that was ejected gets one task at a time until a task there ends done. A long-running task never does, so the first one kept the worker on probation for good. Related paths with the same cause: older long-running tasks counted as the one task, so that no trial was ever sent; a gang of more tasks than workers on probation never fitted.

Change: a task ordered after the last failure that has executed for 3 s (and for twice its expected run time, if it ends) ends the probation, but not the memory of the last ejection. Older tasks neither count nor prove anything; a gang counts as one.

--- a/basilwind/scheduling/eligibility.py
+++ b/basilwind/scheduling/eligibility.py
@@ -1,8 +1,10 @@
 """Whether a worker may run a task, and whether a step can ever be placed."""
 
-from basilwind.scheduling.health import is_on_probation
+from basilwind.scheduling.health import is_on_probation, trial_tasks
 
-PROBATION_TASKS = 1  # maximum number of tasks on a worker that failed recent ones
+# Maximum number of tasks that a worker gets after it failed recent ones. A gang counts
+# as one, since it starts as a whole or not at all.
+PROBATION_TASKS = 1
 
 
 def may_run(step, worker):
@@ -17,7 +19,15 @@
         return False
     if spec.most_per_worker and _tasks_of_step(worker, step) >= spec.most_per_worker:
         return False
-    return not (is_on_probation(worker) and len(worker.tasks) >= PROBATION_TASKS)
+    return not is_on_probation(worker) or _may_try(step, worker)
+
+
+def _may_try(step, worker):
+    """Returns whether a worker on probation may get a task of a step."""
+    trials = trial_tasks(worker)
+    if step.spec.is_gang:
+        return all(task.step is step for task in trials)
+    return len(trials) < PROBATION_TASKS
 
 
 def count_fitting(spec, free_cpu, free_memory, free_gpu):
@@ -63,7 +73,9 @@
         worker.free_memory + sum(other.memory for other in ending),
         worker.free_gpu + sum(other.gpu for other in ending),
     )
-    return min(fits, PROBATION_TASKS) if is_on_probation(worker) else fits
+    if is_on_probation(worker) and not spec.is_gang:
+        return min(fits, PROBATION_TASKS)
+    return fits
 
 
 def can_be_placed_later(step, workers):
--- a/basilwind/scheduling/pool_workers.py
+++ b/basilwind/scheduling/pool_workers.py
@@ -14,6 +14,7 @@
 )
 from basilwind.scheduling.workers import WorkerView
 
+AT_WORK_PERCENT = 100  # progress of a long-running task that has started up
 REVOCATION_VALID_S = 300.0  # bytes of a cut connection may be sent again for minutes
 
 
@@ -306,6 +307,7 @@
         if health.update_progress(task, reported, now) and not task.is_stopping:
             self._stop_stalled(worker, task, now)
         task.progress_percent = reported.progress_percent
+        self._record_sound_run(worker, task, now)
         task.load = reported.load
         if self._crashes.clear_if_proven(task, now):
             self.dirty.add(task.job.job_id)
@@ -322,6 +324,14 @@
         self._report("run stalled", task=task.name, worker=worker.worker_id)
         self._record_failure(worker, now)
 
+    def _record_sound_run(self, worker, task, now):
+        """Takes a run that executes for evidence that its worker is sound."""
+        if worker.consecutive_failures and (
+            task.progress_percent >= AT_WORK_PERCENT or not task.spec.is_lasting
+        ):
+            expected_s = self.run_times.expected_s(task.job.queue, task.spec.estimate_s)
+            health.record_sound_run(worker, task, expected_s, now)
+
     def _record_failure(self, worker, now):
         if health.record_failure(worker, self.workers.values(), now):
             self._report("worker avoided", worker=worker.worker_id)
--- a/basilwind/scheduling/workers.py
+++ b/basilwind/scheduling/workers.py
@@ -75,7 +75,9 @@
         ejected_until: Boot time until which it gets no tasks because of failures.
         ejection_s: Length of its last ejection in seconds, which doubles each time; 0
             after a success.
-        consecutive_failures: Failed runs since the last successful one.
+        consecutive_failures: Failed runs since the last successful one, or since one
+            that has executed for a while.
+        failed_at: Boot time of the last failed run, or 0.
         paced_at: Boot time at which the pace of one of its tasks was last changed.
         run_time_ratio: Moving average of measured run times over expected ones.
         pending_starts: Boot times at which starts without an answer yet were sent, by
@@ -113,6 +115,7 @@
         "ejected_until",
         "ejection_s",
         "consecutive_failures",
+        "failed_at",
         "paced_at",
         "run_time_ratio",
         "pending_starts",
@@ -149,6 +152,7 @@
         self.ejected_until = 0.0
         self.ejection_s = 0.0
         self.consecutive_failures = 0
+        self.failed_at = 0.0
         self.paced_at = 0.0
         self.run_time_ratio = 1.0
         self.pending_starts = {}
