Know all pools of a path without a list that may be old

Cause: "no other pool has jobs of this path" was read from a list that may be 11.5 s old when its connection is silent, while the configuration is 3.25 s old at the most.

Change: each daemon notes the routes that the versions it applies replace. Only after a start or a gap may versions be missing; then decisions by absence (submission, cancel, 410, number of waiting jobs) read what was added to the list, until a read sent 5 s after that. If it can't be read, 503. The steady state costs no call.

--- a/basilwind/entry/caller_app.py
+++ b/basilwind/entry/caller_app.py
@@ -173,6 +173,8 @@
                 return json_response({})
         except NotOwner as error:
             return _error_response(504, f"the job may have been accepted: {error}")
+        except NotStarted as error:
+            return _unavailable_response(str(error))
         return await self._store(queue.pool, queue, job_id, record, deadline)
 
     async def _is_accepted(self, queue, job_id):
@@ -187,6 +189,10 @@
 
     async def _cancel(self, queue, job_id, deadline):
         key = cancellation_key(job_id)
+        try:
+            await self._services.routes.refresh(self._services.clock())
+        except NotStarted as error:
+            return _unavailable_response(str(error))
         responses = []
 
         async def store(pool):
@@ -247,6 +253,7 @@
         state = await self._peers.job_state(queue.pool, job_id)
         if state is not None:
             return state
+        await self._refresh_routes()
         # The queue may have been assigned to another pool after the job was submitted.
         configured = self._services.configuration.current.pools
         others = self._services.routes.pools(queue) | configured.keys()
@@ -261,8 +268,20 @@
                 return state
         return None
 
+    async def _refresh_routes(self):
+        """Makes sure that all pools of a path are known.
+
+        Raises:
+            NotOwner: Pools may be missing.
+        """
+        try:
+            await self._services.routes.refresh(self._services.clock())
+        except NotStarted as error:
+            raise NotOwner(str(error)) from error
+
     async def _count_waiting(self, queue, deadline):
         async def query():
+            await self._refresh_routes()
             answer = await self._query_queue(queue)
             return json_response({"waiting": answer.waiting})
 
--- a/basilwind/entry/configuration.py
+++ b/basilwind/entry/configuration.py
@@ -19,16 +19,20 @@
         store: ``StoreClient``.
         clock: Returns boot time.
         on_change: Called after each change.
+        on_version: Called with the ``Configuration`` that is replaced, or None, with
+            the one that replaces it, whether versions between them may have been
+            missed, and the boot time.
     """
 
-    def __init__(self, store, clock, on_change):
+    def __init__(self, store, clock, on_change, on_version=lambda *arguments: None):
         self._current = None
         self._waves = {}
         self._known_queues = {}
         self._clock = clock
         self._on_change = on_change
+        self._on_version = on_version
         self._follower = KeyedFollower(
-            store, OPERATOR_TOPIC, self._apply_records, self._apply_records, clock
+            store, OPERATOR_TOPIC, self._apply_records, self._apply_latest, clock
         )
 
     @property
@@ -57,21 +61,27 @@
         """Follows the operator's topic."""
         await self._follower.run()
 
-    def _apply_records(self, records):
+    def _apply_latest(self, records):
+        """Applies the newest record of each key, without the versions before."""
+        self._apply_records(records, is_gap=True)
+
+    def _apply_records(self, records, is_gap=False):
         for record in records:
             try:
                 if record.key == CONFIGURATION_KEY:
-                    self._apply_configuration(decode_configuration(record.value))
+                    configuration = decode_configuration(record.value)
+                    self._apply_configuration(configuration, is_gap)
                 elif record.key.startswith(WAVE_KEY_PREFIX) and record.value:
                     self._add_wave(decode_wave(record.value))
             except RecordInvalid as error:
                 log("invalid record ignored", topic=OPERATOR_TOPIC, error=str(error))
         self._on_change()
 
-    def _apply_configuration(self, configuration):
+    def _apply_configuration(self, configuration, is_gap):
         if self._current and configuration.version <= self._current.version:
             return
         log("configuration applied", version=configuration.version)
+        self._on_version(self._current, configuration, is_gap, self._clock())
         self._current = configuration
         self._known_queues.update(configuration.queues)
 
--- a/basilwind/entry/daemon.py
+++ b/basilwind/entry/daemon.py
@@ -146,6 +146,7 @@
         store = StoreClient(
             transport, settings.store_address, self._on_store_call, boot_time
         )
+        routes = RouteHistory(store, boot_time)
         return Services(
             settings=settings,
             incarnation=incarnation,
@@ -155,9 +156,9 @@
             machine_client=MachineClient(transport, settings.machines_address),
             advice_client=AdviceClient(transport, settings.advice_address),
             configuration=ConfigurationWatcher(
-                store, boot_time, self._on_configuration
+                store, boot_time, self._on_configuration, routes.note_configuration
             ),
-            routes=RouteHistory(store, boot_time),
+            routes=routes,
             registry=WorkerRegistry(
                 store, boot_time, self._on_registry, lambda: bool(self._pool_owners())
             ),
--- a/basilwind/entry/owner.py
+++ b/basilwind/entry/owner.py
@@ -17,6 +17,7 @@
     CallRefused,
     CallUnanswered,
     NotOwner,
+    NotStarted,
     PlatformError,
     RetentionGap,
 )
@@ -336,7 +337,7 @@
                         intake_topic(declined.target),
                         [encode_keyed_record(record.key, value)],
                     )
-            except (PlatformError, NotOwner):
+            except (PlatformError, NotOwner, NotStarted):
                 await anyio.sleep(PLATFORM_RETRY_S)
                 continue
             self._report("job forwarded", job=record.key, target=declined.target)
--- a/basilwind/entry/pool_arbiter.py
+++ b/basilwind/entry/pool_arbiter.py
@@ -50,7 +50,9 @@
 
         Raises:
             NotOwner: A pool's owner did not answer in time.
+            NotStarted: The pools of the path could not be read.
         """
+        await self._routes.refresh(self._clock())
         for pool in self._routes.pools(queue) - {target}:
             if await self._is_in_pool(pool, target, job_id, version, deadline):
                 return True
--- a/basilwind/entry/route_history.py
+++ b/basilwind/entry/route_history.py
@@ -2,22 +2,30 @@
 
 Load pattern: the operator removes a route and adds one with the same host and path that
 leads to another service, while callers repeat submissions and cancel jobs that the
-first pool has accepted. The configuration in force says nothing of that pool.
+first pool has accepted. The configuration in force says nothing of that pool. A daemon
+knows it from the versions of the configuration that it has applied itself, and from the
+list of routes, which daemons extend before they accept jobs. The list is out of date
+while a connection is silent, so it is read afresh as long as versions may be missing.
 """
 
 import hashlib
 from dataclasses import dataclass
 
+import anyio
 import msgspec
 
 from basilwind.checked_json import Name, decode_json
 from basilwind.entry.follower import KeyedFollower
-from basilwind.errors import NotStarted, PlatformError, RecordInvalid
+from basilwind.errors import NotStarted, PlatformError, RecordInvalid, RetentionGap
 from basilwind.logs import log
 from basilwind.platform.store import encode_keyed_record
 
 TOPIC = "keyed.routes"
 WAIT_S = 10.0  # routes change rarely
+# Other daemons may accept jobs by an older version for as long as it takes them to
+# notice a dead connection, 3.25 s.
+OLDER_VERSIONS_S = 5.0
+REFRESH_TIMEOUT_S = 0.6  # a slow store answers in 0.25 s
 POLL_INTERVAL_S = 0.2  # all daemons record the first submissions at the same time
 
 
@@ -51,7 +59,17 @@
 
     def __init__(self, store, clock):
         self._store = store
-        self._routes = {}
+        self._clock = clock
+        # ``PastRoute`` objects by path: those of the list, and those that versions
+        # which this daemon has applied have replaced.
+        self._recorded = {}
+        self._replaced = {}
+        # Boot time until which routes may be recorded that this daemon can't know of by
+        # the versions that it has applied; None before the first version.
+        self._open_until = None
+        self._attempted_at = None
+        self._refreshed_at = None
+        self._refreshing = anyio.Lock()
         self._follower = KeyedFollower(
             store,
             TOPIC,
@@ -71,6 +89,70 @@
         """Follows the list."""
         await self._follower.run()
 
+    def note_configuration(self, replaced, configuration, is_gap, now):
+        """Notes the routes that a version of the configuration has changed.
+
+        Args:
+            replaced: ``Configuration`` that was in force here, or None.
+            configuration: ``Configuration`` that replaces it.
+            is_gap: Whether versions between them may have been missed.
+            now: Boot time in seconds.
+        """
+        if is_gap or replaced is None:
+            self._open_until = now + OLDER_VERSIONS_S
+        if replaced is None:
+            return
+        current = dict(map(_route_of, configuration.queues.values()))
+        for queue in replaced.queues.values():
+            path, route = _route_of(queue)
+            if current.get(path) != route:
+                self._replaced.setdefault(path, set()).add(route)
+
+    async def refresh(self, now):
+        """Reads what was added to the list, unless all past routes are known.
+
+        Args:
+            now: Boot time in seconds.
+
+        Raises:
+            NotStarted: The list could not be read.
+        """
+        if self._is_complete():
+            return
+        async with self._refreshing:
+            if self._attempted_at is None or self._attempted_at < now:
+                self._attempted_at = self._clock()
+                await self._read_added()
+            if self._refreshed_at is None or self._refreshed_at < now:
+                raise NotStarted("the list of routes could not be read")
+
+    def _is_complete(self):
+        return (
+            self._open_until is not None
+            and self._refreshed_at is not None
+            and self._refreshed_at >= self._open_until
+        )
+
+    async def _read_added(self):
+        """Reads the records that the follower has not read yet, or all of them."""
+        sent_at = self._clock()
+        try:
+            with anyio.fail_after(REFRESH_TIMEOUT_S):
+                self._apply(await self._read_from(self._follower.position))
+        except (PlatformError, TimeoutError) as error:
+            log("store unreachable", topic=TOPIC, error=str(error))
+        else:
+            self._refreshed_at = sent_at
+
+    async def _read_from(self, position):
+        if position is not None:
+            try:
+                return await self._store.read(TOPIC, position)
+            except RetentionGap:
+                pass
+        records, _ = await self._store.read_latest(TOPIC)
+        return records
+
     def pools(self, queue):
         """Returns the names of pools that may have accepted jobs of a queue's path."""
         return {route.pool for route in self._find(queue)}
@@ -82,7 +164,9 @@
     def has_pool(self, pool):
         """Returns whether any path has led to a pool."""
         return any(
-            route.pool == pool for routes in self._routes.values() for route in routes
+            route.pool == pool
+            for routes in (*self._recorded.values(), *self._replaced.values())
+            for route in routes
         )
 
     async def record(self, queue):
@@ -93,7 +177,8 @@
         """
         if not self.is_loaded:
             raise NotStarted("the list of routes has not been read yet")
-        if PastRoute(queue.pool, queue.name) in self._find(queue):
+        path, past_route = _route_of(queue)
+        if past_route in self._recorded.get(path, ()):
             return
         route = _RouteRecord(
             queue.host_header, queue.path_prefix, queue.pool, queue.name
@@ -109,11 +194,12 @@
         self._add(route)
 
     def _find(self, queue):
-        return self._routes.get((queue.host_header, queue.path_prefix), set())
+        path, _ = _route_of(queue)
+        return self._recorded.get(path, set()) | self._replaced.get(path, set())
 
     def _add(self, route):
         path = route.host_header, route.path_prefix
-        self._routes.setdefault(path, set()).add(PastRoute(route.pool, route.queue))
+        self._recorded.setdefault(path, set()).add(PastRoute(route.pool, route.queue))
 
     def _apply(self, records):
         for record in records:
@@ -123,3 +209,9 @@
                 log("invalid record ignored", topic=TOPIC, error=str(error))
                 continue
             self._add(route)
+
+
+def _route_of(queue):
+    """Returns the path of a queue, and its ``PastRoute``."""
+    path = queue.host_header, queue.path_prefix
+    return path, PastRoute(queue.pool, queue.name)
--- a/tests/entry/test_moved_route.py
+++ b/tests/entry/test_moved_route.py
@@ -8,6 +8,7 @@
 import random
 import types
 import unittest
+from functools import partial
 
 import anyio
 import msgspec
@@ -15,13 +16,20 @@
 from hypothesis import strategies as st
 
 from basilwind.entry.caller_app import CallerApp
+from basilwind.entry.configuration import ConfigurationWatcher
 from basilwind.entry.intake import cancellation_key, intake_topic
 from basilwind.entry.journal import DECLINE_PREFIX, journal_topic
 from basilwind.entry.owner import PoolOwner
 from basilwind.entry.peer_messages import QueueResponse
-from basilwind.entry.route_history import TOPIC, PastRoute, RouteHistory
+from basilwind.entry.route_history import (
+    OLDER_VERSIONS_S,
+    TOPIC,
+    PastRoute,
+    RouteHistory,
+)
 from basilwind.entry.store_monitor import StoreMonitor
 from basilwind.errors import NotOwner, NotStarted, StoreRefused
+from basilwind.platform.documents import CONFIGURATION_KEY
 from basilwind.platform.store import KeyedRecord
 from basilwind.scheduling.fleet import Pool
 from basilwind.scheduling.jobs import JobState
@@ -29,7 +37,7 @@
 from basilwind.scheduling.pool_jobs import DECLINE_VALID_S
 from basilwind.scheduling.records import DeclineRecord, SubmissionRecord
 from tests.scheduling.model import QUEUE, WORKER_LIMITS, make_job
-from tests.utils.entry_fakes import Clock, FakeStore, make_services
+from tests.utils.entry_fakes import CONFIGURATION, Clock, FakeStore, make_services
 
 JOB = "a" * 16
 PATH = f"{QUEUE.path_prefix}{JOB}"
@@ -63,7 +71,9 @@
         return QueueResponse(3 if pool == "old" else 2)
 
 
-class TestCallers(unittest.TestCase):
+class CallerTestCase(unittest.TestCase):
+    """Calls of callers to a daemon with fake owners of the pools."""
+
     def setUp(self):
         self.clock = Clock()
         self.peers = FakePeers()
@@ -114,6 +124,8 @@
         anyio.run(main)
         return sent[0]["status"], sent[1]["body"]
 
+
+class TestCallers(CallerTestCase):
     def test_repeated_submission_is_not_accepted_by_the_new_pool(self):
         self.peers.states["old"] = JobState.RUNNING
         self.assertEqual(self._call("POST")[0], 200)
@@ -315,7 +327,7 @@
 
 class TestRouteHistory(unittest.TestCase):
     def setUp(self):
-        clock = Clock()
+        self.clock = clock = Clock()
         self.store = FakeStore(clock, StoreMonitor(clock))
         self.history = RouteHistory(self.store, clock)
 
@@ -358,3 +370,161 @@
         )
         self.assertTrue(self.history.has_pool("third"))
         self.assertFalse(self.history.has_pool("fourth"))
+
+
+MOVED = dataclasses.replace(QUEUE, name="q-old", pool="old")
+
+
+def configuration_of(version, *queues):
+    return dataclasses.replace(
+        CONFIGURATION, version=version, queues={queue.name: queue for queue in queues}
+    )
+
+
+class TestOutdatedList(unittest.TestCase):
+    """A daemon whose connection to the list of routes is silent.
+
+    Regression (review/7): it did not ask the pool that had a job, and stored the job's
+    repeated submission for a second pool.
+    """
+
+    def setUp(self):
+        self.clock = Clock()
+        self.store = FakeStore(self.clock, StoreMonitor(self.clock))
+        self.routes = RouteHistory(self.store, self.clock)
+        self.reads = 0
+        self.added = []
+
+    async def _read(self, topic, start, wait_s=0.0):
+        if wait_s:
+            await anyio.sleep_forever()
+        self.reads += 1
+        if isinstance(self.added, Exception):
+            raise self.added
+        return self.added
+
+    def _run(self, *calls):
+        """Makes calls while a read of the list waits for an answer for ever."""
+        self.store.read = self._read
+
+        async def main():
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self.routes.run)
+                await anyio.sleep(0.01)
+                for call in calls:
+                    await call()
+                tasks.cancel_scope.cancel()
+
+        anyio.run(main)
+
+    async def _refresh(self):
+        await self.routes.refresh(self.clock())
+
+    def _note(self, version, queue, replaced=None, is_gap=False):
+        before = replaced and configuration_of(version - 1, replaced)
+        after = configuration_of(version, queue)
+        self.routes.note_configuration(before, after, is_gap, self.clock())
+
+    def test_pool_of_a_replaced_version_was_not_asked(self):
+        self._note(1, MOVED)
+        self._note(2, QUEUE, MOVED)
+        self._run()
+        self.assertEqual(self.routes.pools(QUEUE), {"old"})
+        self.assertEqual(self.routes.other_routes(QUEUE), {OLD})
+
+    def test_route_that_comes_back_is_recorded_although_it_was_replaced(self):
+        topics = []
+        self.store.on_append = topics.append
+        self._note(2, QUEUE, MOVED)
+        self._note(3, MOVED, QUEUE)
+        self._run(partial(self.routes.record, MOVED))
+        self.assertEqual(topics, [TOPIC])
+
+    def _added_record(self):
+        value = msgspec.json.encode(("host", "/q/", "old", "q-old"))
+        return KeyedRecord(0, "key", value)
+
+    def test_daemon_that_started_lately_reads_what_others_have_added(self):
+        self._note(2, QUEUE)
+        self.added = [self._added_record()]
+        self._run(self._refresh)
+        self.assertEqual(self.routes.pools(QUEUE), {"old"})
+
+    def test_daemon_that_missed_versions_reads_what_others_have_added(self):
+        self._note(1, QUEUE)
+        self.clock.now += OLDER_VERSIONS_S
+        self._run(self._refresh)
+        self.clock.now += 1.0
+        self._note(5, QUEUE, QUEUE, is_gap=True)
+        self.added = [self._added_record()]
+        self._run(self._refresh)
+        self.assertEqual(self.routes.pools(QUEUE), {"old"})
+
+    def test_nothing_is_read_once_all_past_routes_are_known(self):
+        self._note(1, QUEUE)
+        self.clock.now += OLDER_VERSIONS_S
+        self._run(self._refresh, self._refresh)
+        self.clock.now += 1.0
+        self._note(2, MOVED, QUEUE)
+        self._run(self._refresh)
+        self.assertEqual(self.reads, 1)
+
+    def test_list_that_can_not_be_read_leaves_a_job_not_accepted(self):
+        self._note(1, QUEUE)
+        self.added = StoreRefused("away")
+        with self.assertRaises(ExceptionGroup):
+            self._run(self._refresh)
+        self.assertEqual(self.reads, 1)
+
+
+class TestConfigurationVersions(unittest.TestCase):
+    """Versions that arrive together are all noted."""
+
+    def test_versions_of_one_read_are_noted_one_after_the_other(self):
+        noted = []
+        watcher = ConfigurationWatcher(
+            None,
+            Clock(),
+            lambda: None,
+            lambda before, after, is_gap, now: noted.append(
+                (before and before.version, after.version, is_gap)
+            ),
+        )
+        records = [
+            KeyedRecord(n, CONFIGURATION_KEY, self._document(n)) for n in (1, 2, 4)
+        ]
+        watcher._apply_latest(records[:1])
+        watcher._apply_records(records[1:])
+        watcher._apply_latest(records[2:])
+        self.assertEqual(noted, [(None, 1, True), (1, 2, False), (2, 4, False)])
+
+    @staticmethod
+    def _document(version):
+        return msgspec.json.encode({"version": version, "routes": [], "services": []})
+
+
+class TestCallersWithoutRoutes(CallerTestCase):
+    """The same callers, at a daemon that can not read the list of routes."""
+
+    def setUp(self):
+        super().setUp()
+
+        async def refresh(now):
+            raise NotStarted("the list of routes could not be read")
+
+        self.refresh = refresh
+
+    def _refuse(self, method, path=PATH):
+        self.services.routes.refresh = self.refresh
+        return self._call(method, path)[0]
+
+    def test_unknown_job_is_neither_accepted_nor_denied(self):
+        for method in ("POST", "GET", "DELETE"):
+            with self.subTest(method=method):
+                self.assertEqual(self._refuse(method), 503)
+        self.assertEqual(self._refuse("GET", QUEUE.path_prefix), 503)
+        self.assertEqual(self.stored, [])
+
+    def test_known_job_is_shown(self):
+        self.peers.states["pool"] = JobState.RUNNING
+        self.assertEqual(self._refuse("GET"), 200)
--- a/tests/utils/entry_fakes.py
+++ b/tests/utils/entry_fakes.py
@@ -167,6 +167,9 @@
     async def record(self, queue):
         pass
 
+    async def refresh(self, now):
+        pass
+
     def pools(self, queue):
         return {route.pool for route in self.others}
 
