Reproduce the lease that an unheard incarnation gets

The soak behind proxies draws a new shape: workers start again behind a short cut with silent connections, get more starts than there are idle connections, and are cut off for longer than the owner waits. It draws from a source of its own, so that seeds keep their faults.

The test at the client fails on this commit ("{'j.0.0.0': ...} != {}"): a start for the incarnation before begins a run on the next one, under a lease by the old clock.

--- a/extras/soak/harsh_worker.py
+++ b/extras/soak/harsh_worker.py
@@ -128,6 +128,15 @@
                     self._dying.pop(name, None)
                     self._end(name, kind)
 
+    def start_again(self):
+        """Ends the incarnation, and its runs with it, and begins the next one."""
+        write_event("worker killed", at=time.monotonic())
+        self._dying = {}
+        self._is_lease_over = True
+        run_ended = self._run_ended
+        self.restart()
+        run_ended.set()
+
     def _end_later(self, name, kind, now):
         end_at = now + self._random.uniform(0.0, self._config.stop_s)
         self._dying.setdefault(name, (end_at, kind))
@@ -181,6 +190,7 @@
         await server.wait_started()
         write_event("up", at=time.monotonic(), pool=config.pool)
         tasks.start_soon(_serve_until_told_to_leave, worker, server, config)
+        tasks.start_soon(_start_again_when_told, worker)
         await anyio.to_thread.run_sync(sys.stdin.read, abandon_on_cancel=True)
         tasks.cancel_scope.cancel()
 
@@ -198,6 +208,13 @@
     server.stop()
 
 
+async def _start_again_when_told(worker):
+    """Begins the next incarnation on SIGUSR1; connections stay open."""
+    with anyio.open_signal_receiver(signal.SIGUSR1) as signals:
+        async for _ in signals:
+            worker.start_again()
+
+
 async def _send_heartbeats(worker, config):
     sequence = 0
     url = f"http://{config.registry}/{worker.worker_id}"
--- a/extras/soak/partition_faults.py
+++ b/extras/soak/partition_faults.py
@@ -17,6 +17,12 @@
 QUIET_S = 10.0
 SETTLE_S = 4.0  # between series, so that the pool works again
 KINDS = ("mixed", "old-holder", "turned-away")
+UNHEARD_RESTART = "unheard-restart"
+UNHEARD_RESTART_SHARE = 0.3  # of the series, beside their other faults
+RESTART_CUT_S = (0.2, 1.2)  # shorter than a hold, whose time-out the owner notices
+BURST_TASKS = (12, 24)  # more starts at once than there are idle connections
+BURST_STEP = {"cpu": 100, "antiAffinity": 8}  # fits beside other tasks, on all workers
+BURST_WORK_S = 15.0  # longer than any lease
 STORE_FAULTS = ("refuse", "silent", "silent", "slow", "lose", "late")
 STORE_TOPICS = (
     (),
@@ -35,17 +41,20 @@
     Args:
         fleet: ``PartitionFleet``.
         source: ``random.Random``.
+        submit: Coroutine function that submits a job; see ``PartitionPlay.submit_job``.
     """
 
-    def __init__(self, fleet, source):
+    def __init__(self, fleet, source, submit):
         self._fleet = fleet
         self._random = source
+        self._submit = submit
 
     async def run(self, kind=None):
         """Plays one series.
 
         Args:
-            kind: One of ``KINDS``, or None to draw one.
+            kind: One of ``KINDS``, ``UNHEARD_RESTART``, or None to draw one of the
+                former.
         """
         pool = self._random.choice(POOLS)
         kind = kind or self._random.choice((*KINDS, "mixed"))
@@ -53,6 +62,8 @@
             await self._run_old_holder(pool)
         elif kind == "turned-away":
             await self._run_turned_away(pool)
+        elif kind == UNHEARD_RESTART:
+            await self.restart_unheard(pool)
         else:
             await self._run_mixed(pool)
         await anyio.sleep(self._random.uniform(0.0, SETTLE_S))
@@ -361,6 +372,27 @@
         links = self._fleet.links_around({target})
         await self._cut("worker cut again", links, (6.0, 15.0), number=number)
 
+    async def restart_unheard(self, pool):
+        """Restarts workers behind a short cut, gives them tasks, and cuts them off.
+
+        Their connections stay silent, so that the owner learns of the restart from new
+        connections only.
+        """
+        numbers = self._fleet.workers_of_pool(pool)
+        if not numbers:
+            return
+        numbers = self._random.sample(numbers, self._random.randint(1, len(numbers)))
+        targets = {self._fleet.worker_source(number) for number in numbers}
+        links = self._fleet.links_around(targets)
+        heals = [link.cut(BOTH, is_lossy=True) for link in links]
+        for number in numbers:
+            self._fleet.restart_worker_unheard(number)
+        await self._last("workers cut", heals, RESTART_CUT_S, numbers=numbers)
+        count = self._random.randint(*BURST_TASKS)
+        await self._submit(pool, BURST_WORK_S, count=count, **BURST_STEP)
+        await anyio.sleep(self._random.uniform(0.05, 1.0))
+        await self._cut("workers cut again", links, (8.0, 14.0), numbers=numbers)
+
     async def _drain_worker(self, pool):
         """Replaces a worker that drains; its last runs go on when it has left."""
         number = self._draw_worker(pool)
--- a/extras/soak/partition_fleet.py
+++ b/extras/soak/partition_fleet.py
@@ -426,6 +426,14 @@
             link.set_down(True)
         return config
 
+    def restart_worker_unheard(self, number):
+        """Starts a worker's next incarnation, under its id, at once.
+
+        Its connections have to be silent or cut, or calls on them would reach it.
+        """
+        self.note("worker restarted unheard", number=number)
+        self._worker_processes[number].send_signal(signal.SIGUSR1)
+
     async def _read_events(self, process, config):
         buffer = b""
         async for chunk in process.stdout:
--- a/extras/soak/partitions.py
+++ b/extras/soak/partitions.py
@@ -17,7 +17,12 @@
 
 from extras.soak.__main__ import parse_seeds
 from extras.soak.overlaps import collect_runs, find_overlaps
-from extras.soak.partition_faults import KINDS, FaultSeries
+from extras.soak.partition_faults import (
+    KINDS,
+    UNHEARD_RESTART,
+    UNHEARD_RESTART_SHARE,
+    FaultSeries,
+)
 from extras.soak.partition_fleet import DAEMONS, POOLS, PartitionFleet
 from extras.soak.worker_log import write_run_log
 
@@ -78,8 +83,7 @@
                 await anyio.sleep(WARM_UP_S)
                 for number in range(self._series):
                     fleet.note("series", number=number)
-                    source = random.Random(f"{self._seed}/{number}")
-                    await FaultSeries(fleet, source).run(self._kind)
+                    await self._play_series(number)
                 await anyio.sleep(SETTLE_S)
                 tasks.cancel_scope.cancel()
         finally:
@@ -87,6 +91,18 @@
         runs = collect_runs(fleet.events)
         return find_overlaps(runs), runs
 
+    async def _play_series(self, number):
+        """Plays one series of faults, and restarts of workers beside some of them."""
+        fleet, submit = self._fleet, self.submit_job
+        series = FaultSeries(fleet, random.Random(f"{self._seed}/{number}"), submit)
+        # Drawn from a source of its own, so that seeds keep their other faults.
+        source = random.Random(f"{self._seed}/{number}/{UNHEARD_RESTART}")
+        async with anyio.create_task_group() as tasks:
+            if self._kind is None and source.random() < UNHEARD_RESTART_SHARE:
+                beside = FaultSeries(fleet, source, submit)
+                tasks.start_soon(beside.restart_unheard, source.choice(POOLS))
+            await series.run(self._kind)
+
     @property
     def started_at(self):
         """Monotonic time from which times in the record count."""
@@ -121,10 +137,17 @@
                 work_s = SHORT_WORK_S
                 if work_range_s is not None:
                     work_s = round(self._random.uniform(*work_range_s), 1)
-                calls.start_soon(self._submit_job, pool, work_s)
+                calls.start_soon(self.submit_job, pool, work_s)
                 await anyio.sleep(interval_s)
 
-    async def _submit_job(self, pool, work_s):
+    async def submit_job(self, pool, work_s, **fields):
+        """Submits a job of one step to any daemon.
+
+        Args:
+            pool: Name of the pool.
+            work_s: Time that a task takes, seconds.
+            **fields: Fields of the step that differ from the usual ones.
+        """
         self._job_count += 1
         path = f"/{pool}/{self._seed:08x}{self._job_count:08x}"
         step = {
@@ -133,7 +156,7 @@
             "memMb": 100,
             "estimateMs": int(work_s * 1000),
         }
-        body = {"spec": f'{{"work_s": {work_s}}}', "steps": [step]}
+        body = {"spec": f'{{"work_s": {work_s}}}', "steps": [step | fields]}
         first = self._random.randrange(DAEMONS)
         for attempt in range(SUBMIT_ATTEMPTS):
             index = (first + attempt) % DAEMONS
@@ -162,7 +185,9 @@
 @click.command()
 @click.option("--seeds", default="1-3", show_default=True, help="A seed or a range.")
 @click.option("--series", default=5, show_default=True, help="Series of faults.")
-@click.option("--kind", type=click.Choice(KINDS), help="Kind of all series.")
+@click.option(
+    "--kind", type=click.Choice((*KINDS, UNHEARD_RESTART)), help="Kind of all series."
+)
 @click.option("--code", type=click.Path(file_okay=False), help="Another checkout.")
 @click.option("--logs", type=click.Path(file_okay=False), help="Directory for logs.")
 def main(seeds, series, kind, code, logs):
--- a/tests/platform/test_worker_connections.py
+++ b/tests/platform/test_worker_connections.py
@@ -16,6 +16,7 @@
 WORKER_ID = "i-1"
 TASK = "j.0.0.0"
 TOKEN = 7
+LEASE_END_S = 500.0  # on a clock that runs for some time
 
 
 class TestWorkerConnections(unittest.IsolatedAsyncioTestCase):
@@ -90,17 +91,32 @@
         first = await self._report_first_incarnation()
         self._restart_behind_a_cut()
         with self.assertRaises(CallTimedOut):
-            await self._hold(first, lease_end_s=500.0)
-        await self._hold(first, lease_end_s=500.0)
+            await self._hold(first, lease_end_s=LEASE_END_S)
+        await self._hold(first, lease_end_s=LEASE_END_S)
+        self.assertEqual(self.worker._lease_ms, 0.0)
+
+    async def _start(self, incarnation_started_ms):
+        return await self.client.start(
+            *(self.address, WORKER_ID, TASK, 9, "", LEASE_END_S, TOKEN, "", "")
+        )
+
+    async def test_start_gave_an_unheard_incarnation_a_lease_by_the_clock_of_before(
+        self,
+    ):
+        # Regression (issue 40): its owner gave the run up long before that lease ended.
+        first = await self._report_first_incarnation()
+        self._restart_behind_a_cut()
+        await self._start(first)
+        self.assertEqual(self.worker.runs, {})
         self.assertEqual(self.worker._lease_ms, 0.0)
 
     async def test_second_call_on_a_new_connection_acknowledges(self):
         first = await self._report_first_incarnation()
         self.link.reset()
         await anyio.sleep(0.05)
-        report = await self._hold(first, acknowledged=1, lease_end_s=500.0)
+        report = await self._hold(first, acknowledged=1, lease_end_s=LEASE_END_S)
         self.assertEqual([end.sequence for end in report.ended], [1])
-        report = await self._hold(first, acknowledged=1, lease_end_s=500.0)
+        report = await self._hold(first, acknowledged=1, lease_end_s=LEASE_END_S)
         self.assertEqual(report.ended, ())
         self.assertEqual(self.worker._lease_ms, 500_000)
 
