Send starts only to the incarnation whose clock they use

Cause: a start names the worker by an id that its next incarnation keeps, and carries an end of lease on the clock of the one before. The next one cuts it to 10 s, while the owner reckons with 4.5 s, and the owner does not know of the restart until a hold times out. The answer to such a start cleared the suspicion that the worker is away.

Change: a start is sent on a connection on which the incarnation has reported itself; a new connection is asked first, by a hold that changes nothing. If another incarnation answers, or none, nothing was sent and the task is placed elsewhere at once; the hold under way is then sent anew. Idle connections are closed after a time-out. No lease is granted by a wrong clock, so nobody has to wait longer for one, a successor neither.

Evidence: the client's test failed before ("{'j.0.0.0': ...} != {}").

--- a/basilwind/entry/owner.py
+++ b/basilwind/entry/owner.py
@@ -441,6 +441,7 @@
         lease_end_s = worker.grant_lease(self._lease_s, now)
         self._note_sent(order, lease_end_s, now)
         worker.pending_starts[task.name] = now
+        incarnation = worker.incarnation_started_ms
         try:
             outcome, worker_clock_s = await self._worker_control.start(
                 worker.entry.address,
@@ -452,6 +453,7 @@
                 self.token,
                 task.checkpoint,
                 ticket.text if ticket else "",
+                incarnation,
             )
         except CallUnanswered:
             worker.unanswered_start_sent_at = now
@@ -464,6 +466,11 @@
             worker.record_answer(self._clock())
         if outcome is StartOutcome.FENCED:
             self._handle_fenced(worker)
+        elif outcome is StartOutcome.UNREACHABLE:
+            worker.unanswered_start_sent_at = now
+        elif outcome is StartOutcome.WRONG_INCARNATION:
+            if worker.incarnation_started_ms == incarnation:
+                self._leases.hold_anew(worker)
         self._state.apply_start_outcome(order, outcome, self._clock())
         if outcome is not StartOutcome.STARTED:
             self._schedule_event.set()
--- a/basilwind/entry/worker_leases.py
+++ b/basilwind/entry/worker_leases.py
@@ -58,6 +58,18 @@
         self._on_fenced = on_fenced
         self._send_stops = send_stops
         self.extended_at = None
+        # ``anyio.CancelScope`` of the hold call under way, by the worker's id.
+        self._holds = {}
+
+    def hold_anew(self, worker):
+        """Has a worker report itself at once, as another incarnation has answered.
+
+        Until then it gets neither leases nor tasks.
+        """
+        self._mark_unreachable(worker, self._clock(), "restarted")
+        hold = self._holds.get(worker.worker_id)
+        if hold is not None:
+            hold.cancel()
 
     async def run(self, worker):
         """Sends hold calls to a worker until it has left the pool."""
@@ -65,6 +77,7 @@
             while self._state.workers.get(worker.worker_id) is worker:
                 await self._renew(worker)
         finally:
+            self._holds.pop(worker.worker_id, None)
             await self._worker_control.forget(worker.worker_id)
 
     async def _renew(self, worker):
@@ -106,15 +119,19 @@
             lease_end_s = worker.extend_lease(self._lease_s, sent_at)
         if lease_end_s is not None:
             self.extended_at = sent_at
-        report = await self._worker_control.hold(
-            worker.entry.address,
-            worker.worker_id,
-            self._state.token,
-            worker.acknowledged_sequence,
-            lease_end_s,
-            self._hold_wait_s(worker, lease_end_s is not None),
-            worker.incarnation_started_ms,
-        )
+        with anyio.CancelScope() as hold:
+            self._holds[worker.worker_id] = hold
+            report = await self._worker_control.hold(
+                worker.entry.address,
+                worker.worker_id,
+                self._state.token,
+                worker.acknowledged_sequence,
+                lease_end_s,
+                self._hold_wait_s(worker, lease_end_s is not None),
+                worker.incarnation_started_ms,
+            )
+        if hold.cancel_called:
+            return
         if self._state.workers.get(worker.worker_id) is not worker:
             # The worker left during the call; if it returned, it has a new
             # ``WorkerView``.
--- a/basilwind/platform/worker_connections.py
+++ b/basilwind/platform/worker_connections.py
@@ -6,11 +6,15 @@
 means something else to it. A connection that exists leads to one process.
 """
 
+from dataclasses import dataclass, field
+
 import anyio
 import msgspec
 
 from basilwind.platform.transport import JSON_HEADERS
 
+MAX_CONNECTIONS = 8  # for starts, of the 64 that a worker accepts from all daemons
+
 
 class WorkerConnection:
     """A connection to one incarnation of a worker.
@@ -52,6 +56,16 @@
             await self._connection.close()
 
 
+@dataclass
+class _Idle:
+    """Idle connections to a worker, and permits for those in use."""
+
+    connections: list = field(default_factory=list)
+    permits: anyio.Semaphore = field(
+        default_factory=lambda: anyio.Semaphore(MAX_CONNECTIONS)
+    )
+
+
 class WorkerConnections:
     """Keeps the idle connections to workers.
 
@@ -63,6 +77,10 @@
         self._transport = transport
         self._idle = {}
 
+    def permits(self, worker_id):
+        """Returns the ``anyio.Semaphore`` that limits a worker's connections."""
+        return self._idle_of(worker_id).permits
+
     async def take(self, worker_id, incarnation_started_ms):
         """Returns an idle connection to an incarnation of a worker, or None.
 
@@ -70,7 +88,7 @@
             worker_id: Id of the worker.
             incarnation_started_ms: Start of the incarnation, Unix milliseconds.
         """
-        idle = self._idle.setdefault(worker_id, [])
+        idle = self._idle_of(worker_id).connections
         while idle:
             connection = idle.pop()
             if connection.incarnation_started_ms == incarnation_started_ms:
@@ -85,13 +103,22 @@
     async def put_back(self, worker_id, connection):
         """Keeps a connection for the next call, unless the worker is forgotten."""
         if worker_id in self._idle:
-            self._idle[worker_id].append(connection)
+            self._idle[worker_id].connections.append(connection)
         else:
             await connection.close()
 
+    async def drop_idle(self, worker_id):
+        """Closes the idle connections to a worker, which may be silent."""
+        if worker_id in self._idle:
+            idle = self._idle[worker_id]
+            connections, idle.connections = idle.connections, []
+            for connection in connections:
+                await connection.close()
+
     async def forget(self, worker_id):
         """Closes the idle connections to a worker that has left."""
-        for connection in self._idle.pop(worker_id, ()):
+        idle = self._idle.pop(worker_id, None)
+        for connection in idle.connections if idle else ():
             await connection.close()
 
     async def close(self):
@@ -99,6 +126,9 @@
         for worker_id in list(self._idle):
             await self.forget(worker_id)
 
+    def _idle_of(self, worker_id):
+        return self._idle.setdefault(worker_id, _Idle())
+
 
 def worker_headers(worker_id):
     """Returns the headers of a call that only one worker carries out."""
--- a/basilwind/platform/workers.py
+++ b/basilwind/platform/workers.py
@@ -1,5 +1,6 @@
 """Client of the workers: starts, stops and paces runs, and renews leases."""
 
+import anyio
 import msgspec
 
 from basilwind.checked_json import (
@@ -11,6 +12,7 @@
 )
 from basilwind.errors import (
     CallRefused,
+    CallTimedOut,
     CallUnanswered,
     ConnectionGone,
     ProducerFenced,
@@ -29,6 +31,7 @@
 # An order takes a few ms. A run whose start gets no answer within this time is stopped,
 # unless a hold reports it.
 START_TIMEOUT_S = 1.0
+CONNECTION_WAIT_S = 0.5  # for a free connection; the grant of a lease allows for 2.5 s
 STOP_TIMEOUT_S = 2.0  # the longest stop in the deployments, 0.9 s, over a slow link
 HOLD_MARGIN_S = 0.7  # added to the wait of a hold, for the answer over a slow link
 PACE_TIMEOUT_S = 1.0  # as for a start
@@ -123,6 +126,7 @@
     def __init__(self, transport):
         self._transport = transport
         self._hold_connections = WorkerConnections(transport)
+        self._start_connections = WorkerConnections(transport)
 
     async def start(
         self,
@@ -135,8 +139,11 @@
         token,
         checkpoint,
         ticket,
+        incarnation_started_ms=0,
     ):
-        """Orders a worker to start a run of a task.
+        """Orders an incarnation of a worker to start a run of a task.
+
+        The order is sent on a connection on which this incarnation has reported itself.
 
         Args:
             address: HOST:PORT of the worker.
@@ -148,6 +155,8 @@
             token: Fencing token.
             checkpoint: Checkpoint to resume from; empty for none.
             ticket: Ticket of the placement policy; empty for none.
+            incarnation_started_ms: Start of the incarnation on whose clock the lease
+                ends, Unix milliseconds; 0 if it does not tell.
 
         Returns:
             The ``StartOutcome``, and the worker's clock in seconds, or None if the
@@ -169,11 +178,15 @@
         if ticket:
             order["ticket"] = ticket
         try:
-            status, body = await self._post(
-                address, worker_id, "/run-start", order, START_TIMEOUT_S
+            status, body = await self._send_start(
+                address, worker_id, order, incarnation_started_ms
             )
-        except CallRefused:
+        except WorkerReplaced:
+            return StartOutcome.WRONG_INCARNATION, None
+        except (CallRefused, WorkerCallFailed):
             return StartOutcome.UNREACHABLE, None
+        except ProducerFenced:
+            return StartOutcome.FENCED, None
         if status == 421:
             return StartOutcome.WRONG_INCARNATION, None
         if status in (429, 503):
@@ -188,6 +201,80 @@
         outcome = _START_OUTCOMES.get(answer.reason, StartOutcome.REFUSED)
         return outcome, answer.clock_ms / 1000
 
+    async def _send_start(self, address, worker_id, order, incarnation_started_ms):
+        """Sends an order on a connection to an incarnation of a worker.
+
+        Returns:
+            Status and body.
+
+        Raises:
+            CallUnanswered: No answer came; the order may still be carried out.
+            CallRefused: The incarnation was not reached, so nothing was sent, as with
+                the further errors.
+            ProducerFenced: The worker has seen a higher token.
+            WorkerReplaced: Another incarnation or worker answered at the address.
+            WorkerCallFailed: The worker did not report itself.
+        """
+        permits = self._start_connections.permits(worker_id)
+        try:
+            with anyio.fail_after(CONNECTION_WAIT_S):
+                await permits.acquire()
+        except TimeoutError as error:
+            raise CallRefused(f"worker {worker_id}: no free connection") from error
+        try:
+            answer = None
+            while answer is None:
+                answer = await self._try_start(
+                    address, worker_id, order, incarnation_started_ms
+                )
+            return answer
+        finally:
+            permits.release()
+
+    async def _try_start(self, address, worker_id, order, incarnation_started_ms):
+        """Sends an order once; see ``_send_start``.
+
+        Returns:
+            Status and body, or None if the connection was gone.
+        """
+        connections = self._start_connections
+        connection = await connections.take(worker_id, incarnation_started_ms)
+        if connection is None:
+            connection = await self._connect(
+                address, worker_id, order, incarnation_started_ms
+            )
+        is_answered = False
+        try:
+            answer = await connection.post(
+                address, worker_id, "/run-start", order, START_TIMEOUT_S
+            )
+            is_answered = True
+            return answer
+        except ConnectionGone:
+            return None
+        except CallTimedOut:
+            await connections.drop_idle(worker_id)
+            raise
+        finally:
+            if is_answered:
+                await connections.put_back(worker_id, connection)
+            else:
+                await connection.close()
+
+    async def _connect(self, address, worker_id, order, incarnation_started_ms):
+        """Returns a new connection to an incarnation; see ``_send_start``."""
+        connection = self._start_connections.create()
+        try:
+            report = await _read_incarnation(
+                connection, address, worker_id, order["fencingToken"]
+            )
+        except CallUnanswered as error:
+            raise CallRefused(f"worker {worker_id} did not report itself") from error
+        if report.incarnation_started_ms != incarnation_started_ms:
+            await connection.close()
+            raise WorkerReplaced(f"worker {worker_id} has started again")
+        return connection
+
     async def stop(self, address, worker_id, task, run, token):
         """Orders a worker to stop a run.
 
@@ -292,6 +379,9 @@
                 report = await _hold(connection, address, worker_id, order, wait_s)
             except ConnectionGone:
                 pass
+            except CallTimedOut:
+                await self._start_connections.drop_idle(worker_id)
+                raise
         if report is None:
             connection = self._hold_connections.create()
             report = await _read_incarnation(connection, address, worker_id, token)
@@ -301,10 +391,12 @@
     async def forget(self, worker_id):
         """Closes the connections that are kept for a worker that has left."""
         await self._hold_connections.forget(worker_id)
+        await self._start_connections.forget(worker_id)
 
     async def close(self):
         """Closes the connections that are kept for workers."""
         await self._hold_connections.close()
+        await self._start_connections.close()
 
     async def _post(self, address, worker_id, path, order, timeout_s):
         return await self._transport.call(
--- a/tests/platform/test_malformed_answers.py
+++ b/tests/platform/test_malformed_answers.py
@@ -47,8 +47,22 @@
         pass
 
 
-def calls(transport):
-    """Returns coroutine functions of all calls to other processes."""
+class FakeConnections(FakeTransport):
+    """Connections on which the worker reports itself before it gets a start."""
+
+    async def call(self, method, url, *rest, **options):
+        if url.endswith("/hold"):
+            return 200, b'{"clockMs":1}'
+        return await super().call(method, url, *rest, **options)
+
+
+def calls(transport, connections):
+    """Returns coroutine functions of all calls to other processes.
+
+    Args:
+        transport: ``FakeTransport``.
+        connections: ``FakeConnections``.
+    """
     workers = WorkerControlClient(transport)
     machines = MachineClient(transport, "h:1")
     store = StoreClient(transport, "h:1", lambda *_: None, lambda: 0.0)
@@ -56,6 +70,7 @@
     start = ("h:1", "i", "j.0.0.0", 1, "", 9.0, 7, "", "")
     return (
         lambda: workers.start(*start),
+        lambda: WorkerControlClient(connections).start(*start),
         lambda: workers.stop("h:1", "i", "j.0.0.0", 1, 7),
         lambda: workers.pace("h:1", "i", "j.0.0.0", 1, 50, 7),
         lambda: workers.hold("h:1", "i", 7, 0, None, 0.0),
@@ -75,7 +90,7 @@
 
 
 async def call_all(status, body):
-    for call in calls(FakeTransport(status, body)):
+    for call in calls(FakeTransport(status, body), FakeConnections(status, body)):
         try:
             with anyio.fail_after(2.0):
                 await call()
@@ -91,7 +106,8 @@
         anyio.run(call_all, status, body)
 
     def _call(self, client, name, body, *arguments, status=200):
-        client = client(FakeTransport(status, json.dumps(body).encode()))
+        transport = FakeConnections if name == "start" else FakeTransport
+        client = client(transport(status, json.dumps(body).encode()))
         return anyio.run(getattr(client, name), *arguments)
 
     def test_malformed_row_rejects_the_whole_report(self):
--- a/tests/platform/test_worker_connections.py
+++ b/tests/platform/test_worker_connections.py
@@ -7,6 +7,7 @@
 from basilwind.errors import CallTimedOut
 from basilwind.platform.transport import Transport
 from basilwind.platform.workers import WorkerControlClient
+from basilwind.scheduling.reports import StartOutcome
 from basilwind.standin.entry_platform import make_app
 from basilwind.standin.entry_worker import EntryWorkerStandIn
 from extras.soak.proxy import Link
@@ -97,7 +98,8 @@
 
     async def _start(self, incarnation_started_ms):
         return await self.client.start(
-            *(self.address, WORKER_ID, TASK, 9, "", LEASE_END_S, TOKEN, "", "")
+            *(self.address, WORKER_ID, TASK, 9, "", LEASE_END_S, TOKEN, "", ""),
+            incarnation_started_ms,
         )
 
     async def test_start_gave_an_unheard_incarnation_a_lease_by_the_clock_of_before(
@@ -106,7 +108,8 @@
         # Regression (issue 40): its owner gave the run up long before that lease ended.
         first = await self._report_first_incarnation()
         self._restart_behind_a_cut()
-        await self._start(first)
+        outcome, _ = await self._start(first)
+        self.assertIs(outcome, StartOutcome.WRONG_INCARNATION)
         self.assertEqual(self.worker.runs, {})
         self.assertEqual(self.worker._lease_ms, 0.0)
 
--- a/tests/platform/test_workers.py
+++ b/tests/platform/test_workers.py
@@ -21,9 +21,21 @@
         pass
 
 
+class FakeConnections(FakeTransport):
+    """Connections on which the worker reports itself before it gets a start."""
+
+    async def call(self, method, url, *rest, **options):
+        if url.endswith("/hold"):
+            return 200, b'{"clockMs":1}'
+        return await super().call(method, url, *rest, **options)
+
+
 class TestWorkerControlClient(unittest.TestCase):
     def _call(self, name, status, body, *arguments):
-        client = WorkerControlClient(FakeTransport(status, body))
+        transport = (FakeConnections if name == "start" else FakeTransport)(
+            status, body
+        )
+        client = WorkerControlClient(transport)
         return anyio.run(getattr(client, name), "host:1", "i-1", *arguments)
 
     def _stop(self, status, body=b'{"clockMs":1}'):
--- a/tests/scheduling/model.py
+++ b/tests/scheduling/model.py
@@ -98,6 +98,8 @@
         rejected_runs: Highest run number that it will not start, by task name.
         ended: ``EndedRun`` objects that are not acknowledged.
         end_count: Number of runs that ended in this incarnation.
+        void_count: Number of those that ended before the lease lapsed, which count as
+            acknowledged no more.
         highest_token: Highest fencing token that it has seen.
         lease_until: End of its lease, on its own clock.
         page_size: Most ended runs that a report lists.
@@ -134,7 +136,7 @@
         self.runs = {}
         self.rejected_runs = {}
         self.ended = []
-        self.end_count = 0
+        self.end_count = self.void_count = 0
         self.highest_token = 0
         self.lease_until = 0.0
 
@@ -202,10 +204,19 @@
             self.clock_s, self.incarnation, running, listed, is_complete
         )
 
+    def acknowledged_by(self, sequence):
+        """Returns the names of tasks whose end as done a sequence number confirms."""
+        return {
+            end.task_name
+            for end in self.ended
+            if self.void_count < end.sequence <= sequence and end.kind is EndKind.DONE
+        }
+
     def end_runs(self):
         """Ends the runs that a stop or the expiry of the lease has ended by now."""
         now = self._time()
         if self.clock_s > self.lease_until:
+            self.void_count = self.end_count
             expired_at = self._clock_start + self.lease_until / self._clock_rate
             for name in self.runs:
                 self._begin_end(name, EndKind.LEASE_EXPIRED, expired_at)
@@ -234,6 +245,8 @@
         stop_s: Time that workers take to end a run, seconds.
         is_strict: As for ``ModelWorker``. A restart then breaks the connection to the
             worker, so that the owner notices it.
+        names_incarnations: Whether calls that depend on an incarnation reach no other
+            one, as with the client of the workers.
     """
 
     def __init__(
@@ -246,7 +259,9 @@
         clock_rates=(1.0,),
         stop_s=0.0,
         is_strict=False,
+        names_incarnations=False,
     ):
+        self._names_incarnations = names_incarnations
         self._fail = fail
         self._stop_s = stop_s
         self._is_strict = is_strict
@@ -355,7 +370,12 @@
             return
         name, run, token = order.task.name, order.run, self.state.token
         expires = order.worker.grant_lease(LEASE_S, self.now)
-        if not worker.is_reachable or delivery == "unreachable":
+        if self._is_unheard(worker, order.worker):
+            if worker.is_reachable:
+                order.worker.mark_unanswered(self.now, False, self.now)
+            outcome = StartOutcome.WRONG_INCARNATION
+            self.state.apply_start_outcome(order, outcome, self.now)
+        elif not worker.is_reachable or delivery == "unreachable":
             self.state.apply_start_outcome(order, StartOutcome.UNREACHABLE, self.now)
         elif delivery == "delayed":
             incarnation = worker.incarnation
@@ -371,6 +391,13 @@
             else:
                 self.state.apply_start_outcome(order, outcome, self.now)
 
+    def _is_unheard(self, worker, view):
+        """Returns whether calls for the incarnation that a view knows do not arrive."""
+        return (
+            self._names_incarnations
+            and view.incarnation_started_ms != worker.incarnation
+        )
+
     def _deliver_start(self, worker, cpu_when_sent, name, run, expires, token):
         """Executes a start order on a worker and checks the invariants."""
         is_repeated = worker.runs.get(name) == run
@@ -470,9 +497,15 @@
                 continue
             sent_at, self.now = self.now, self.now + 0.001
             starting = {run: (0, -1) for run in worker.runs if not self._is_up(run)}
+            acknowledged = view.acknowledged_sequence
+            if self._is_unheard(worker, view):
+                acknowledged, expires = 0, None
+            if self._names_incarnations:
+                worker.end_runs()
+                self.acknowledged_done |= worker.acknowledged_by(acknowledged)
             report = worker.hold(
                 self.state.token,
-                view.acknowledged_sequence,
+                acknowledged,
                 expires,
                 starting | self.reported_progress,
             )
--- a/tests/scheduling/test_expired_leases.py
+++ b/tests/scheduling/test_expired_leases.py
@@ -26,16 +26,20 @@
 # Regression: a previous owner's start reached a new incarnation (4462).
 # Starts reached a new incarnation that had not reported yet (the others).
 FAILED_SEEDS = (4462, 12346, 12709, 17082, 18168, 19137)
+# The owner hears of such a restart from the next report or answer only.
+UNHEARD_RESTART = "restart unheard"
+UNHEARD_FAULTS = (UNHEARD_RESTART, UNHEARD_RESTART, "schedule", "finish", "wait long")
 CLOCK_RATES = (0.98, 1.0, 0.99)
 
 
-def make_model(fail, workers=2):
+def make_model(fail, workers=2, **options):
     return PoolModel(
         fail,
         workers,
         clock_rates=CLOCK_RATES,
         stop_s=MAX_STOP_S,
         is_strict=True,
+        **options,
     )
 
 
@@ -112,17 +116,32 @@
 
     def test_unheard_incarnation_got_a_longer_lease_from_the_previous_owner(self):
         # Its successor never hears from the worker.
-        model = make_model(self.fail)
+        model = make_model(self.fail, names_incarnations=True)
         model.submit("job", make_job(count=1, is_lasting=True))
         model.hold()
         for worker in model.workers.values():
             worker.restart()
         model.schedule()
+        self.assertEqual([w.lease_until for w in model.workers.values()], [0.0, 0.0])
         model.take_over()
         (task,) = model.all_tasks()
-        model.workers[task.worker_id].is_reachable = False
+        model.workers["w0"].is_reachable = False
         self._wait_for_restart(model, task.run)
 
+    def test_unheard_incarnation_got_a_longer_lease_by_the_clock_of_before(self):
+        # Regression (issue 40): the owner of both runs waited for the shorter one.
+        model = make_model(self.fail, names_incarnations=True)
+        model.submit("job", make_job(count=1, is_lasting=True))
+        model.hold()
+        for worker in model.workers.values():
+            worker.restart()
+        model.schedule()
+        (task,) = model.all_tasks()
+        run = task.run
+        for name, worker in model.workers.items():
+            worker.is_reachable = name != (task.worker_id or "w0")
+        self._wait_for_restart(model, run)
+
     def test_worker_that_crashed_twice_is_given_up_with_its_last_lease(self):
         model, task, worker = self._running_model()
         model.crash(task.worker_id)
@@ -260,15 +279,25 @@
             with self.subTest(seed=seed):
                 self._run_seed(seed)
 
-    def _run_seed(self, seed):
+    def test_random_unheard_restarts_by_seed(self):
+        for seed in seeds_to_play(SEEDS):
+            with self.subTest(seed=seed):
+                self._run_seed(seed, UNHEARD_FAULTS, names_incarnations=True)
+
+    def _run_seed(self, seed, more_faults=(), **options):
         source = random.Random(seed)
-        model = make_model(self.fail, workers=3)
+        model = make_model(self.fail, workers=3, **options)
         for number in range(source.randint(1, 3)):
             model.submit(f"job{number}", make_job(count=2, steps=2))
         model.submit("lasting", make_job(count=2, is_lasting=True, may_miss=1))
         faults = (*FAULTS.elements, "schedule", "hold", "hold", "hold one", "submit")
+        faults += more_faults
         for _ in range(source.randint(5, 60)):
-            apply_fault(model, source.choice(faults), source.randint(0, 2))
+            fault, which = source.choice(faults), source.randint(0, 2)
+            if fault == UNHEARD_RESTART:
+                model.workers[f"w{which}"].restart()
+            else:
+                apply_fault(model, fault, which)
         model.settle()
         model.check_all_finished()
 
