Serve workers that close the connection after each answer

A worker that closes its connections would have got no lease, no acknowledgement and no start: each new connection only asked for the incarnation. Found by reading, not seen.

Change: within 50 ms of an answer an order may be sent on another connection, as no process starts again in that time. A start that finds its connection closed right after the worker reported itself is not repeated for ever. The fakes of the worker's client are shared.

--- a/basilwind/platform/worker_connections.py
+++ b/basilwind/platform/worker_connections.py
@@ -11,9 +11,11 @@
 import anyio
 import msgspec
 
+from basilwind.errors import ConnectionGone
 from basilwind.platform.transport import JSON_HEADERS
 
 MAX_CONNECTIONS = 8  # for starts, of the 64 that a worker accepts from all daemons
+CONFIRMED_S = 0.05  # no process starts again within this time
 
 
 class WorkerConnection:
@@ -29,11 +31,15 @@
 
     def __init__(self, connection):
         self._connection = connection
+        self._answered_at = None
         self.incarnation_started_ms = None
 
     async def post(self, address, worker_id, path, order, timeout_s):
         """Sends an order, on the connection that exists once there was a report.
 
+        A worker may close the connection after each of its answers, so another one is
+        opened immediately after an answer, but not later.
+
         Returns:
             Status and body.
 
@@ -41,14 +47,22 @@
             ConnectionGone: The connection was closed, so nothing was sent.
             CallRefused: See ``Transport.call``, also for the further errors.
         """
-        return await self._connection.call(
+        request = (
             "POST",
             f"http://{address}{path}",
             timeout_s,
             msgspec.json.encode(order),
             worker_headers(worker_id),
-            may_connect=self.incarnation_started_ms is None,
         )
+        is_new = self.incarnation_started_ms is None
+        try:
+            answer = await self._connection.call(*request, may_connect=is_new)
+        except ConnectionGone:
+            if anyio.current_time() - self._answered_at > CONFIRMED_S:
+                raise
+            answer = await self._connection.call(*request, may_connect=True)
+        self._answered_at = anyio.current_time()
+        return answer
 
     async def close(self):
         """Closes the connection."""
--- a/basilwind/platform/workers.py
+++ b/basilwind/platform/workers.py
@@ -221,28 +221,25 @@
                 await permits.acquire()
         except TimeoutError as error:
             raise CallRefused(f"worker {worker_id}: no free connection") from error
-        try:
-            answer = None
-            while answer is None:
-                answer = await self._try_start(
-                    address, worker_id, order, incarnation_started_ms
-                )
-            return answer
-        finally:
-            permits.release()
-
-    async def _try_start(self, address, worker_id, order, incarnation_started_ms):
-        """Sends an order once; see ``_send_start``.
-
-        Returns:
-            Status and body, or None if the connection was gone.
-        """
         connections = self._start_connections
-        connection = await connections.take(worker_id, incarnation_started_ms)
-        if connection is None:
+        try:
+            connection = await connections.take(worker_id, incarnation_started_ms)
+            while connection is not None:
+                try:
+                    return await self._post_start(connection, address, worker_id, order)
+                except ConnectionGone:
+                    connection = await connections.take(
+                        worker_id, incarnation_started_ms
+                    )
             connection = await self._connect(
                 address, worker_id, order, incarnation_started_ms
             )
+            return await self._post_start(connection, address, worker_id, order)
+        finally:
+            permits.release()
+
+    async def _post_start(self, connection, address, worker_id, order):
+        """Sends an order on a connection; closes it unless it is answered."""
         is_answered = False
         try:
             answer = await connection.post(
@@ -250,14 +247,12 @@
             )
             is_answered = True
             return answer
-        except ConnectionGone:
-            return None
         except CallTimedOut:
-            await connections.drop_idle(worker_id)
+            await self._start_connections.drop_idle(worker_id)
             raise
         finally:
             if is_answered:
-                await connections.put_back(worker_id, connection)
+                await self._start_connections.put_back(worker_id, connection)
             else:
                 await connection.close()
 
--- a/tests/platform/test_borders.py
+++ b/tests/platform/test_borders.py
@@ -46,6 +46,7 @@
     restore_job,
 )
 from tests.scheduling.model import QUEUE, make_job
+from tests.utils.transport_fakes import FakeTransport
 
 DEPTH = 40_000
 LONG_NUMBER = b"1" + b"0" * 400
@@ -248,19 +249,9 @@
     def _answer(self, body, call):
         """Returns a client's result for an answer, or None after an error."""
 
-        class Transport:
-            async def call(self, method, url, timeout_s, sent=None, *rest, **options):
-                return 200, body
-
-            def create_connection(self):
-                return self
-
-            async def close(self):
-                pass
-
         async def main():
             with anyio.fail_after(5.0):
-                return await call(Transport())
+                return await call(FakeTransport(200, body))
 
         try:
             return anyio.run(main)
--- a/tests/platform/test_malformed_answers.py
+++ b/tests/platform/test_malformed_answers.py
@@ -14,6 +14,7 @@
 from basilwind.platform.store import Producer, StoreClient
 from basilwind.platform.workers import WorkerControlClient
 from basilwind.scheduling.ownership import Claim
+from tests.utils.transport_fakes import FakeConnections, FakeTransport
 
 SCALARS = st.none() | st.booleans() | st.integers() | st.text(max_size=4)
 FIELDS = st.sampled_from(
@@ -31,31 +32,6 @@
 STATUSES = st.sampled_from((200, 400, 409, 410, 412, 421, 429, 500, 503))
 
 
-class FakeTransport:
-    """Gives the same answer to every call."""
-
-    def __init__(self, status, body):
-        self._answer = status, body
-
-    async def call(self, method, url, timeout_s, body=None, headers=None, **options):
-        return self._answer
-
-    def create_connection(self):
-        return self
-
-    async def close(self):
-        pass
-
-
-class FakeConnections(FakeTransport):
-    """Connections on which the worker reports itself before it gets a start."""
-
-    async def call(self, method, url, *rest, **options):
-        if url.endswith("/hold"):
-            return 200, b'{"clockMs":1}'
-        return await super().call(method, url, *rest, **options)
-
-
 def calls(transport, connections):
     """Returns coroutine functions of all calls to other processes.
 
--- a/tests/platform/test_worker_connections.py
+++ b/tests/platform/test_worker_connections.py
@@ -37,11 +37,18 @@
         self.addAsyncCleanup(self.transport.stop)
         self.client = WorkerControlClient(self.transport)
         self.addAsyncCleanup(self.client.close)
-        server = HttpServer(make_app(self.worker.handle), self.worker.address)
+        self.is_closing = False
+        server = HttpServer(make_app(self._handle), self.worker.address)
         serving = asyncio.create_task(server.serve_until_stopped())
         self.addCleanup(serving.cancel)
         await server.wait_started()
 
+    async def _handle(self, request):
+        response = await self.worker.handle(request)
+        if self.is_closing:
+            response.headers["Connection"] = "close"
+        return response
+
     async def _close_link(self):
         self.link.close()
 
@@ -123,6 +130,14 @@
         self.assertEqual(report.ended, ())
         self.assertEqual(self.worker._lease_ms, 500_000)
 
+    async def test_worker_that_closes_each_connection_gets_leases_and_starts(self):
+        self.is_closing = True
+        first = await self._report_first_incarnation()
+        await self._hold(first, acknowledged=1, lease_end_s=LEASE_END_S)
+        self.assertEqual(self.worker._lease_ms, LEASE_END_S * 1000)
+        outcome, _ = await self._start(first)
+        self.assertIs(outcome, StartOutcome.STARTED)
+
     async def test_connections_of_a_worker_that_left_are_closed(self):
         first = await self._report_first_incarnation()
         await self.client.forget(WORKER_ID)
--- a/tests/platform/test_workers.py
+++ b/tests/platform/test_workers.py
@@ -5,29 +5,7 @@
 from basilwind.errors import CallUnanswered, ProducerFenced, WorkerReplaced
 from basilwind.platform.workers import MAX_LISTED_ENDS, WorkerControlClient
 from basilwind.scheduling.reports import EndKind, StartOutcome
-
-
-class FakeTransport:
-    def __init__(self, status, body=b"{}"):
-        self._answer = status, body
-
-    async def call(self, method, url, timeout_s, body=None, headers=None, **options):
-        return self._answer
-
-    def create_connection(self):
-        return self
-
-    async def close(self):
-        pass
-
-
-class FakeConnections(FakeTransport):
-    """Connections on which the worker reports itself before it gets a start."""
-
-    async def call(self, method, url, *rest, **options):
-        if url.endswith("/hold"):
-            return 200, b'{"clockMs":1}'
-        return await super().call(method, url, *rest, **options)
+from tests.utils.transport_fakes import FakeConnections, FakeTransport
 
 
 class TestWorkerControlClient(unittest.TestCase):
