--- a/tests/processes/test_partitions.py
+++ b/tests/processes/test_partitions.py
@@ -5,6 +5,7 @@
 import anyio
 
 from extras.soak.overlaps import collect_runs, find_overlaps
+from extras.soak.partition_faults import UNHEARD_RESTART
 from extras.soak.partitions import PartitionPlay
 from extras.soak.proxy import ANSWERS, REQUESTS, Link
 from tests.utils.fleet import free_ports
@@ -175,3 +176,11 @@
             finds, runs = anyio.run(PartitionPlay(1, 2, None, folder).run)
         self.assertEqual(finds, [])
         self.assertGreater(len(runs), MIN_RUNS)
+
+    def test_workers_that_started_again_unheard_run_no_task_twice(self):
+        # Regression (issue 40): a start gave the next incarnation a longer lease.
+        with tempfile.TemporaryDirectory() as folder:
+            play = PartitionPlay(4, 1, None, folder, UNHEARD_RESTART)
+            finds, runs = anyio.run(play.run)
+        self.assertEqual(finds, [])
+        self.assertGreater(len(runs), MIN_RUNS)
