Let the follower's reads of the list of routes count, too

A daemon that got no call between its start and an outage of the store read the list only when the first call came, failed, and answered 503 where a peer could have stored the record. Found by reading, not seen.

--- a/basilwind/entry/route_history.py
+++ b/basilwind/entry/route_history.py
@@ -127,11 +127,9 @@
                 raise NotStarted("the list of routes could not be read")
 
     def _is_complete(self):
-        return (
-            self._open_until is not None
-            and self._refreshed_at is not None
-            and self._refreshed_at >= self._open_until
-        )
+        """Returns whether the list was read after routes may have been missing."""
+        read_at = max(self._refreshed_at or 0.0, self._follower.confirmed_at or 0.0)
+        return self._open_until is not None and read_at >= self._open_until
 
     async def _read_added(self):
         """Reads the records that the follower has not read yet, or all of them."""
--- a/tests/entry/test_moved_route.py
+++ b/tests/entry/test_moved_route.py
@@ -460,15 +460,25 @@
         self._run(self._refresh)
         self.assertEqual(self.routes.pools(QUEUE), {"old"})
 
+    async def _wait(self):
+        self.clock.now += OLDER_VERSIONS_S
+
     def test_nothing_is_read_once_all_past_routes_are_known(self):
         self._note(1, QUEUE)
-        self.clock.now += OLDER_VERSIONS_S
-        self._run(self._refresh, self._refresh)
+        self._run(self._wait, self._refresh, self._refresh)
         self.clock.now += 1.0
         self._note(2, MOVED, QUEUE)
         self._run(self._refresh)
         self.assertEqual(self.reads, 1)
 
+    def test_follower_that_reads_the_list_saves_further_reads(self):
+        self._note(1, QUEUE)
+        self.clock.now += OLDER_VERSIONS_S
+        self._run()
+        self.clock.now += 1.0
+        self._run(self._refresh)
+        self.assertEqual(self.reads, 0)
+
     def test_list_that_can_not_be_read_leaves_a_job_not_accepted(self):
         self._note(1, QUEUE)
         self.added = StoreRefused("away")
