Decode customers, keys and public queues of the configuration

Cause: the document's tenants and the routes' public flag were dropped, so no part of the daemon could tell customers apart. Change: Customer and Resources in the fleet's model, the keys' owners in the configuration, the customer in a submission and its job, and the settings' bounds for revocation, quota and remote tasks. Nothing reads them yet; no behaviour changes.

--- a/basilwind/entry/configuration.py
+++ b/basilwind/entry/configuration.py
@@ -40,6 +40,14 @@
         """The current ``Configuration``, or None if none has been read yet."""
         return self._current
 
+    @property
+    def confirmed_at(self):
+        """Boot time at which the latest successful read was sent, or None.
+
+        Each version that the store had accepted by then has been applied.
+        """
+        return self._follower.confirmed_at
+
     @property
     def waves(self):
         """Tuples of ``Wave`` and the boot time at which it was received, by number."""
--- a/basilwind/entry/intake.py
+++ b/basilwind/entry/intake.py
@@ -58,7 +58,13 @@
         return None
     if submission.accepted_queue is not None:
         remember_queue(submission.accepted_queue)
-    job = Job(record.key, submission.queue, submission.spec, submission.accepted_at)
+    job = Job(
+        record.key,
+        submission.queue,
+        submission.spec,
+        submission.accepted_at,
+        submission.customer,
+    )
     return job, submission.version
 
 
--- a/basilwind/entry/owner.py
+++ b/basilwind/entry/owner.py
@@ -310,6 +310,7 @@
                 job.accepted_at,
                 self._clock(),
                 self._wall_clock(),
+                job.customer,
             )
 
     async def _forward(self, record):
--- a/basilwind/platform/documents.py
+++ b/basilwind/platform/documents.py
@@ -1,8 +1,11 @@
 """Records of the platform's store: configuration, worker registry and waves.
 
-In these records a queue is called a route, a pool a service, and a host a machine.
+In these records a queue is called a route, a pool a service, a host a machine, and a
+customer a tenant.
 """
 
+from typing import Annotated
+
 import msgspec
 
 from basilwind.checked_json import (
@@ -20,9 +23,11 @@
 from basilwind.errors import RecordInvalid
 from basilwind.scheduling.fleet import (
     Configuration,
+    Customer,
     Pool,
     Queue,
     RequestLimits,
+    Resources,
     Wave,
     WorkerEntry,
 )
@@ -34,6 +39,8 @@
 WAVE_KEY_PREFIX = "wave/"
 MAX_STATE_LENGTH = 40  # of an unknown state in a log line
 
+ApiKey = Annotated[str, msgspec.Meta(min_length=1, max_length=1000)]
+
 
 class _Route(msgspec.Struct, rename="camel"):
     name: Name
@@ -46,6 +53,7 @@
     attempts: Count = 1
     stretch: Duration = 1.0
     advice: dict | None = None
+    public: bool = False
 
 
 class _Service(msgspec.Struct, rename="camel"):
@@ -63,11 +71,25 @@
     idle_timeout_ms: Duration = 15000
 
 
+class _Maximum(msgspec.Struct, rename="camel"):
+    cpu: Size = 0
+    mem_mb: Size = 0
+    gpu: Size = 0
+
+
+class _Tenant(msgspec.Struct, rename="camel"):
+    name: Name
+    api_keys: list[ApiKey]
+    weight: Duration = 1.0
+    maximum: _Maximum = msgspec.field(default_factory=_Maximum)
+
+
 class _Configuration(msgspec.Struct):
     version: Count
     routes: list[_Route]
     services: list[_Service]
     limits: _RequestLimits = msgspec.field(default_factory=_RequestLimits)
+    tenants: list[_Tenant] | None = None
 
 
 class _Capacity(msgspec.Struct, rename="camel"):
@@ -121,6 +143,7 @@
             priority=route.priority,
             attempts=route.attempts,
             has_placement_policy=route.advice is not None,
+            is_public=route.public,
         )
         for route in document.routes
     }
@@ -139,7 +162,46 @@
         header_timeout_s=document.limits.header_timeout_ms / 1000,
         idle_timeout_s=document.limits.idle_timeout_ms / 1000,
     )
-    return Configuration(document.version, queues, pools, limits)
+    if document.tenants is None:
+        return Configuration(document.version, queues, pools, limits)
+    customers = _decode_customers(document.tenants)
+    return Configuration(
+        document.version,
+        queues,
+        pools,
+        limits,
+        customers,
+        _decode_key_owners(document.tenants),
+    )
+
+
+def _decode_customers(tenants):
+    """Returns the ``Customer`` of each tenant by name."""
+    customers = {}
+    for tenant in tenants:
+        if tenant.name in customers:
+            raise RecordInvalid(f"configuration: two tenants are named {tenant.name!r}")
+        maximum = tenant.maximum
+        customers[tenant.name] = Customer(
+            tenant.name,
+            tenant.weight,
+            Resources(maximum.cpu, maximum.mem_mb, maximum.gpu),
+        )
+    return customers
+
+
+def _decode_key_owners(tenants):
+    """Returns the names of customers by key."""
+    owners = {}
+    for tenant in tenants:
+        for key in tenant.api_keys:
+            owner = owners.setdefault(key, tenant.name)
+            if owner != tenant.name:
+                # A message must not contain the key.
+                raise RecordInvalid(
+                    f"configuration: tenants {owner!r} and {tenant.name!r} share a key"
+                )
+    return owners
 
 
 def decode_worker(worker_id, data):
--- a/basilwind/platform/entry_host_settings.py
+++ b/basilwind/platform/entry_host_settings.py
@@ -43,6 +43,11 @@
     maintenance_s: Duration = 2
     # Applies to orders for machines. Leases of workers are bounded by max_hold_ms.
     lease_ms: Duration = 3000
+    strict_revoke: bool = False
+    revoke_ms: Duration = 5000
+    config_apply_ms: Duration = 2000
+    quota_overage: Duration = 0.0
+    remote_factor: Duration = 1.0
 
 
 class _Document(msgspec.Struct, rename="camel"):
@@ -88,6 +93,12 @@
         maintenance_s: Duration of a machine's maintenance, in seconds.
         machine_lease_s: Minimum time between orders of two different holders for
             the same machine, in seconds.
+        has_strict_revocation: Whether no call with a withdrawn key may succeed later
+            than ``revoke_s`` after the withdrawal, even if this host is cut off.
+        revoke_s: Time after which a withdrawn key must not be accepted, in seconds.
+        config_apply_s: Time after which a configuration must be in force, in seconds.
+        quota_overage: Share by which a customer's running tasks may exceed its maximum.
+        remote_factor: Factor by which tasks take longer away from their rack.
     """
 
     name: str
@@ -110,6 +121,11 @@
     move_s: float
     maintenance_s: float
     machine_lease_s: float
+    has_strict_revocation: bool = False
+    revoke_s: float = 5.0
+    config_apply_s: float = 2.0
+    quota_overage: float = 0.0
+    remote_factor: float = 1.0
 
 
 def decode_entry_host_settings(data, file=""):
@@ -156,6 +172,11 @@
         move_s=bounds.move_s,
         maintenance_s=bounds.maintenance_s,
         machine_lease_s=bounds.lease_ms / 1000,
+        has_strict_revocation=bounds.strict_revoke,
+        revoke_s=bounds.revoke_ms / 1000,
+        config_apply_s=bounds.config_apply_ms / 1000,
+        quota_overage=bounds.quota_overage,
+        remote_factor=bounds.remote_factor,
     )
 
 
--- a/basilwind/scheduling/fleet.py
+++ b/basilwind/scheduling/fleet.py
@@ -1,10 +1,41 @@
-"""Queues, pools and waves that the operator declares, and registered workers."""
+"""What the operator declares, such as queues and customers, and registered workers."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from basilwind.checked_json import Count, Duration, Integer
 
 
+@dataclass(frozen=True, slots=True)
+class Resources:
+    """An amount of each resource.
+
+    Attributes:
+        cpu: CPU, millicores.
+        memory: Memory, megabytes.
+        gpu: Accelerators.
+    """
+
+    cpu: int = 0
+    memory: int = 0
+    gpu: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Customer:
+    """A customer, who shares the pools with others.
+
+    Attributes:
+        name: Name of the customer.
+        weight: Its share when a pool is full, and how many jobs a second it may send.
+        maximum: What it may have running on all workers; a resource with 0 has no
+            limit.
+    """
+
+    name: str
+    weight: float
+    maximum: Resources
+
+
 @dataclass(frozen=True)
 class Queue:
     """A queue of jobs.
@@ -20,6 +51,7 @@
         priority: Priority class; 0 is the highest.
         attempts: Failed runs after which a task fails its job.
         has_placement_policy: Whether a placement policy limits its workers.
+        is_public: Whether calls need no key of a customer.
     """
 
     name: str
@@ -32,6 +64,7 @@
     priority: Integer
     attempts: Count
     has_placement_policy: bool
+    is_public: bool = False
 
 
 @dataclass(frozen=True)
@@ -77,12 +110,17 @@
         queues: Queues by name.
         pools: Pools by name.
         limits: Limits on callers' requests.
+        customers: Customers by name; None if the fleet has no customers, so that calls
+            need no keys.
+        key_owners: Names of customers by key.
     """
 
     version: int
     queues: dict[str, Queue]
     pools: dict[str, Pool]
     limits: RequestLimits
+    customers: dict[str, Customer] | None = None
+    key_owners: dict[str, str] = field(default_factory=dict, repr=False)
 
     def find_queue(self, host_header, path):
         """Returns the queue with the longest matching path prefix, or None.
--- a/basilwind/scheduling/jobs.py
+++ b/basilwind/scheduling/jobs.py
@@ -249,6 +249,7 @@
         queue: Name of its queue.
         spec: ``JobSpec``.
         accepted_at: Time of acceptance, Unix seconds.
+        customer: Name of the customer that submitted it; empty if there is none.
         state: ``JobState``.
         occurrences: Steps of each started and unfinished occurrence, by its number.
         done_occurrences: ``DoneOccurrences``.
@@ -266,6 +267,7 @@
         "queue",
         "spec",
         "accepted_at",
+        "customer",
         "state",
         "occurrences",
         "done_occurrences",
@@ -277,8 +279,9 @@
         "latest_start",
     )
 
-    def __init__(self, job_id, queue, spec: JobSpec, accepted_at):
+    def __init__(self, job_id, queue, spec: JobSpec, accepted_at, customer=""):
         self.job_id = job_id
+        self.customer = customer
         self.queue = queue
         self.spec = spec
         self.accepted_at = accepted_at
--- a/basilwind/scheduling/pool_jobs.py
+++ b/basilwind/scheduling/pool_jobs.py
@@ -88,11 +88,13 @@
         self._cached_backlog = 0.0
         self._backlog_measured_at = 0.0
 
-    def submit(self, job_id, queue_name, spec, accepted_at, now, wall_time):
+    def submit(
+        self, job_id, queue_name, spec, accepted_at, now, wall_time, customer=""
+    ):
         """Adds a newly submitted job; does nothing if the job is known."""
         if job_id in self.jobs:
             return
-        job = Job(job_id, queue_name, spec, accepted_at)
+        job = Job(job_id, queue_name, spec, accepted_at, customer)
         self.add_job(job, wall_time)
         self.dirty.add(job_id)
         work = self._unfinished_work(job)
--- a/basilwind/scheduling/records.py
+++ b/basilwind/scheduling/records.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from basilwind.checked_json import Count, Name, Number, decode_json
+from basilwind.checked_json import Count, Name, Number, OptionalName, decode_json
 from basilwind.errors import RecordInvalid
 from basilwind.scheduling.fleet import Queue
 from basilwind.scheduling.jobs import DoneOccurrences, JobState, TaskState
@@ -96,6 +96,8 @@
             as it was removed before, schedules the job by it.
         version: Version of the configuration by which its path led to the pool; 0 in
             records of earlier versions.
+        customer: Name of the customer whose key submitted the job; empty for a public
+            queue and in records of earlier versions.
     """
 
     queue: str
@@ -103,6 +105,7 @@
     spec: JobSpec
     accepted_queue: Queue | None = None
     version: Count = 0
+    customer: OptionalName = ""
 
 
 class DeclineRecord(msgspec.Struct, array_like=True):
