Forecast a pool's first burst from those of the other pools

Change: after two first bursts the next one is forecast for each pool without any; forecasts share what waiting work leaves; pools that can be forecast keep a smaller floor of idle hosts.

--- a/basilwind/scheduling/capacity.py
+++ b/basilwind/scheduling/capacity.py
@@ -18,6 +18,8 @@
 HEADROOM = 1.2  # jobs in flight during a burst vary by 10%; two standard deviations
 HOST_MOVE_S = 1.9  # a move (1.5 s), a planning round and the worker's registration
 INITIAL_FLOOR_SHARE = 0.5  # of an even share of all hosts, until bursts are known
+# The same for pools that wait for their first burst once it can be forecast.
+FORECAST_FLOOR_SHARE = 0.15
 # Long-running tasks are large and leave gaps that no other one fits into.
 LONG_RUNNING_OVERHEAD = 1.3
 LATE_BACKLOG_DRAIN_S = 4.0  # late jobs are worth little, and only for up to 5 s more
@@ -29,6 +31,8 @@
 # Of a pool's hosts; with less in use, a high rate is that of single large jobs.
 RISING_LOAD_SHARE = 0.6
 FORECAST_TOLERANCE_S = 1.5  # how late a predicted burst may begin
+# Of the expected peak, for each of several pools that may be the next one to be hit.
+SHARED_FORECAST_SHARE = 0.6
 
 
 class CapacityPlanner:
@@ -53,7 +57,8 @@
         """Updates a pool's trend and estimates how many hosts the pool needs.
 
         Returns:
-            Number of hosts for urgent work, and number of hosts for all work.
+            Number of hosts for urgent work, number of hosts for that and a burst that
+            is forecast, and number of hosts for all work.
         """
         trend = self._trends.setdefault(report.pool, DemandTrend())
         min_burst_rate = max(
@@ -70,20 +75,24 @@
         urgent_cores = (
             running_cores + (report.urgent_work + backlog_growth) / BACKLOG_DRAIN_S
         )
-        if self._is_burst_expected(report.pool, now) or (
-            trend.is_rising(now)
-            and report.urgent_cpu > RISING_LOAD_SHARE * (1000 * cores)
+        if trend.is_rising(now) and report.urgent_cpu > RISING_LOAD_SHARE * (
+            1000 * cores
         ):
             urgent_cores = max(urgent_cores, self._expected_peak(trend))
+        forecast_cores = max(urgent_cores, self._forecast_cores(report.pool, now))
         long_running_hosts = self._hosts_for_long_running(report)
-        urgent_hosts = max(
-            (urgent_cores + long_running_cores) * 1000 / self._host_cpu,
-            long_running_hosts,
+        urgent_hosts, forecast_hosts = (
+            max((c + long_running_cores) * 1000 / self._host_cpu, long_running_hosts)
+            for c in (urgent_cores, forecast_cores)
         )
         late = report.late_work / LATE_BACKLOG_DRAIN_S + report.late_cpu / 1000
         late *= 1000 / self._host_cpu
-        self._needs[report.pool] = urgent_hosts
-        return math.ceil(urgent_hosts), math.ceil(urgent_hosts + late)
+        self._needs[report.pool] = forecast_hosts
+        return (
+            math.ceil(urgent_hosts),
+            math.ceil(forecast_hosts),
+            math.ceil(forecast_hosts + late),
+        )
 
     def _hosts_for_long_running(self, report):
         """Returns how many hosts the memory of long-running tasks requires.
@@ -120,7 +129,9 @@
         """
         if self._burst_period_s(pool) is not None:
             return MIN_HOSTS
-        return max(MIN_HOSTS, round(hosts / len(self._trends) * INITIAL_FLOOR_SHARE))
+        has_forecast = len(self._first_bursts()) > 1
+        share = FORECAST_FLOOR_SHARE if has_forecast else INITIAL_FLOOR_SHARE
+        return max(MIN_HOSTS, round(hosts / len(self._trends) * share))
 
     def plan_moves(self, reports, spare, incoming, now):
         """Decides which hosts to move as soon as they run no tasks.
@@ -142,11 +153,18 @@
             report.pool: len(report.workers) + incoming.get(report.pool, 0)
             for report in reports
         }
-        shares = share_hosts({pool: need[0] for pool, need in needs.items()}, hosts)
-        self._is_short = sum(need[0] for need in needs.values()) > hosts
+        urgent_needs = {pool: need[0] for pool, need in needs.items()}
+        shares = share_hosts(urgent_needs, hosts)
+        self._is_short = sum(urgent_needs.values()) > hosts
+        # Work that waits now goes before a burst that is only forecast.
+        forecasts = share_hosts(
+            {pool: need[1] - need[0] for pool, need in needs.items()},
+            hosts - sum(shares.values()),
+        )
+        shares = {pool: share + forecasts[pool] for pool, share in shares.items()}
         donors = DonorHosts(self._spare_pool, spare)
         for report in reports:
-            urgent, total = needs[report.pool]
+            _, _, total = needs[report.pool]
             floor = self._floor(report.pool, hosts)
             idle = self._trends[report.pool].idle_since
             keep = shares[report.pool] + (PREEMPTION_MARGIN if self._is_short else 0)
@@ -156,8 +174,8 @@
             shares.items(), key=lambda item: supply[item[0]] - item[1]
         ):
             moves += donors.take(pool, share - supply[pool], may_interrupt=True)
-        for pool, (urgent, total) in needs.items():
-            wanted = total - max(supply[pool], urgent)
+        for pool, (_, forecast, total) in needs.items():
+            wanted = total - max(supply[pool], forecast)
             moves += donors.take(pool, wanted, may_interrupt=False)
         return moves + donors.release_idle(now)
 
@@ -188,20 +206,46 @@
         starts = self._trends[pool].burst_starts
         if len(starts) > 1:
             return starts[-1] - starts[-2]
-        firsts = sorted(
-            trend.burst_starts[0]
-            for trend in self._trends.values()
-            if trend.burst_starts
-        )
+        firsts = self._first_bursts()
         if len(firsts) < len(self._trends) or len(firsts) < 2:
             return None
         return (firsts[-1] - firsts[0]) / (len(firsts) - 1) * len(firsts)
 
-    def _is_burst_expected(self, pool, now):
-        """Returns whether a burst is due within the time that a move takes."""
+    def _forecast_cores(self, pool, now):
+        """Returns the cores that a burst needs which is due within a move's time."""
+        trend = self._trends[pool]
+        if not trend.burst_starts:
+            return self._forecast_first_burst(trend, now)
         period_s = self._burst_period_s(pool)
-        starts = self._trends[pool].burst_starts
-        if period_s is None or not starts:
-            return False
-        due = starts[-1] + period_s
-        return due - HOST_MOVE_S <= now <= due + FORECAST_TOLERANCE_S
+        if period_s is None or not _is_due(trend.burst_starts[-1] + period_s, now):
+            return 0.0
+        return self._expected_peak(trend)
+
+    def _forecast_first_burst(self, trend, now):
+        """Returns the cores to prepare for the first burst of a pool.
+
+        The pools' first bursts follow one another at about equal intervals, and the
+        next one may hit any pool that has had none.
+        """
+        firsts = self._first_bursts()
+        if len(firsts) < 2:
+            return 0.0
+        interval_s = (firsts[-1] - firsts[0]) / (len(firsts) - 1)
+        if not _is_due(firsts[-1] + interval_s, now):
+            return 0.0
+        is_only_candidate = len(firsts) == len(self._trends) - 1
+        share = 1.0 if is_only_candidate else SHARED_FORECAST_SHARE
+        return share * self._expected_peak(trend)
+
+    def _first_bursts(self):
+        """Returns the boot times of the pools' first bursts, in order."""
+        return sorted(
+            trend.burst_starts[0]
+            for trend in self._trends.values()
+            if trend.burst_starts
+        )
+
+
+def _is_due(due, now):
+    """Returns whether a burst that is due at a boot time has to be prepared now."""
+    return due - HOST_MOVE_S <= now <= due + FORECAST_TOLERANCE_S
