Keep the pools' bursts in the store for the next planner

Cause: a planner that takes over knew no burst. Best effort: a write that fails is left out, and nothing relies on it.

--- a/basilwind/entry/planner.py
+++ b/basilwind/entry/planner.py
@@ -4,6 +4,7 @@
 import msgspec
 
 from basilwind.checked_json import Count, decode_json
+from basilwind.entry.burst_history import BurstHistory
 from basilwind.entry.fenced_topic import FencedTopic
 from basilwind.entry.follower import PLATFORM_RETRY_S
 from basilwind.entry.maintenance_log import MaintenanceLog
@@ -62,8 +63,11 @@
             services.store, TOPIC, PRODUCER, token, PLATFORM_RETRY_S
         )
         self._maintenance_log = MaintenanceLog(services.store, services.wall_clock)
+        self._burst_history = BurstHistory(services.store, services.wall_clock)
         self._clock = services.clock
         self._capacity_planner = None
+        # Bursts that previous planners have seen.
+        self._previous_bursts = {}
         # Names of hosts, by wave, whose maintenance the platform has accepted.
         self._accepted_hosts = {}
         # Numbers of completed waves.
@@ -145,6 +149,7 @@
             if is_completed:
                 self._completed.add(number)
         accepted = set().union(*self._accepted_hosts.values())
+        self._previous_bursts = await self._burst_history.read(self._clock())
         ages_s = await self._maintenance_log.read_ages_s()
         for host, age_s in ages_s.items():
             if host not in accepted:
@@ -408,6 +413,14 @@
             cpu = max(host.cpu for host in hosts) or 1
             memory = max(host.memory for host in hosts) or 1
             self._capacity_planner = CapacityPlanner(spare_pool, cpu, memory)
+            pools = self._services.configuration.current.pools
+            self._capacity_planner.restore_bursts(
+                {
+                    pool: bursts
+                    for pool, bursts in self._previous_bursts.items()
+                    if pool in pools
+                }
+            )
         unreachable = self._find_silent_zones(hosts, reports)
         spare = [
             host
@@ -454,6 +467,8 @@
                 elif move.worker_id in empty_workers:
                     host = by_worker[move.worker_id]
                     tasks.start_soon(self._move, host, move.target)
+        if not self._services.store_monitor.is_suspected:
+            await self._burst_history.write(self._capacity_planner.bursts(), now)
 
     def _find_silent_zones(self, hosts, reports):
         """Returns the availability zones of which no worker answers its owner."""
--- a/basilwind/scheduling/capacity.py
+++ b/basilwind/scheduling/capacity.py
@@ -30,6 +30,7 @@
 FIRST_PEAK_SHARE = 0.25  # of all hosts; what a burst needs at least
 # Of a pool's hosts; with less in use, a high rate is that of single large jobs.
 RISING_LOAD_SHARE = 0.6
+KEPT_BURSTS = 2  # of a pool, for a new planner; they tell the period
 FORECAST_TOLERANCE_S = 1.5  # how late a predicted burst may begin
 # Of the expected peak, for each of several pools that may be the next one to be hit.
 SHARED_FORECAST_SHARE = 0.6
@@ -111,6 +112,21 @@
         """Returns the boot times at which a pool's bursts began."""
         return list(self._trends[pool].burst_starts)
 
+    def bursts(self):
+        """Returns peak rate, in cores, and boot times of the last bursts, by pool."""
+        return {
+            pool: (trend.peak_arrival_rate, trend.burst_starts[-KEPT_BURSTS:])
+            for pool, trend in self._trends.items()
+            if trend.burst_starts
+        }
+
+    def restore_bursts(self, bursts):
+        """Adopts the bursts that a previous planner has seen; see ``bursts``."""
+        for pool, (peak_arrival_rate, starts) in bursts.items():
+            self._trends[pool] = DemandTrend(
+                peak_arrival_rate=peak_arrival_rate, burst_starts=list(starts)
+            )
+
     @property
     def is_busy(self):
         """Whether demand is so high that another burst would need all other hosts."""
