Prove the age of the operator's topic by complete reads only

A read whose answer the store cuts off before the end of the topic counted as proof that all earlier versions were applied, although a withdrawal of a key could be among the records not read yet. StoreClient.read now returns a PartialPage then, and the follower keeps its previous proof.

With strict revocation, reads of the operator's topic wait 0.5 s instead of 1.5 s, so the proof of an idle topic is at most about 1 s old.

--- a/basilwind/entry/configuration.py
+++ b/basilwind/entry/configuration.py
@@ -1,6 +1,6 @@
 """Keeps the operator's current configuration and maintenance waves."""
 
-from basilwind.entry.follower import KeyedFollower
+from basilwind.entry.follower import WAIT_S, KeyedFollower
 from basilwind.errors import RecordInvalid
 from basilwind.logs import log
 from basilwind.platform.documents import (
@@ -11,6 +11,9 @@
     decode_wave,
 )
 
+# A read's proof of the current keys is at most two reads old.
+STRICT_WAIT_S = 0.5
+
 
 class ConfigurationWatcher:
     """Follows the topic to which the operator publishes configuration and waves.
@@ -22,9 +25,17 @@
         on_version: Called with the ``Configuration`` that is replaced, or None, with
             the one that replaces it, whether versions between them may have been
             missed, and the boot time.
+        wait_s: How long a read may wait in the store for a record, in seconds.
     """
 
-    def __init__(self, store, clock, on_change, on_version=lambda *arguments: None):
+    def __init__(
+        self,
+        store,
+        clock,
+        on_change,
+        on_version=lambda *arguments: None,
+        wait_s=WAIT_S,
+    ):
         self._current = None
         self._waves = {}
         self._known_queues = {}
@@ -32,7 +43,12 @@
         self._on_change = on_change
         self._on_version = on_version
         self._follower = KeyedFollower(
-            store, OPERATOR_TOPIC, self._apply_records, self._apply_latest, clock
+            store,
+            OPERATOR_TOPIC,
+            self._apply_records,
+            self._apply_latest,
+            clock,
+            wait_s=wait_s,
         )
 
     @property
@@ -42,7 +58,7 @@
 
     @property
     def confirmed_at(self):
-        """Boot time at which the latest successful read was sent, or None.
+        """Boot time at which the latest complete read was sent, or None.
 
         Each version that the store had accepted by then has been applied.
         """
--- a/basilwind/entry/daemon.py
+++ b/basilwind/entry/daemon.py
@@ -9,9 +9,10 @@
 from basilwind.application import Application
 from basilwind.entry.caller_app import CallerApp
 from basilwind.entry.clock import boot_time, wall_time
-from basilwind.entry.configuration import ConfigurationWatcher
+from basilwind.entry.configuration import STRICT_WAIT_S, ConfigurationWatcher
 from basilwind.entry.duties import FLEET_DUTY, POOL_PREFIX, DutyManager
 from basilwind.entry.duty_runner import DutyRunner
+from basilwind.entry.follower import WAIT_S
 from basilwind.entry.intake import Intake
 from basilwind.entry.intake_router import IntakeRouter
 from basilwind.entry.metrics import EntryMetrics
@@ -156,7 +157,11 @@
             machine_client=MachineClient(transport, settings.machines_address),
             advice_client=AdviceClient(transport, settings.advice_address),
             configuration=ConfigurationWatcher(
-                store, boot_time, self._on_configuration, routes.note_configuration
+                store,
+                boot_time,
+                self._on_configuration,
+                routes.note_configuration,
+                STRICT_WAIT_S if settings.has_strict_revocation else WAIT_S,
             ),
             routes=routes,
             registry=WorkerRegistry(
--- a/basilwind/entry/follower.py
+++ b/basilwind/entry/follower.py
@@ -9,6 +9,7 @@
 
 from basilwind.errors import PlatformError, RetentionGap
 from basilwind.logs import log
+from basilwind.platform.store import PartialPage
 
 PLATFORM_RETRY_S = 0.25  # store outages last seconds
 IDLE_POLL_S = 0.05  # a new pool owner needs the worker list immediately
@@ -73,7 +74,7 @@
 
     @property
     def confirmed_at(self):
-        """Boot time at which the latest successful read was sent, or None.
+        """Boot time at which the latest read up to the topic's end was sent, or None.
 
         All records that the topic had then have been passed on.
         """
@@ -130,6 +131,7 @@
 
     async def _read_once(self):
         sent_at = self._clock()
+        is_partial = False
         if self._position is None:
             records, position = await self._store.read_latest(self._topic)
             # Set before the callback runs, since the callback may read the position.
@@ -137,12 +139,14 @@
             self._deliver(self._reset, records)
         else:
             records = await self._store.read(self._topic, self._position, self._wait_s)
+            is_partial = isinstance(records, PartialPage)
             if records:
                 self._position = records[-1].offset + 1
                 self._deliver(self._apply, records)
         if self._failed_at is not None and not self._has_recovered():
             log("store reachable again", topic=self._topic)
         self._read_at = self._clock()
-        self._confirmed_at = sent_at
+        if not is_partial:
+            self._confirmed_at = sent_at
         if self._pause_s:
             await anyio.sleep(self._pause_s)
--- a/basilwind/platform/store.py
+++ b/basilwind/platform/store.py
@@ -93,6 +93,10 @@
     sequence: int
 
 
+class PartialPage(list):
+    """Records of a read that ends before the end of the partition."""
+
+
 def encode_keyed_record(key, value):
     """Encodes a record for ``StoreClient.append``.
 
@@ -215,7 +219,8 @@
                 in seconds.
 
         Returns:
-            A list of ``KeyedRecord``, which may be empty.
+            A list of ``KeyedRecord``, which may be empty. It is a ``PartialPage`` if
+            the partition had further records when the store answered.
 
         Raises:
             RetentionGap: The store no longer retains the record at ``start``.
@@ -235,7 +240,9 @@
             return []
         if status != 200 or len(body) < _OFFSETS.size:
             raise StoreRefused(f"cannot read topic {topic}: status {status}")
-        return _decode_records(body, start)
+        records = _decode_records(body, start)
+        end, _ = _OFFSETS.unpack_from(body)
+        return PartialPage(records) if start + len(records) < end else records
 
     async def ping(self):
         """Checks that the store answers at all, with whatever status.
--- a/tests/entry/test_follower.py
+++ b/tests/entry/test_follower.py
@@ -4,7 +4,7 @@
 
 from basilwind.entry.follower import KeyedFollower
 from basilwind.errors import RetentionGap, StoreRefused
-from basilwind.platform.store import KeyedRecord
+from basilwind.platform.store import KeyedRecord, PartialPage
 
 
 class FakeStore:
@@ -29,6 +29,9 @@
 
 
 class TestKeyedFollower(unittest.TestCase):
+    def setUp(self):
+        self.clock = lambda: 0.0
+
     def _follow(self, *answers):
         self.events, self.positions = [], []
         follower = KeyedFollower(
@@ -36,7 +39,7 @@
             "keyed.x",
             lambda records: self._record_call("apply", follower, records),
             lambda records: self._record_call("reset", follower, records),
-            lambda: 0.0,
+            self.clock,
         )
 
         async def main():
@@ -62,6 +65,14 @@
         self.assertEqual(self.events[-1], ("reset", ["a"]))
         self.assertEqual(self.positions[-1], 9)
 
+    def test_read_that_ends_before_the_topic_does_proves_nothing(self):
+        # A version that withdraws a key could be among the records not read yet.
+        reset, page = ([], 3), [KeyedRecord(3, "a", b"1")]
+        self.clock = iter(range(100)).__next__
+        self.assertEqual(self._follow(reset, PartialPage(page)).confirmed_at, 0)
+        self.clock = iter(range(100)).__next__
+        self.assertGreater(self._follow(reset, page).confirmed_at, 0)
+
     def test_failed_read_is_retried(self):
         follower = self._follow(
             ([], 3), StoreRefused("unavailable"), [KeyedRecord(3, "b", b"1")]
