Authenticate calls, and keep jobs of customers apart

The caller API checks X-Key on arrival and again before a success. Submissions and cancellations carry the customer; owners answer with it, and ignore a cancellation or a submission of another customer. A job without a customer is open to all, as callers repeat calls across the introduction of customers.

The fakes of the moved-route tests return JobStatus, as PeerClient.job_state does.

--- a/basilwind/api/asgi.py
+++ b/basilwind/api/asgi.py
@@ -29,7 +29,8 @@
 
     method: str
     path: str
-    headers: dict[str, str]
+    # Left out of the representation, as headers contain the callers' keys.
+    headers: dict[str, str] = field(repr=False)
     query: dict[str, str]
     body: bytes = b""
 
--- a/basilwind/entry/caller_app.py
+++ b/basilwind/entry/caller_app.py
@@ -13,12 +13,15 @@
     read_request,
     send_response,
 )
-from basilwind.entry.intake import CANCEL_VALUE, cancellation_key
+from basilwind.entry.intake import cancellation_key, encode_cancellation
+from basilwind.entry.key_ring import KEY_HEADER, KeyOutcome, KeyRing
 from basilwind.entry.pool_arbiter import OWNER_RETRY_S
 from basilwind.errors import NotOwner, NotStarted, OutcomeUnknown, RequestInvalid
 from basilwind.platform.jobs import decode_job
 from basilwind.scheduling.admission import retry_after_s
+from basilwind.scheduling.jobs import is_foreign
 from basilwind.scheduling.records import SubmissionRecord
+from basilwind.scheduling.run_events import age_s
 
 JOB_ID = re.compile(r"[0-9a-f]{16}\Z", re.IGNORECASE)
 DEFAULT_DEADLINE_S = 3.0  # the callers' deadline in every deployment
@@ -110,15 +113,74 @@
             return _unavailable_response("no configuration yet")
         queue = configuration.find_queue(request.headers.get("host", ""), request.path)
         if queue is None:
-            return _error_response(404, "no queue has this host and path")
-        response = await self._route_queue(
-            queue, configuration.version, request, started_at
-        )
+            return self._unknown_queue_response(configuration)
+        decision = self._authenticate(queue, request)
+        if decision.outcome is KeyOutcome.UNKNOWN:
+            response = _error_response(401, "the key in X-Key belongs to no customer")
+        elif decision.outcome is KeyOutcome.STALE:
+            response = _unavailable_response("the key can't be checked now; try again")
+        else:
+            response = await self._route_queue(
+                queue, configuration.version, decision.customer, request, started_at
+            )
+            if response.status < 300:
+                response = self._confirm(response, decision, queue, request)
         seconds = self._services.clock() - started_at
         self._count_response(queue.name, request.method, response.status, seconds)
         return response
 
-    async def _route_queue(self, queue, version, request, started_at):
+    def _unknown_queue_response(self, configuration):
+        """Returns the response to a call for which no queue is configured.
+
+        Where there are customers, an outdated configuration refuses nothing for good.
+        """
+        if configuration.customers is None or self._key_ring.is_in_force(
+            self._services.clock()
+        ):
+            return _error_response(404, "no queue has this host and path")
+        return _unavailable_response("the configuration may be out of date; try again")
+
+    @property
+    def _key_ring(self):
+        # The settings may be replaced while the daemon runs.
+        return KeyRing(self._services.configuration, self._services.settings)
+
+    def _authenticate(self, queue, request):
+        """Returns the ``KeyDecision`` about a call at this moment."""
+        now = self._services.clock()
+        key = request.headers.get(KEY_HEADER, "")
+        decision = self._key_ring.authenticate(queue, key, now)
+        if decision.outcome is not KeyOutcome.ALLOWED:
+            self._services.report(
+                "key refused",
+                queue=queue.name,
+                method=request.method,
+                reason=decision.outcome.value,
+                version=self._services.configuration.current.version,
+                confirmed_age_s=age_s(self._services.configuration.confirmed_at, now),
+            )
+        return decision
+
+    def _confirm(self, response, decision, queue, request):
+        """Returns a success, unless its key is not valid any more.
+
+        Args:
+            response: ``HttpResponse`` to the call.
+            decision: ``KeyDecision`` when the call arrived.
+            queue: ``Queue`` that is called.
+            request: ``HttpRequest``.
+        """
+        if self._authenticate(queue, request) == decision:
+            return response
+        self._services.report(
+            "key withdrawn during call",
+            queue=queue.name,
+            method=request.method,
+            customer=decision.customer,
+        )
+        return _withdrawn_response(request.method)
+
+    async def _route_queue(self, queue, version, customer, request, started_at):
         deadline = started_at + _caller_timeout_s(request, queue) - RESPONSE_MARGIN_S
         name = request.path[len(queue.path_prefix) :]
         if not name:
@@ -130,29 +192,33 @@
         if not JOB_ID.match(name):
             return _error_response(404, "a job's id has 16 hexadecimal digits")
         if request.method == "POST":
-            return await self._submit(queue, version, name, request, deadline)
+            return await self._submit(queue, version, customer, name, request, deadline)
         if request.method == "GET":
-            return await self._get_state(queue, name, deadline)
+            return await self._get_state(queue, name, customer, deadline)
         if request.method == "DELETE":
-            return await self._cancel(queue, name, deadline)
+            return await self._cancel(queue, name, customer, deadline)
         return _error_response(405, "use POST, GET or DELETE")
 
-    async def _submit(self, queue, version, job_id, request, deadline):
+    async def _submit(self, queue, version, customer, job_id, request, deadline):
         try:
             spec = decode_job(request.body)
         except RequestInvalid as error:
             return _error_response(400, str(error))
         record = msgspec.json.encode(
             SubmissionRecord(
-                queue.name, self._services.wall_clock(), spec, queue, version
+                queue.name, self._services.wall_clock(), spec, queue, version, customer
             )
         )
         if len(record) + 64 > self._services.settings.store_record_bytes:
             return _error_response(413, "the job is larger than the store's records")
-        response = await self._admission_refusal(queue, job_id)
+        response = await self._foreign_job_response(queue, job_id, customer)
+        if response is None:
+            response = await self._admission_refusal(queue, job_id)
         if response is None:
             response = await self._accept(queue, version, job_id, record, deadline)
-        if response.status in REFUSALS and await self._is_accepted(queue, job_id):
+        if response.status in REFUSALS and await self._is_accepted(
+            queue, job_id, customer
+        ):
             # The job was accepted on an earlier attempt, so a refusal would be wrong.
             response = json_response({})
         self._services.report(
@@ -177,26 +243,49 @@
             return _unavailable_response(str(error))
         return await self._store(queue.pool, queue, job_id, record, deadline)
 
-    async def _is_accepted(self, queue, job_id):
+    async def _is_accepted(self, queue, job_id, customer):
         """Returns whether the owner has the job from an earlier attempt."""
         with anyio.move_on_after(ADMISSION_TIMEOUT_S):
             try:
-                return await self._find_state(queue, job_id) is not None
+                job = await self._find_job(queue, job_id)
             except NotOwner:
                 # Unknown without an owner; checked again when the caller retries.
                 return False
+            return job is not None and not is_foreign(job.customer, customer)
         return False
 
-    async def _cancel(self, queue, job_id, deadline):
+    async def _foreign_job_response(self, queue, job_id, customer):
+        """Returns a 403 response if another customer has a job of this id, or None.
+
+        Without an answer of the owner the call goes on. The owner ignores what another
+        customer stores for its job.
+        """
+        if self._services.configuration.current.customers is None:
+            return None
+        with anyio.move_on_after(ADMISSION_TIMEOUT_S):
+            for pool in {queue.pool} | self._services.routes.pools(queue):
+                try:
+                    job = await self._peers.job_state(pool, job_id)
+                except NotOwner:
+                    continue
+                if job is not None and is_foreign(job.customer, customer):
+                    return _foreign_response()
+        return None
+
+    async def _cancel(self, queue, job_id, customer, deadline):
         key = cancellation_key(job_id)
         try:
             await self._services.routes.refresh(self._services.clock())
         except NotStarted as error:
             return _unavailable_response(str(error))
+        foreign = await self._foreign_job_response(queue, job_id, customer)
+        if foreign is not None:
+            return foreign
+        value = encode_cancellation(customer)
         responses = []
 
         async def store(pool):
-            response = await self._store(pool, queue, key, CANCEL_VALUE, deadline)
+            response = await self._store(pool, queue, key, value, deadline)
             responses.append(response)
 
         async with anyio.create_task_group() as tasks:
@@ -225,12 +314,14 @@
             return json_response({})
         return _error_response(504, "the platform's store did not answer in time")
 
-    async def _get_state(self, queue, job_id, deadline):
+    async def _get_state(self, queue, job_id, customer, deadline):
         async def query():
-            state = await self._find_state(queue, job_id)
-            if state is None:
+            job = await self._find_job(queue, job_id)
+            if job is None:
                 return _error_response(410, "no such job")
-            return json_response({"state": state.value})
+            if is_foreign(job.customer, customer):
+                return _foreign_response()
+            return json_response({"state": job.state.value})
 
         return await self._retry_until(deadline, query)
 
@@ -249,23 +340,24 @@
                     return _unavailable_response(str(error))
                 await anyio.sleep(OWNER_RETRY_S)
 
-    async def _find_state(self, queue, job_id):
-        state = await self._peers.job_state(queue.pool, job_id)
-        if state is not None:
-            return state
+    async def _find_job(self, queue, job_id):
+        """Returns the ``JobStatus`` of a job, or None if no pool has it."""
+        job = await self._peers.job_state(queue.pool, job_id)
+        if job is not None:
+            return job
         await self._refresh_routes()
         # The queue may have been assigned to another pool after the job was submitted.
         configured = self._services.configuration.current.pools
         others = self._services.routes.pools(queue) | configured.keys()
         for pool in others - {queue.pool}:
             try:
-                state = await self._peers.job_state(pool, job_id)
+                job = await self._peers.job_state(pool, job_id)
             except NotOwner:
                 if self._services.arbiter.has_owner(pool):
                     raise
                 continue
-            if state is not None:
-                return state
+            if job is not None:
+                return job
         return None
 
     async def _refresh_routes(self):
@@ -337,6 +429,19 @@
     return HttpResponse(status, msgspec.json.encode({"error": message}))
 
 
+def _foreign_response():
+    return _error_response(403, "the job belongs to another customer")
+
+
+def _withdrawn_response(method):
+    """Returns the response to a call whose key was valid only when it arrived."""
+    if method == "GET":
+        return _unavailable_response("the key can't be checked any more; try again")
+    return _error_response(
+        504, "the key can't be checked any more; the outcome is unknown"
+    )
+
+
 def _interrupted_response(method):
     """Returns the response to a request whose processing was broken off.
 
--- a/basilwind/entry/intake.py
+++ b/basilwind/entry/intake.py
@@ -4,7 +4,9 @@
 """
 
 import anyio
+import msgspec
 
+from basilwind.checked_json import decode_json
 from basilwind.entry.auto_reset_event import AutoResetEvent
 from basilwind.errors import (
     NotStarted,
@@ -14,10 +16,11 @@
 )
 from basilwind.platform.store import Producer, encode_keyed_record
 from basilwind.scheduling.jobs import Job
-from basilwind.scheduling.records import decode_submission
+from basilwind.scheduling.records import CancelRecord, decode_submission
 
 CANCEL_PREFIX = "!"  # never the first character of a job id
-CANCEL_VALUE = b"1"  # an empty value would delete the key
+# Cancellation that no customer sent; an empty value would delete the key.
+CANCEL_VALUE = b"1"
 RETRY_S = 0.1  # shorter than a caller's timeout, longer than an answer of the store
 REFUSE_AFTER_S = 1.0  # a third of the callers' deadline of 3 s
 
@@ -32,11 +35,33 @@
     return CANCEL_PREFIX + job_id
 
 
-def cancelled_job_id(record):
-    """Returns the id of the job that an intake record cancels, or None."""
-    if record.key.startswith(CANCEL_PREFIX) and record.value:
-        return record.key[len(CANCEL_PREFIX) :]
-    return None
+def encode_cancellation(customer):
+    """Returns the value of the record with which a customer, or nobody, cancels."""
+    return msgspec.json.encode(CancelRecord(customer)) if customer else CANCEL_VALUE
+
+
+def decode_cancellation(record, report):
+    """Returns the id of the job that an intake record cancels and by whom, or None.
+
+    Args:
+        record: ``KeyedRecord`` of the intake.
+        report: Logs and counts an event; called if the record can't be decoded.
+
+    Returns:
+        The job's id and the customer's name, which is empty if no customer sent it; or
+        None if the record cancels nothing.
+    """
+    if not record.key.startswith(CANCEL_PREFIX) or not record.value:
+        return None
+    job_id = record.key[len(CANCEL_PREFIX) :]
+    if record.value == CANCEL_VALUE:
+        return job_id, ""
+    try:
+        cancel = decode_json(record.value, CancelRecord, "cancellation", RecordInvalid)
+    except RecordInvalid as error:
+        report("cancellation damaged", job=job_id, error=str(error))
+        return None
+    return job_id, cancel.customer
 
 
 def decode_submitted_job(record, remember_queue, report):
@@ -118,7 +143,7 @@
 
         Args:
             key: Id of the job, or ``cancellation_key`` of it.
-            value: Encoded ``SubmissionRecord``, or ``CANCEL_VALUE``.
+            value: Encoded ``SubmissionRecord``, or ``encode_cancellation``.
             patience_s: How long the caller waits, seconds. A record that has not been
                 sent by then is withdrawn.
 
--- a/basilwind/entry/owner.py
+++ b/basilwind/entry/owner.py
@@ -8,10 +8,18 @@
 from basilwind.entry.auto_reset_event import AutoResetEvent
 from basilwind.entry.duties import POOL_PREFIX
 from basilwind.entry.follower import PLATFORM_RETRY_S
-from basilwind.entry.intake import cancelled_job_id, decode_submitted_job, intake_topic
+from basilwind.entry.intake import (
+    decode_cancellation,
+    decode_submitted_job,
+    intake_topic,
+)
 from basilwind.entry.journal import JobJournal
 from basilwind.entry.registry import REAPPEAR_S
-from basilwind.entry.takeover import read_latest_records, restore_jobs
+from basilwind.entry.takeover import (
+    read_latest_records,
+    report_foreign_submission,
+    restore_jobs,
+)
 from basilwind.entry.worker_leases import WorkerLeaseRenewer
 from basilwind.errors import (
     CallRefused,
@@ -22,7 +30,7 @@
     RetentionGap,
 )
 from basilwind.platform.store import encode_keyed_record
-from basilwind.scheduling.jobs import JobState
+from basilwind.scheduling.jobs import JobState, JobStatus, is_foreign
 from basilwind.scheduling.ownership import MAX_STORE_SILENCE_S, has_reached_store
 from basilwind.scheduling.pool import PoolState
 from basilwind.scheduling.records import decode_submission
@@ -155,7 +163,7 @@
             )
 
     async def job_state(self, job_id):
-        """Returns a job's durable ``JobState``, or None if there is no such job.
+        """Returns a job's durable ``JobStatus``, or None if there is no such job.
 
         Raises:
             NotOwner: The job is unknown here, but a later owner may know it.
@@ -170,7 +178,7 @@
             return None
         if not job.is_live:
             await self._journal.flush()
-        return job.state
+        return JobStatus(job.state, job.customer)
 
     async def flush(self):
         """Waits until all changes made so far are durable."""
@@ -289,10 +297,12 @@
                 self._schedule_event.set()
 
     def _apply_intake_record(self, record):
-        cancelled = cancelled_job_id(record)
-        if cancelled is not None:
-            self._state.cancel(cancelled, self._clock())
-        if record.key in self._state.jobs:
+        cancellation = decode_cancellation(record, self._report)
+        if cancellation is not None:
+            job_id, customer = cancellation
+            self._state.cancel(job_id, self._clock(), customer)
+        known = self._state.jobs.get(record.key)
+        if known is not None and not known.customer:
             return
         submitted = decode_submitted_job(
             record, self._services.configuration.remember_queue, self._report
@@ -300,6 +310,12 @@
         if submitted is None:
             return
         job, version = submitted
+        if known is not None:
+            if is_foreign(known.customer, job.customer):
+                report_foreign_submission(
+                    job.job_id, known.customer, job.customer, self._report
+                )
+            return
         if self._state.find_decline(record.key, version):
             self._tasks.start_soon(self._forward, record)
         else:
--- a/basilwind/entry/peer_app.py
+++ b/basilwind/entry/peer_app.py
@@ -129,8 +129,8 @@
 
 async def job_response(owner, job_id):
     """Returns an owner's ``JobResponse`` for a job."""
-    state = await owner.job_state(job_id)
-    return JobResponse(state)
+    status = await owner.job_state(job_id)
+    return JobResponse(status.state, status.customer) if status else JobResponse(None)
 
 
 def queue_response(owner, queue):
--- a/basilwind/entry/peer_client.py
+++ b/basilwind/entry/peer_client.py
@@ -27,6 +27,7 @@
 )
 from basilwind.logs import log
 from basilwind.scheduling.demand import PoolReport
+from basilwind.scheduling.jobs import JobStatus
 
 CALL_TIMEOUT_S = 1.0  # a third of the callers' deadline of 3 s
 PLANNER_TIMEOUT_S = 0.3  # an answer takes 2 ms, or 24 ms between regions
@@ -48,7 +49,7 @@
         self._find_address = find_address
 
     async def job_state(self, pool, job_id):
-        """Returns a job's ``JobState``, or None if the owner knows no such job.
+        """Returns a job's ``JobStatus``, or None if the owner knows no such job.
 
         Raises:
             NotOwner: No owner answered.
@@ -58,7 +59,9 @@
             return await owner.job_state(job_id)
         body = await self._call(pool, f"/jobs/{pool}/{job_id}")
         answer = decode_json(body, JobResponse, f"state of job {job_id}", NotOwner)
-        return answer.state
+        if answer.state is None:
+            return None
+        return JobStatus(answer.state, answer.customer)
 
     async def decline(self, pool, job_id, version, target):
         """Has an owner leave a job to another pool unless its own pool has it.
--- a/basilwind/entry/peer_messages.py
+++ b/basilwind/entry/peer_messages.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from basilwind.checked_json import Count, Duration, Name
+from basilwind.checked_json import Count, Duration, Name, OptionalName
 from basilwind.scheduling.jobs import JobState
 
 HOST_PATH = "/host"
@@ -19,9 +19,16 @@
 
 
 class JobResponse(msgspec.Struct):
-    """State of a job; ``state`` is None if the owner has no such job."""
+    """What a pool's owner tells about a job.
+
+    Attributes:
+        state: State of the job; None if the owner has no such job.
+        customer: Name of the customer to whom it belongs; empty if there is none, and
+            in responses of earlier versions.
+    """
 
     state: JobState | None
+    customer: OptionalName = ""
 
 
 class QueueResponse(msgspec.Struct):
--- a/basilwind/entry/takeover.py
+++ b/basilwind/entry/takeover.py
@@ -3,7 +3,11 @@
 import anyio
 
 from basilwind.entry.follower import PLATFORM_RETRY_S
-from basilwind.entry.intake import cancelled_job_id, decode_submitted_job, intake_topic
+from basilwind.entry.intake import (
+    decode_cancellation,
+    decode_submitted_job,
+    intake_topic,
+)
 from basilwind.entry.journal import (
     DECLINE_PREFIX,
     MAX_PARTS,
@@ -13,6 +17,7 @@
 )
 from basilwind.errors import PlatformError, RecordInvalid
 from basilwind.logs import log
+from basilwind.scheduling.jobs import is_foreign
 from basilwind.scheduling.records import (
     decode_decline,
     decode_job_record,
@@ -80,12 +85,16 @@
         job_record = job_records.get(record.key)
         if job_record:
             job.is_recorded = True
-            _apply_job_record(job, job_records, clock(), report)
+            record = _decode_job_record(job, job_records, report)
+            if record is not None and not _keep_customer(job, record, report):
+                continue
+            _apply_job_record(job, record, clock(), report)
         state.restore(job, wall_clock())
     for record in submissions:
-        job_id = cancelled_job_id(record)
-        if job_id is not None:
-            state.cancel(job_id, clock())
+        cancellation = decode_cancellation(record, report)
+        if cancellation is not None:
+            job_id, customer = cancellation
+            state.cancel(job_id, clock(), customer)
     return follow_from, elsewhere
 
 
@@ -129,12 +138,52 @@
             state.dropped.append(key)
 
 
-def _apply_job_record(job, job_records, now, report):
+def _decode_job_record(job, job_records, report):
+    """Returns the journal's ``JobRecord`` of a job, or None if it is damaged."""
     parts = []
     while part := job_records.get(part_key(job.job_id, len(parts) + 1)):
         parts.append(part)
     try:
-        record = decode_job_record(job_records[job.job_id], parts)
+        return decode_job_record(job_records[job.job_id], parts)
+    except RecordInvalid as error:
+        report("job record damaged", job=job.job_id, error=str(error))
+        return None
+
+
+def _keep_customer(job, record, report):
+    """Gives a job the customer of its record.
+
+    The intake has only the newest submission under an id, which another customer may
+    have sent.
+
+    Returns:
+        Whether the submission is the recorded job's.
+    """
+    if record.customer is None:
+        return True
+    if is_foreign(record.customer, job.customer):
+        report_foreign_submission(job.job_id, record.customer, job.customer, report)
+        return False
+    job.customer = record.customer
+    return True
+
+
+def report_foreign_submission(job_id, customer, caller, report):
+    """Reports a submission under the id of another customer's job.
+
+    Args:
+        job_id: Id of the job.
+        customer: Name of the customer to whom the job belongs.
+        caller: Name of the customer that sent the submission; empty if there is none.
+        report: Logs and counts an event.
+    """
+    report("submission ignored", job=job_id, customer=customer, caller=caller)
+
+
+def _apply_job_record(job, record, now, report):
+    if record is None:
+        return
+    try:
         restore_job(job, record, now)
-    except (RecordInvalid, KeyError, IndexError) as error:
+    except (KeyError, IndexError) as error:
         report("job record damaged", job=job.job_id, error=str(error))
--- a/basilwind/scheduling/jobs.py
+++ b/basilwind/scheduling/jobs.py
@@ -1,6 +1,7 @@
 """Jobs with their steps and tasks, and the state of each."""
 
 import enum
+from dataclasses import dataclass
 
 from basilwind.scheduling.specs import MAX_TASKS, JobSpec, StepSpec
 
@@ -15,6 +16,32 @@
     CANCELLED = "cancelled"
 
 
+@dataclass(frozen=True, slots=True)
+class JobStatus:
+    """What a pool's owner tells about a job.
+
+    Attributes:
+        state: ``JobState``.
+        customer: Name of the customer to whom the job belongs; empty if there is none.
+    """
+
+    state: JobState
+    customer: str = ""
+
+
+def is_foreign(job_customer, customer):
+    """Returns whether a job belongs to another customer than the caller.
+
+    A job that belongs to no customer, as one that was submitted before the operator
+    declared customers, is open to every caller.
+
+    Args:
+        job_customer: Name of the customer to whom the job belongs, or empty.
+        customer: Name of the calling customer, or empty.
+    """
+    return bool(job_customer) and job_customer != customer
+
+
 class TaskState(enum.Enum):
     """State of a task."""
 
--- a/basilwind/scheduling/pool_jobs.py
+++ b/basilwind/scheduling/pool_jobs.py
@@ -2,7 +2,7 @@
 
 from basilwind.scheduling.crashes import CrashTracker
 from basilwind.scheduling.estimates import RunTimes
-from basilwind.scheduling.jobs import Job, JobState, TaskState
+from basilwind.scheduling.jobs import Job, JobState, TaskState, is_foreign
 from basilwind.scheduling.records import DeclineRecord
 from basilwind.scheduling.run_events import MAX_ROWS, identity_row, requeue_row
 
@@ -71,8 +71,8 @@
         self._arrived_jobs = 0
         # Steps that may have waiting tasks; a dict keeps their order.
         self._ready = {}
-        # Ids of jobs whose cancellation arrived before their submission.
-        self._early_cancels = set()
+        # Customers whose cancellation of a job arrived before its submission, by id.
+        self._early_cancels = {}
         # Ids of live jobs whose occurrences have due times.
         self._timed_jobs = set()
         self._crashes = CrashTracker()
@@ -101,9 +101,8 @@
         if work:
             self._arrived_work += work
             self._arrived_jobs += 1
-        if job_id in self._early_cancels:
-            self._early_cancels.discard(job_id)
-            self._end_job(job, JobState.CANCELLED, now)
+        for canceller in self._early_cancels.pop(job_id, ()):
+            self.cancel(job_id, now, canceller)
 
     def decline(self, job_id, version, target, wall_time):
         """Leaves a job to another pool unless it is known here.
@@ -170,11 +169,26 @@
                 if not step.is_done and all(steps[n].is_done for n in step.spec.after):
                     self._ready[step] = None
 
-    def cancel(self, job_id, now):
-        """Cancels a job; an unknown job is cancelled once it is submitted."""
+    def cancel(self, job_id, now, customer=""):
+        """Cancels a job; an unknown job is cancelled once it is submitted.
+
+        Args:
+            job_id: Id of the job.
+            now: Boot time in seconds.
+            customer: Name of the customer that cancels it. Another customer's job is
+                not cancelled.
+        """
         job = self.jobs.get(job_id)
         if job is None:
-            self._early_cancels.add(job_id)
+            self._early_cancels.setdefault(job_id, set()).add(customer)
+        elif is_foreign(job.customer, customer):
+            self._report(
+                "cancel ignored",
+                job=job_id,
+                customer=job.customer,
+                caller=customer,
+                reason="the job belongs to another customer",
+            )
         elif job.is_live:
             self._end_job(job, JobState.CANCELLED, now)
 
--- a/basilwind/scheduling/records.py
+++ b/basilwind/scheduling/records.py
@@ -67,6 +67,8 @@
         crashes: Tasks under which workers have crashed.
         first_open: Number of the first occurrence that is not done.
         parts: Number of further records with tasks and crashes.
+        customer: Name of the customer to whom the job belongs, or empty; None in
+            records of earlier versions.
     """
 
     state: str
@@ -75,6 +77,7 @@
     crashes: list[CrashRecord] = []
     first_open: Count = 0
     parts: Count = 0
+    customer: OptionalName | None = None
 
 
 class JobPartRecord(msgspec.Struct, array_like=True):
@@ -108,6 +111,16 @@
     customer: OptionalName = ""
 
 
+class CancelRecord(msgspec.Struct, array_like=True):
+    """A cancellation by a customer.
+
+    Attributes:
+        customer: Name of the customer.
+    """
+
+    customer: Name
+
+
 class DeclineRecord(msgspec.Struct, array_like=True):
     """A job that its pool does not accept, as its path leads to another pool now.
 
@@ -160,7 +173,7 @@
 
 
 def _describe_job(job):
-    record = JobRecord(job.state.value)
+    record = JobRecord(job.state.value, customer=job.customer)
     if job.is_live:
         record.first_open = job.done_occurrences.first_open
         record.done_occurrences = sorted(job.done_occurrences.later)
--- a/tests/entry/test_moved_route.py
+++ b/tests/entry/test_moved_route.py
@@ -32,7 +32,7 @@
 from basilwind.platform.documents import CONFIGURATION_KEY
 from basilwind.platform.store import KeyedRecord
 from basilwind.scheduling.fleet import Pool
-from basilwind.scheduling.jobs import JobState
+from basilwind.scheduling.jobs import JobState, JobStatus
 from basilwind.scheduling.pool import PoolState
 from basilwind.scheduling.pool_jobs import DECLINE_VALID_S
 from basilwind.scheduling.records import DeclineRecord, SubmissionRecord
@@ -60,12 +60,13 @@
     async def job_state(self, pool, job_id):
         if pool not in self.states:
             raise NotOwner(pool)
-        return self.states[pool]
+        state = self.states[pool]
+        return None if state is None else JobStatus(state)
 
     async def decline(self, pool, job_id, version, target):
-        state = await self.job_state(pool, job_id)
+        status = await self.job_state(pool, job_id)
         self.declined.append((pool, version, target))
-        return state
+        return status.state if status else None
 
     async def queue(self, pool, queue):
         return QueueResponse(3 if pool == "old" else 2)
--- a/tests/utils/entry_fakes.py
+++ b/tests/utils/entry_fakes.py
@@ -222,6 +222,9 @@
         move_s=1.5,
         maintenance_s=2.0,
         machine_lease_s=3,
+        has_strict_revocation=False,
+        revoke_s=5.0,
+        config_apply_s=3.0,
     )
     routes = FakeRoutes()
     return Services(
