Let tasks wait for the right rack while that costs less than a remote run

Cause: a task with a data rack ran remotely as soon as the rack was full, and a step for one rack waited 1.5 s whatever that saved. Change: PlaceWaits compares the expected wait, from the remaining times of what runs in the rack and from what waits for it ahead, with what a remote run costs, within the job's slack and at most 1.5 s (2 s for long-running tasks). A waiting step is no shortage. Preemption uses the remaining time, and a remote run is learned as its time near the data.

--- a/basilwind/entry/owner.py
+++ b/basilwind/entry/owner.py
@@ -72,6 +72,7 @@
             services.settings.finished_job_retention_s,
             self._report,
             self._worker_limits,
+            remote_factor=services.settings.remote_factor,
         )
         self._journal = JobJournal(
             services.store,
--- a/basilwind/logs.py
+++ b/basilwind/logs.py
@@ -17,7 +17,7 @@
 MAX_RUN_LINES_PER_S = 600
 MAX_BUFFER_BYTES_FOR_RUNS = 2 * MAX_BUFFER_BYTES
 _ROUTINE_EVENTS = frozenset(
-    ("job submitted", "step placed", "capacity planned", "task paced")
+    ("job submitted", "step placed", "place wait", "capacity planned", "task paced")
 )
 
 
--- a/basilwind/scheduling/eligibility.py
+++ b/basilwind/scheduling/eligibility.py
@@ -52,6 +52,20 @@
     return max(0, fits)
 
 
+def count_places(step, workers):
+    """Returns how many tasks of a step fit into the free capacity of workers.
+
+    Args:
+        step: ``StepRun``.
+        workers: ``WorkerView`` objects.
+    """
+    return sum(
+        count_fitting(step.spec, worker.free_cpu, worker.free_memory, worker.free_gpu)
+        for worker in workers
+        if may_run(step, worker)
+    )
+
+
 def count_fitting_later(step, worker):
     """Returns how many tasks of a step fit once all tasks that end have ended.
 
--- a/basilwind/scheduling/jobs.py
+++ b/basilwind/scheduling/jobs.py
@@ -168,6 +168,7 @@
         unplaced_since: Boot time since which its tasks have fit on no worker, or None.
         reserved_worker: ``WorkerView`` that is kept free for it, or None.
         objective_estimate: Last ``ObjectiveEstimate``, or None.
+        place_wait: ``PlaceWait`` of its last wait for a rack, or None.
     """
 
     __slots__ = (
@@ -183,6 +184,7 @@
         "unplaced_since",
         "reserved_worker",
         "objective_estimate",
+        "place_wait",
     )
 
     def __init__(self, job, occurrence, number):
@@ -198,6 +200,7 @@
         self.unplaced_since = None
         self.reserved_worker = None
         self.objective_estimate = None
+        self.place_wait = None
 
     @property
     def is_done(self):
--- a/basilwind/scheduling/placement.py
+++ b/basilwind/scheduling/placement.py
@@ -10,8 +10,8 @@
 
 from basilwind.scheduling.crashes import is_quiet
 from basilwind.scheduling.eligibility import (
-    count_fitting,
     count_fitting_later,
+    count_places,
     may_run,
 )
 from basilwind.scheduling.health import is_on_probation
@@ -19,8 +19,6 @@
 from basilwind.scheduling.policy import valid_ticket
 
 MAX_SILENCE_S = 1.2  # a hold is answered within 1 s and its margin of 0.7 s
-# Tasks on several racks take up to 3 times as long.
-RACK_PATIENCE_S = 1.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -97,33 +95,38 @@
     return (is_remote, is_on_probation(worker), 0, remaining_cpu)
 
 
-def _restrict_to_rack(step, workers, now):
-    """Returns the workers for a step that is to run in one rack, or None to wait.
+def _restrict_to_rack(step, workers, waits):
+    """Returns the workers for a step that is to run in one rack, and how long to wait.
 
     That is the rack of its running tasks, or the tightest one that fits the whole step.
-    If none ever will, or not for a while, the tasks run on several racks: that takes
-    them longer, while waiting might take for ever.
+    If waiting for such a rack costs more than it saves, the tasks run on several racks.
+
+    Args:
+        step: ``StepRun``.
+        workers: ``WorkerView`` objects that it may use.
+        waits: ``PlaceWaits``.
+
+    Returns:
+        ``WorkerView`` objects, and the expected wait of the tasks that do not fit there
+        in seconds; None if they are not to wait.
     """
     racks = {}
     for worker in workers:
         racks.setdefault(worker.entry.rack, []).append(worker)
     used = {rack: members for rack, members in racks.items() if _runs_on(step, members)}
     if len(used) > 1:
-        return workers
+        return workers, None
     if not used:
         fitting = _tightest_rack(step, racks)
         if fitting is not None:
-            return fitting
-    is_patient = (
-        step.unplaced_since is None or now - step.unplaced_since < RACK_PATIENCE_S
-    )
-    has_room_later = any(
-        sum(count_fitting_later(step, worker) for worker in members) >= step.unfinished
-        for members in (used or racks).values()
-    )
-    if not is_patient or not has_room_later:
-        return workers
-    return next(iter(used.values()), None)
+            return fitting, None
+    for members in used.values():
+        if count_places(step, members) >= len(step.waiting()):
+            return members, None
+    expected_s = waits.room_wait_s(step, used or racks)
+    if expected_s is None:
+        return workers, None
+    return next(iter(used.values()), []), expected_s
 
 
 def _runs_on(step, workers):
@@ -139,32 +142,25 @@
         step: ``StepRun``.
         racks: Lists of ``WorkerView`` by rack.
     """
-    capacity = {
-        rack: sum(
-            count_fitting(
-                step.spec, worker.free_cpu, worker.free_memory, worker.free_gpu
-            )
-            for worker in members
-            if may_run(step, worker)
-        )
-        for rack, members in racks.items()
-    }
+    capacity = {rack: count_places(step, members) for rack, members in racks.items()}
     fitting = [rack for rack, fits in capacity.items() if fits >= step.unfinished]
     if not fitting:
         return None
     return racks[min(fitting, key=lambda rack: (capacity[rack], rack))]
 
 
-def place_step(step, workers, now):
+def place_step(step, workers, now, waits):
     """Reserves workers for a step's waiting tasks; a gang is placed as a whole.
 
     Args:
         step: ``StepRun``.
         workers: Usable ``WorkerView`` objects.
         now: Boot time in seconds.
+        waits: ``PlaceWaits``.
 
     Returns:
-        Pairs of task and worker, and whether capacity was missing.
+        Pairs of task and worker, and whether capacity was missing. It is not missing
+        for tasks that wait for a place in the right rack.
     """
     spec = step.spec
     candidates = workers
@@ -175,23 +171,81 @@
             if valid_ticket(step, worker.worker_id, now) is not None
         ]
     if spec.needs_one_rack:
-        candidates = _restrict_to_rack(step, candidates, now)
-        if candidates is None:
-            return [], True
+        candidates, expected_s = _restrict_to_rack(step, candidates, waits)
+        placed, is_short = _place_tasks(step, candidates)
+        missing = len(step.waiting()) - len(placed)
+        if expected_s is not None and missing:
+            waits.defer(step, "", expected_s, missing)
+            return placed, False
+        waits.settle(step, placed)
+        return placed, is_short
+    if spec.data_rack:
+        return _place_near_data(step, candidates, waits)
+    return _place_tasks(step, candidates)
+
+
+def _place_near_data(step, workers, waits):
+    """Reserves workers for tasks that take longer away from their data.
+
+    Returns:
+        As for ``place_step``.
+    """
+    queue = waits.queue_for_data(step, workers)
+    placed, is_short = _place_tasks(step, workers, queue)
+    if queue is not None and queue.waiting:
+        waits.defer(step, step.spec.data_rack, queue.expected_s, queue.waiting)
+        return placed, False
+    waits.settle(step, placed)
+    if is_short:
+        waits.add_ahead(step, len(step.waiting()) - len(placed))
+    return placed, is_short
+
+
+def _has_near(spec, workers):
+    return any(worker.entry.rack == spec.data_rack for worker in workers)
+
+
+def _place_tasks(step, workers, queue=None):
+    """Reserves workers for waiting tasks, except those for which waiting pays.
+
+    Args:
+        step: ``StepRun``.
+        workers: ``WorkerView`` objects that it may use.
+        queue: ``RackQueue`` of the rack with its data; None if no task is to wait.
+
+    Returns:
+        As for ``place_step``.
+    """
+    spec = step.spec
     placed = []
     is_short = False
     for task in step.waiting():
+        if queue is not None and queue.waiting and queue.pays():
+            queue.wait()
+            continue
         fitting = [
             worker
-            for worker in candidates
+            for worker in workers
             if worker.has_capacity_for(spec) and may_run(step, worker)
         ]
         if not fitting:
             is_short = True
             break
+        if queue is not None and not _has_near(spec, fitting):
+            needed = step.unfinished - len(placed) if spec.is_gang else 1
+            if queue.pays(needed):
+                queue.wait(needed)
+                if spec.is_gang:
+                    break
+                continue
+            # The places only get scarcer, and a gang that is partly remote is slow.
+            queue = None
         worker = min(fitting, key=lambda worker: _score(spec, worker))
         worker.reserve(task)
         placed.append((task, worker))
+        is_near = worker.entry.rack == spec.data_rack
+        if queue is not None and is_near and not spec.is_gang:
+            queue.add_run()
     if spec.is_gang and (is_short or len(placed) < step.unfinished):
         for task, worker in placed:
             worker.release(task)
@@ -224,11 +278,11 @@
     return placed
 
 
-def place_suspected_gang(step, workers, now):
+def place_suspected_gang(step, workers, now, waits):
     """Reserves workers for a gang that has suspects, those for it alone if possible."""
     quiet = [worker for worker in workers if is_quiet(worker, step.job, now)]
-    placed, is_short = place_step(step, quiet, now)
-    return (placed, is_short) if placed else place_step(step, workers, now)
+    placed, is_short = place_step(step, quiet, now, waits)
+    return (placed, is_short) if placed else place_step(step, workers, now, waits)
 
 
 def choose_reserved_worker(step, workers):
--- a/basilwind/scheduling/pool.py
+++ b/basilwind/scheduling/pool.py
@@ -119,17 +119,17 @@
                     continue
                 if task.spec.is_lasting:
                     task.is_stopping = may_interrupt(task, self.workers, now)
-                elif self._is_worth_preempting(task, now, wall_time):
+                elif self._is_worth_preempting(task, worker, now, wall_time):
                     task.is_stopping = True
 
-    def _is_worth_preempting(self, task, now, wall_time):
+    def _is_worth_preempting(self, task, worker, now, wall_time):
         """Returns whether a late task would occupy a withheld worker for too long."""
         if task.state is not TaskState.RUNNING or not self._is_late(
             task.job, wall_time
         ):
             return False
-        run_time_s = self.run_times.expected_s(task.job.queue, task.spec.estimate_s)
-        return task.confirmed_at + run_time_s - now > PREEMPTION_MIN_REMAINING_S
+        remaining_s = self._place_waits.remaining_s(task, worker, now)
+        return remaining_s > PREEMPTION_MIN_REMAINING_S
 
     def _expire_withholding(self, now):
         if now > self._withheld_until:
@@ -270,6 +270,7 @@
         self._is_overloaded = is_overloaded(self._urgent_waiting, cores)
         workers, kept = self._crashes.isolate(workers, now)
         orders, shortages = [], []
+        self._place_waits.begin_round(now, wall_time, self._is_overloaded)
         may_have_unrecorded_runs = self.has_unrecorded_runs(now)
         for step in self._rank_ready_steps(now, wall_time):
             if may_have_unrecorded_runs and self._may_have_unrecorded_runs(step):
@@ -290,7 +291,7 @@
             if step.spec.is_gang and not is_gang_waiting(step):
                 continue
             place = place_suspected_gang if step.job.suspects else place_step
-            placed, is_short = place(step, workers, now)
+            placed, is_short = place(step, workers, now, self._place_waits)
             orders += self._start_orders(step, placed, now)
             if not is_short or step.tickets is not None:
                 step.unplaced_since = None
@@ -310,6 +311,7 @@
                 shortages.append(
                     Shortage(step.spec.reserved_cpu, step.spec.memory, step.spec.gpu)
                 )
+        self._place_waits.end_round()
         return orders
 
     def _may_have_unrecorded_runs(self, step):
--- a/basilwind/scheduling/pool_jobs.py
+++ b/basilwind/scheduling/pool_jobs.py
@@ -2,6 +2,7 @@
 
 from basilwind.scheduling.crashes import CrashTracker
 from basilwind.scheduling.jobs import Job, JobState, TaskState
+from basilwind.scheduling.place_waits import PlaceWaits
 from basilwind.scheduling.records import DeclineRecord
 from basilwind.scheduling.run_events import MAX_ROWS, identity_row, requeue_row
 from basilwind.scheduling.run_times import RunTimes
@@ -22,6 +23,7 @@
         finished_job_retention_s: How long an ended job is kept, seconds.
         report: Called with an event's name and fields, for logs and metrics.
         worker_limits: ``WorkerLimits``.
+        remote_factor: Factor by which tasks take longer away from their rack.
 
     Attributes:
         jobs: ``Job`` by id.
@@ -40,13 +42,23 @@
     """
 
     def __init__(
-        self, name, token, find_queue, finished_job_retention_s, report, worker_limits
+        self,
+        name,
+        token,
+        find_queue,
+        finished_job_retention_s,
+        report,
+        worker_limits,
+        remote_factor=1.0,
     ):
         self.name = name
         self.token = token
         self.jobs = {}
         self.workers = {}
         self.run_times = RunTimes()
+        self._place_waits = PlaceWaits(
+            self.run_times, remote_factor, find_queue, report
+        )
         self.dirty = set()
         self.dropped = []
         self.declined = {}
--- a/basilwind/scheduling/pool_workers.py
+++ b/basilwind/scheduling/pool_workers.py
@@ -365,9 +365,11 @@
     def _learn_run_time(self, worker, task, now):
         """Updates run time estimates, and ejects the worker if it has become slow."""
         queue, declared_s = task.job.queue, task.spec.estimate_s
+        # What the task would have taken in the rack of its data.
         measured_s = now - task.confirmed_at
+        measured_s /= self._place_waits.run_factor(task.spec, worker)
         expected_s = self.run_times.expected_s(queue, declared_s)
-        self.run_times.record(queue, declared_s, measured_s)
+        self.run_times.record(queue, declared_s, measured_s, task.spec.image)
         ratio = measured_s / max(expected_s, 1e-3)
         if health.record_run_time(worker, ratio, self.workers.values(), now):
             self._report("worker avoided", worker=worker.worker_id, is_slow=True)
--- a/tests/utils/entry_fakes.py
+++ b/tests/utils/entry_fakes.py
@@ -219,6 +219,7 @@
         store_record_bytes=262144,
         max_lease_s=10.0,
         max_stop_s=0.9,
+        remote_factor=1.0,
         move_s=1.5,
         maintenance_s=2.0,
         machine_lease_s=3,
