Confirm connections for starts before they are needed

Cause: a start that found no idle connection opened one and asked for the worker's incarnation first, a round trip more for the first starts of a burst. Change: one connection is prepared after the first report of each incarnation, and the next one when a start takes the last idle one, up to the number that was lately in use at the same time. Each connection is still used only for the incarnation that has reported itself on it.

--- a/basilwind/entry/worker_leases.py
+++ b/basilwind/entry/worker_leases.py
@@ -72,10 +72,16 @@
             hold.cancel()
 
     async def run(self, worker):
-        """Sends hold calls to a worker until it has left the pool."""
+        """Sends hold calls to a worker until it has left the pool.
+
+        Connections for its starts are prepared meanwhile.
+        """
         try:
-            while self._state.workers.get(worker.worker_id) is worker:
-                await self._renew(worker)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._worker_control.prepare_starts, worker.worker_id)
+                while self._state.workers.get(worker.worker_id) is worker:
+                    await self._renew(worker)
+                tasks.cancel_scope.cancel()
         finally:
             self._holds.pop(worker.worker_id, None)
             await self._worker_control.forget(worker.worker_id)
--- a/basilwind/platform/workers.py
+++ b/basilwind/platform/workers.py
@@ -19,6 +19,7 @@
     WorkerCallFailed,
     WorkerReplaced,
 )
+from basilwind.platform.start_connections import PREPARATION_WAIT_S, StartConnections
 from basilwind.platform.worker_connections import WorkerConnections, worker_headers
 from basilwind.scheduling.reports import (
     EndedRun,
@@ -126,7 +127,7 @@
     def __init__(self, transport):
         self._transport = transport
         self._hold_connections = WorkerConnections(transport)
-        self._start_connections = WorkerConnections(transport)
+        self._start_connections = StartConnections(transport)
 
     async def start(
         self,
@@ -221,23 +222,38 @@
                 await permits.acquire()
         except TimeoutError as error:
             raise CallRefused(f"worker {worker_id}: no free connection") from error
-        connections = self._start_connections
         try:
-            connection = await connections.take(worker_id, incarnation_started_ms)
-            while connection is not None:
-                try:
-                    return await self._post_start(connection, address, worker_id, order)
-                except ConnectionGone:
-                    connection = await connections.take(
-                        worker_id, incarnation_started_ms
-                    )
-            connection = await self._connect(
-                address, worker_id, order, incarnation_started_ms
-            )
-            return await self._post_start(connection, address, worker_id, order)
+            with self._start_connections.count_use(worker_id):
+                return await self._send_on_confirmed(
+                    address, worker_id, order, incarnation_started_ms
+                )
         finally:
             permits.release()
 
+    async def _send_on_confirmed(
+        self, address, worker_id, order, incarnation_started_ms
+    ):
+        """Sends an order on a connection that is confirmed, or a new one.
+
+        A start that has waited for a preparation gives a new connection that much less
+        time, so it takes no longer than one that did not wait.
+        """
+        connections = self._start_connections
+        target = worker_id, address, order["fencingToken"], incarnation_started_ms
+        started_at = anyio.current_time()
+        connection = await connections.take_confirmed(*target)
+        waited_s = min(anyio.current_time() - started_at, PREPARATION_WAIT_S)
+        while connection is not None:
+            try:
+                return await self._post_start(connection, address, worker_id, order)
+            except ConnectionGone:
+                connection = await connections.take(worker_id, incarnation_started_ms)
+        connection = await self._connect(
+            address, worker_id, order, incarnation_started_ms, HOLD_MARGIN_S - waited_s
+        )
+        connections.request_next(*target)
+        return await self._post_start(connection, address, worker_id, order)
+
     async def _post_start(self, connection, address, worker_id, order):
         """Sends an order on a connection; closes it unless it is answered."""
         is_answered = False
@@ -256,12 +272,14 @@
             else:
                 await connection.close()
 
-    async def _connect(self, address, worker_id, order, incarnation_started_ms):
+    async def _connect(
+        self, address, worker_id, order, incarnation_started_ms, timeout_s
+    ):
         """Returns a new connection to an incarnation; see ``_send_start``."""
         connection = self._start_connections.create()
         try:
             report = await _read_incarnation(
-                connection, address, worker_id, order["fencingToken"]
+                connection, address, worker_id, order["fencingToken"], timeout_s
             )
         except CallUnanswered as error:
             raise CallRefused(f"worker {worker_id} did not report itself") from error
@@ -371,7 +389,9 @@
             if wait_s:
                 order["waitMs"] = int(wait_s * 1000)
             try:
-                report = await _hold(connection, address, worker_id, order, wait_s)
+                report = await _hold(
+                    connection, address, worker_id, order, wait_s + HOLD_MARGIN_S
+                )
             except ConnectionGone:
                 pass
             except CallTimedOut:
@@ -381,8 +401,29 @@
             connection = self._hold_connections.create()
             report = await _read_incarnation(connection, address, worker_id, token)
         await self._hold_connections.put_back(worker_id, connection)
+        self._start_connections.note_report(
+            worker_id, address, token, report.incarnation_started_ms
+        )
         return report
 
+    async def prepare_starts(self, worker_id):
+        """Opens connections for a worker's starts before they are needed.
+
+        One is opened after the first report of each incarnation, and the next one when
+        a start takes the last idle one. Runs until cancelled; without it, each start
+        that finds no idle connection opens one.
+
+        Args:
+            worker_id: Id of the worker.
+        """
+
+        async def connect(address, token):
+            connection = self._start_connections.create()
+            await _read_incarnation(connection, address, worker_id, token)
+            return connection
+
+        await self._start_connections.prepare(worker_id, connect)
+
     async def forget(self, worker_id):
         """Closes the connections that are kept for a worker that has left."""
         await self._hold_connections.forget(worker_id)
@@ -403,7 +444,9 @@
         )
 
 
-async def _read_incarnation(connection, address, worker_id, token):
+async def _read_incarnation(
+    connection, address, worker_id, token, timeout_s=HOLD_MARGIN_S
+):
     """Reads a worker's state on a new connection, which then is known to lead there.
 
     Returns:
@@ -413,17 +456,17 @@
         CallRefused: See ``WorkerControlClient.hold``, also for the further errors.
     """
     order = {"fencingToken": token, "lastSeen": 0}
-    report = await _hold(connection, address, worker_id, order, wait_s=0.0)
+    report = await _hold(connection, address, worker_id, order, timeout_s)
     connection.incarnation_started_ms = report.incarnation_started_ms
     return report
 
 
-async def _hold(connection, address, worker_id, order, wait_s):
+async def _hold(connection, address, worker_id, order, timeout_s):
     """Sends a hold; closes the connection unless a report comes back."""
     is_reported = False
     try:
         status, body = await connection.post(
-            address, worker_id, "/hold", order, wait_s + HOLD_MARGIN_S
+            address, worker_id, "/hold", order, timeout_s
         )
         report = _decode_report(address, worker_id, status, body)
         is_reported = True
--- a/tests/utils/entry_fakes.py
+++ b/tests/utils/entry_fakes.py
@@ -103,6 +103,9 @@
         await anyio.sleep(0.01)
         return WorkerReport(self._clock(), 1, (), ())
 
+    async def prepare_starts(self, worker_id):
+        """Prepares no connections, as there are none."""
+
     async def forget(self, worker_id):
         """Closes no connections, as there are none."""
 
--- a/tests/utils/takeover_play.py
+++ b/tests/utils/takeover_play.py
@@ -274,6 +274,9 @@
 
         return await self._call(worker_id, CALL_TIMEOUT_S + wait_s, execute)
 
+    async def prepare_starts(self, worker_id):
+        """Prepares no connections, as there are none."""
+
     async def forget(self, worker_id):
         """Closes no connections, as there are none."""
 
