Add 'basilwind where': tells where a job would go, and why

Cause: an operator could not see which rule keeps a job waiting, or whether it would be refused, without submitting it. Change: POST /where at the peer port of any daemon asks the owner of the queue's pool, which tries its decisions on copies of its workers and restores cached estimates.

--- a/basilwind/cli/definition.py
+++ b/basilwind/cli/definition.py
@@ -94,6 +94,36 @@
     return _run("explain", context, name=name, files=files, as_json=as_json)
 
 
+@cli.command()
+@click.argument("job_file", metavar="JOB.json", type=click.File("rb"))
+@click.option(
+    "--queue",
+    required=True,
+    metavar="HOST/PATH",
+    help="Host and path to which callers submit the job.",
+)
+@click.option(
+    "--entry",
+    required=True,
+    metavar="HOST:PORT",
+    help="Address for other daemons of an entry host.",
+)
+@click.option("--customer", default="", help="Name of the customer; never its key.")
+@JSON_LINES
+@click.pass_obj
+def where(context, job_file, queue, entry, customer, as_json):
+    """Tell where a job would go now, and why; nothing is submitted."""
+    return _run(
+        "where",
+        context,
+        job=job_file.read(),
+        queue=queue,
+        entry=entry,
+        customer=customer,
+        as_json=as_json,
+    )
+
+
 @cli.command()
 @click.argument("paths", nargs=-1, required=True, type=click.Path(exists=True))
 @click.pass_obj
--- a/basilwind/client.py
+++ b/basilwind/client.py
@@ -152,6 +152,20 @@
         except DaemonUnreachable:
             return False
 
+    async def where(self, question):
+        """Asks a daemon's peer port where a job would go.
+
+        Args:
+            question: JSON text of a ``WhereRequest``, bytes.
+
+        Returns:
+            The ``Reply``.
+
+        Raises:
+            DaemonUnreachable: The daemon did not answer in time.
+        """
+        return await self._request("POST", "/where", question)
+
     async def status(self):
         """Returns the daemon's ``DaemonStatus``."""
         reply = await self._request("GET", "/v1/status")
--- a/basilwind/entry/daemon.py
+++ b/basilwind/entry/daemon.py
@@ -28,6 +28,7 @@
 from basilwind.entry.settings_reloader import SettingsReloader
 from basilwind.entry.store_monitor import StoreMonitor
 from basilwind.entry.supervisor import supervise
+from basilwind.entry.where import WhereAnswers
 from basilwind.logs import log
 from basilwind.platform.advice import AdviceClient
 from basilwind.platform.machines import MachineClient
@@ -102,7 +103,10 @@
             HttpServer(self._serve_readiness, settings.ready_address),
             HttpServer(
                 PeerApp(
-                    self._find_loaded_owner, self._get_intake, self._shared_services
+                    self._find_loaded_owner,
+                    self._get_intake,
+                    self._shared_services,
+                    WhereAnswers(self._shared_services, self._peers).answer,
                 ),
                 f"{settings.ip}:{settings.peer_port}",
             ),
--- a/basilwind/entry/owner.py
+++ b/basilwind/entry/owner.py
@@ -22,12 +22,13 @@
     RetentionGap,
 )
 from basilwind.platform.store import encode_keyed_record
-from basilwind.scheduling.jobs import JobState
+from basilwind.scheduling.jobs import Job, JobState
 from basilwind.scheduling.ownership import MAX_STORE_SILENCE_S, has_reached_store
 from basilwind.scheduling.pool import PoolState
 from basilwind.scheduling.records import decode_submission
 from basilwind.scheduling.reports import StartOutcome
 from basilwind.scheduling.run_events import age_s, order_row
+from basilwind.scheduling.where import TRIAL_JOB_ID, Trial, explain_placement
 from basilwind.scheduling.workers import WorkerLimits
 
 LEASE_S = 4.5  # outlasts 1.7 s of silence, 1 s of takeover and a hold call of 1.5 s
@@ -610,6 +611,28 @@
         """Returns for how many seconds a queue refuses new jobs; 0 to accept them."""
         return self._state.refuse_for_s(queue, self._clock(), self._wall_clock())
 
+    def explain_placement(self, queue, spec, customer):
+        """Returns the ``Reason`` list that tells where a job would go.
+
+        Changes nothing.
+
+        Args:
+            queue: ``Queue``.
+            spec: ``JobSpec``.
+            customer: Name of the customer; empty for none.
+        """
+        now, wall_time = self._clock(), self._wall_clock()
+        return explain_placement(
+            Trial(
+                self._state.snapshot(now, wall_time),
+                self._services.configuration.current,
+                queue,
+                Job(TRIAL_JOB_ID, queue.name, spec, wall_time, customer),
+                now,
+                wall_time,
+            )
+        )
+
     def summary(self):
         """Returns the numbers of live jobs, active tasks and workers, for metrics."""
         live = sum(job.state is not JobState.COMPLETED for job in self._live_jobs())
--- a/basilwind/entry/peer_app.py
+++ b/basilwind/entry/peer_app.py
@@ -14,6 +14,7 @@
     HANDOVER_PATH,
     HOST_PATH,
     TAKEOVER_PATH,
+    WHERE_PATH,
     DaemonResponse,
     DeclineRequest,
     HandoverRequest,
@@ -21,9 +22,12 @@
     JobResponse,
     QueueResponse,
     RelayedRecord,
+    WhereOwnerRequest,
+    WhereResponse,
     WithholdRequest,
 )
 from basilwind.errors import NotOwner, NotStarted, RequestInvalid
+from basilwind.platform.jobs import decode_job
 
 NOT_OWNER = 421
 
@@ -35,9 +39,12 @@
         find_owner: Returns the loaded ``PoolOwner`` of a pool, or None.
         get_intake: Returns the ``Intake`` of a pool.
         services: ``Services``.
+        answer_where: Coroutine function that takes the body of an operator's
+            ``WhereRequest`` and returns a ``WhereResponse``.
     """
 
-    def __init__(self, find_owner, get_intake, services):
+    def __init__(self, find_owner, get_intake, services, answer_where):
+        self._answer_where = answer_where
         self._find_owner = find_owner
         self._get_intake = get_intake
         self._services = services
@@ -72,6 +79,8 @@
             return self._describe_daemon()
         if request.path == HANDOVER_PATH:
             return self._hand_over_planning(request.body)
+        if request.path == WHERE_PATH:
+            return json_response(await self._answer_where(request.body))
         kind, _, path = request.path.strip("/").partition("/")
         pool, *rest = path.split("/")
         if kind == "intake":
@@ -95,8 +104,23 @@
             )
             report = owner.withhold(wanted.worker_ids, wanted.token, wanted.at_risk)
             return json_response(report)
+        if kind == "where":
+            return self._explain_placement(owner, request)
         raise RequestInvalid(f"no such call: {request.path}")
 
+    def _explain_placement(self, owner, request):
+        asked = decode_json(
+            request.body, WhereOwnerRequest, request.path, RequestInvalid
+        )
+        queue = self._services.configuration.find_queue(asked.queue)
+        if queue is None:
+            # The peer has another configuration.
+            raise RequestInvalid(f"no queue {asked.queue!r}")
+        spec = decode_job(asked.job)
+        return json_response(
+            WhereResponse(owner.explain_placement(queue, spec, asked.customer))
+        )
+
     def _describe_daemon(self):
         monitor = self._services.store_monitor
         return json_response(
--- a/basilwind/entry/peer_client.py
+++ b/basilwind/entry/peer_client.py
@@ -8,6 +8,7 @@
     HANDOVER_PATH,
     HOST_PATH,
     TAKEOVER_PATH,
+    WHERE_PATH,
     DaemonResponse,
     DeclineRequest,
     HandoverRequest,
@@ -15,6 +16,8 @@
     JobResponse,
     QueueResponse,
     RelayedRecord,
+    WhereOwnerRequest,
+    WhereResponse,
     WithholdRequest,
 )
 from basilwind.errors import (
@@ -26,6 +29,7 @@
     PeerError,
 )
 from basilwind.logs import log
+from basilwind.platform.jobs import decode_job
 from basilwind.scheduling.demand import PoolReport
 
 CALL_TIMEOUT_S = 1.0  # a third of the callers' deadline of 3 s
@@ -126,6 +130,38 @@
         )
         return decode_json(body, PoolReport, f"report of pool {pool}", NotOwner)
 
+    async def where(self, queue, job, customer):
+        """Has an owner tell where a job would go.
+
+        Args:
+            queue: ``Queue``.
+            job: The job, as a caller submits it, bytes.
+            customer: Name of the customer; empty for none.
+
+        Returns:
+            List of ``Reason``.
+
+        Raises:
+            NotOwner: No owner answered.
+            RequestInvalid: The job is malformed.
+        """
+        spec = decode_job(job)
+        owner = self._find_owner(queue.pool)
+        if owner is not None:
+            return owner.explain_placement(queue, spec, customer)
+        body = await self._call(
+            queue.pool,
+            f"{WHERE_PATH}/{queue.pool}",
+            "POST",
+            msgspec.json.encode(WhereOwnerRequest(queue.name, job, customer)),
+        )
+        answer = decode_json(body, WhereResponse, "reasons of an owner", NotOwner)
+        return answer.reasons
+
+    def owner_address(self, pool):
+        """Returns HOST:PORT of the daemon that owns a pool, or None."""
+        return self._find_address(pool)
+
     async def relay(self, claim, pool, queue, key, value):
         """Has a peer store a record in a pool's intake topic.
 
--- a/basilwind/entry/peer_messages.py
+++ b/basilwind/entry/peer_messages.py
@@ -9,10 +9,12 @@
 
 from basilwind.checked_json import Count, Duration, Name
 from basilwind.scheduling.jobs import JobState
+from basilwind.scheduling.where import Reason
 
 HOST_PATH = "/host"
 HANDOVER_PATH = "/planner/handover"
 TAKEOVER_PATH = "/takeover"
+WHERE_PATH = "/where"
 
 JobId = Annotated[str, msgspec.Meta(pattern=r"^[0-9A-Fa-f]{16}\Z")]
 IntakeKey = Annotated[str, msgspec.Meta(pattern=r"^!?[0-9A-Fa-f]{16}\Z")]
@@ -117,3 +119,39 @@
 
     incarnation: str
     ages_s: dict[str, Duration]
+
+
+class WhereRequest(msgspec.Struct):
+    """Question of an operator where a job would go; see ``basilwind where``.
+
+    Attributes:
+        host: Host header of the queue.
+        path: Path of the queue.
+        job: The job, as a caller submits it.
+        customer: Name of the customer; empty for none.
+    """
+
+    host: str
+    path: str
+    job: bytes
+    customer: str = ""
+
+
+class WhereOwnerRequest(msgspec.Struct):
+    """The same question to the owner of the queue's pool.
+
+    Attributes:
+        queue: Name of the queue.
+        job: The job, as a caller submits it.
+        customer: Name of the customer; empty for none.
+    """
+
+    queue: Name
+    job: bytes
+    customer: str = ""
+
+
+class WhereResponse(msgspec.Struct):
+    """Answer to where a job would go."""
+
+    reasons: list[Reason]
--- a/basilwind/scheduling/placement.py
+++ b/basilwind/scheduling/placement.py
@@ -74,7 +74,7 @@
     return sum(task.spec.is_filler for task in worker.tasks.values())
 
 
-def _score(spec, worker):
+def score_worker(spec, worker):
     """Returns the sort key of a worker for a task; the smallest is the best fit."""
     is_remote = bool(spec.data_rack) and spec.data_rack != worker.entry.rack
     remaining_cpu = worker.free_cpu - spec.reserved_cpu
@@ -189,7 +189,7 @@
         if not fitting:
             is_short = True
             break
-        worker = min(fitting, key=lambda worker: _score(spec, worker))
+        worker = min(fitting, key=lambda worker: score_worker(spec, worker))
         worker.reserve(task)
         placed.append((task, worker))
     if spec.is_gang and (is_short or len(placed) < step.unfinished):
--- a/basilwind/scheduling/pool.py
+++ b/basilwind/scheduling/pool.py
@@ -4,6 +4,7 @@
 writes dirty jobs to the journal before it acts on the result.
 """
 
+from contextlib import contextmanager
 from dataclasses import dataclass
 
 from basilwind.scheduling import health
@@ -35,6 +36,7 @@
 from basilwind.scheduling.reachability import reachable_workers
 from basilwind.scheduling.reports import StartOutcome
 from basilwind.scheduling.run_events import RequeueReason, worker_evidence
+from basilwind.scheduling.snapshot import PoolSnapshot, WaitingStep, copy_worker
 
 UNPLACED_AFTER_S = 0.5  # short tasks free capacity within a second
 WITHHOLD_S = 3.0  # the planner renews it every 0.4 s; a new planner needs 3 s
@@ -249,6 +251,64 @@
                 )
         return backlog
 
+    def snapshot(self, now, wall_time):
+        """Returns a ``PoolSnapshot``; does not change the state.
+
+        Args:
+            now: Boot time in seconds.
+            wall_time: Unix time in seconds.
+        """
+        workers = [copy_worker(worker) for worker in self.workers.values()]
+        usable = [worker for worker in workers if is_usable(worker, now)]
+        cores = sum(worker.entry.cpu for worker in usable) / 1000
+        reachable = reachable_workers(usable, workers, now)
+        open_workers, _ = self._crashes.isolate(reachable, now)
+        may_have_unrecorded_runs = self.has_unrecorded_runs(now)
+        with self._unchanged_estimates():
+            waiting = [
+                WaitingStep(
+                    self._rank(step, wall_time),
+                    step,
+                    self._is_held(step, now, may_have_unrecorded_runs),
+                )
+                for step in self._rank_ready_steps(now, wall_time)
+            ]
+            backlog = self._measure_backlog(cores, wall_time)
+        return PoolSnapshot(
+            pool=self.name,
+            workers=workers,
+            reachable=reachable,
+            open_workers=open_workers,
+            cores=cores,
+            waiting=waiting,
+            backlog=backlog,
+            is_overloaded=self._is_overloaded,
+            holds_lasting=now < self._withholding_unknown_until,
+            run_times=self.run_times,
+        )
+
+    @contextmanager
+    def _unchanged_estimates(self):
+        """Restores what ranking and measuring keep for the next scheduling round."""
+        totals = self._urgent_waiting, self._late_waiting
+        ready = dict(self._ready)
+        steps = [(step, step.objective_estimate, step.tickets) for step in ready]
+        jobs = [(job, job.latest_start) for job in self.jobs.values()]
+        try:
+            yield
+        finally:
+            self._urgent_waiting, self._late_waiting = totals
+            self._ready = ready
+            for step, estimate, tickets in steps:
+                step.objective_estimate = estimate
+                step.tickets = tickets
+            for job, latest_start in jobs:
+                job.latest_start = latest_start
+
+    def _rank(self, step, wall_time):
+        queue = self._find_queue(step.job.queue)
+        return rank_step(step, queue, self.run_times, wall_time, self._is_overloaded)
+
     # Orders
 
     def schedule(self, now, wall_time):
@@ -272,9 +332,7 @@
         orders, shortages = [], []
         may_have_unrecorded_runs = self.has_unrecorded_runs(now)
         for step in self._rank_ready_steps(now, wall_time):
-            if may_have_unrecorded_runs and self._may_have_unrecorded_runs(step):
-                continue
-            if step.spec.is_lasting and now < self._withholding_unknown_until:
+            if self._is_held(step, now, may_have_unrecorded_runs):
                 continue
             if step.job.suspects and not step.spec.is_gang:
                 # Its other tasks wait, as they may crash their workers, too.
@@ -312,6 +370,12 @@
                 )
         return orders
 
+    def _is_held(self, step, now, may_have_unrecorded_runs):
+        """Returns whether a step waits for what a takeover left unknown."""
+        if may_have_unrecorded_runs and self._may_have_unrecorded_runs(step):
+            return True
+        return step.spec.is_lasting and now < self._withholding_unknown_until
+
     def _may_have_unrecorded_runs(self, step):
         """Returns whether the previous owner may have started a step's waiting tasks.
 
--- a/tests/entry/test_hostile_records.py
+++ b/tests/entry/test_hostile_records.py
@@ -29,6 +29,7 @@
 from basilwind.entry.registry import WorkerRegistry
 from basilwind.entry.route_history import RouteHistory
 from basilwind.entry.store_monitor import StoreMonitor
+from basilwind.entry.where import WhereAnswers
 from basilwind.platform.store import KeyedRecord
 from basilwind.scheduling.records import SubmissionRecord
 from tests.entry.test_caller_app import FakePeers as NoPeers
@@ -228,13 +229,20 @@
         st.sampled_from(
             ["/", "/x", "/host", "/takeover", "/planner/handover", "/intake/pool"]
             + ["/withhold/pool", "/decline/pool", "/jobs/pool/x", "/queues/pool"]
+            + ["/where", "/where/pool"]
         ),
         hostile({"token": 1, "lease_s": 3.0, "worker_ids": ["w"], "job_id": "a" * 16})
-        | hostile({"queue": "q", "key": "a" * 16, "value": ""}),
+        | hostile({"queue": "q", "key": "a" * 16, "value": ""})
+        | hostile({"host": "h", "path": "/q/", "job": ""}),
     )
     def test_peers_get_an_answer_to_anything(self, path, body):
         services = make_services(Clock())
-        app = PeerApp(lambda pool: None, lambda pool: None, services)
+        app = PeerApp(
+            lambda pool: None,
+            lambda pool: None,
+            services,
+            WhereAnswers(services, None).answer,
+        )
         app._get_intake = lambda pool: types.SimpleNamespace(store=mock.AsyncMock())
         status, _ = self._respond(app, "POST", path, body)
         self.assertIn(status, (200, 400, 421, 503))
--- a/tests/entry/test_intake_router.py
+++ b/tests/entry/test_intake_router.py
@@ -144,7 +144,9 @@
                 self._relay(answer)
 
     def _post(self, intake, queue="q"):
-        app = PeerApp(lambda pool: None, lambda pool: intake, make_services(Clock()))
+        app = PeerApp(
+            lambda pool: None, lambda pool: intake, make_services(Clock()), None
+        )
         body = msgspec.json.encode(RelayedRecord(queue, JOB, b"job"))
         scope = {
             "method": "POST",
