Tests of prepared connections and of 'where' that fail without their rules

The cancelling beside the maximum is dropped, as a start always takes or waits for the preparation, so that the permits bound the connections.

--- a/basilwind/platform/start_connections.py
+++ b/basilwind/platform/start_connections.py
@@ -19,7 +19,7 @@
     WorkerCallFailed,
     WorkerReplaced,
 )
-from basilwind.platform.worker_connections import MAX_CONNECTIONS, WorkerConnections
+from basilwind.platform.worker_connections import WorkerConnections
 
 PEAK_PERIOD_S = (
     10.0  # bursts come every few seconds; servers close idle ones after 15 s
@@ -202,15 +202,15 @@
         if connection is None and preparation and not preparation.is_awaited:
             await self._await_preparation(preparation)
             connection = await self.take(worker_id, incarnation_started_ms)
-        if connection is None:
-            self._make_room(use)
-        else:
+        if connection is not None:
             self.request_next(worker_id, address, token, incarnation_started_ms)
         return connection
 
     def request_next(self, worker_id, address, token, incarnation_started_ms):
         """Requests a connection if more were lately in use at the same time than now.
 
+        The permits of the starts limit how many are in use.
+
         Args:
             worker_id: Id of the worker.
             address: HOST:PORT of the worker.
@@ -220,8 +220,7 @@
         use = self._uses.get(worker_id)
         if use is None:
             return
-        wanted = min(use.peak.value(anyio.current_time()), MAX_CONNECTIONS)
-        if use.in_use < wanted:
+        if use.in_use < use.peak.value(anyio.current_time()):
             self._request(worker_id, use, address, token, incarnation_started_ms)
 
     @staticmethod
@@ -230,20 +229,10 @@
         preparation.is_awaited = True
         with anyio.move_on_after(PREPARATION_WAIT_S):
             await preparation.ended.wait()
-        preparation.is_awaited = False
         if not preparation.ended.is_set():
+            # The start opens a connection in its place, not beside it.
             preparation.scope.cancel()
-
-    @staticmethod
-    def _make_room(use):
-        """Gives up a preparation beside which a start would exceed the maximum."""
-        preparation = use.preparation
-        if (
-            preparation is not None
-            and not preparation.is_awaited
-            and use.in_use >= MAX_CONNECTIONS
-        ):
-            preparation.scope.cancel()
+            await preparation.ended.wait()
 
     def _request(self, worker_id, use, address, token, incarnation_started_ms):
         """Requests a connection unless one is idle or in preparation."""
--- a/tests/platform/test_start_connections.py
+++ b/tests/platform/test_start_connections.py
@@ -74,15 +74,15 @@
         self._play(scenario)
 
     def test_second_burst_asked_again_after_the_connections_were_closed(self):
+        # Each of its starts on a new connection took a round trip more.
         async def scenario():
             await self._join()
+            self.network.start_s = 0.1
             await self._burst(3)
             await self.client._start_connections.drop_idle(WORKER_ID)
             await self._start()
-            await anyio.sleep(SETTLED_S)
-            self.network.call_s = 0.1
-            for _, seconds in await self._burst(3, gap_s=0.15):
-                self.assertAlmostEqual(seconds, self.network.call_s)
+            for _, seconds in await self._burst(3, gap_s=0.03):
+                self.assertAlmostEqual(seconds, self.network.start_s)
 
         self._play(scenario)
 
@@ -106,9 +106,17 @@
 
         self._play(scenario)
 
+    def test_second_start_waited_for_a_preparation_that_serves_the_first(self):
+        # It would then open its own connection a round trip later than before.
+        async def scenario():
+            await self._hold()
+            for _, seconds in await self._burst(2):
+                self.assertLessEqual(seconds, 2 * self.network.call_s + 0.001)
+
+        self._play(scenario)
+
     def test_failed_preparation_delays_no_start_and_is_not_retried(self):
         async def scenario():
-            self.network.outage = ""
             await self._hold()
             self.network.outage = "refused"
             await anyio.sleep(SETTLED_S)
@@ -130,6 +138,7 @@
             self.assertIs(outcome, StartOutcome.STARTED)
             expected_s = PREPARATION_WAIT_S + 2 * self.network.call_s
             self.assertAlmostEqual(seconds, expected_s)
+            self.assertEqual(self.network.most_open, 2)
 
         self._play(scenario)
 
@@ -162,10 +171,11 @@
     def test_connections_stay_bounded(self):
         async def scenario():
             await self._join()
-            for _ in range(5):
+            for outage in ("", "silent", "", "refused", "silent", ""):
+                self.network.outage = outage
                 await self._burst(3 * MAX_CONNECTIONS, gap_s=0.001)
                 await self.client._start_connections.drop_idle(WORKER_ID)
-            # One more is for holds.
+            # One more is for holds. A worker accepts 64 from all daemons.
             self.assertLessEqual(self.network.most_open, MAX_CONNECTIONS + 1)
 
         self._play(scenario)
--- a/tests/scheduling/test_where.py
+++ b/tests/scheduling/test_where.py
@@ -77,21 +77,26 @@
         self.assertEqual(len(orders), 4)
         self.assertTrue(texts["admission"][0].startswith("accept"))
 
-    def test_asking_changed_estimates_or_reservations_of_the_pool(self):
-        # A reservation that stays, or a job left dirty, would act on a mere question.
-        self._occupy(count=40, steps=2)
-        self.model.submit("b" * 16, make_job(count=9, cpu=7000))
-        self.model.submit("c" * 16, make_job(count=2, is_lasting=True))
-        self.model.advance(5.0)
+    def _check_unchanged(self):
         before = dump(self.model.state)
         for spec in (
             make_job(count=30, steps=3),
-            make_job(count=2, cpu=9000, is_gang=True),
+            make_job(count=2, cpu=3000, is_gang=True),
             make_job(is_lasting=True),
         ):
             self._explain(spec)
             self.assertEqual(dump(self.model.state), before)
 
+    def test_asking_changed_estimates_or_reservations_of_the_pool(self):
+        # A reservation that stays, or a job left dirty, would act on a mere question.
+        self._occupy(count=3, steps=2)
+        self._check_unchanged()
+        self._occupy("d" * 16, count=40)
+        self.model.submit("b" * 16, make_job(count=9, cpu=7000))
+        self.model.submit("c" * 16, make_job(count=2, is_lasting=True))
+        self.model.advance(5.0)
+        self._check_unchanged()
+
     def test_missing_capacity_is_told_by_worker(self):
         self._occupy(count=3, cpu=8000)
         self.model.withhold("w1")
--- a/tests/utils/transport_fakes.py
+++ b/tests/utils/transport_fakes.py
@@ -37,11 +37,12 @@
 
 
 class FakeWorkerNetwork:
-    """Connections to a worker that may start again; a call takes ``call_s``.
+    """Connections to a worker that may start again.
 
     Attributes:
         incarnation: Start of the incarnation that new connections lead to.
         call_s: Time that a call takes, seconds.
+        start_s: Time that an order to start takes, seconds.
         outage: What a new connection meets: "", "refused" or "silent".
         calls: Path and incarnation of each call that arrived.
         open: The connections that are open.
@@ -50,7 +51,7 @@
 
     def __init__(self, call_s=0.02):
         self.incarnation = 1
-        self.call_s = call_s
+        self.call_s = self.start_s = call_s
         self.outage = ""
         self.calls = []
         self.open = set()
@@ -79,7 +80,8 @@
             await self._connect(timeout_s, may_connect)
         path = url[url.rindex("/") :]
         self._network.calls.append((path, self._incarnation))
-        await anyio.sleep(self._network.call_s)
+        is_start = path == "/run-start"
+        await anyio.sleep(self._network.start_s if is_start else self._network.call_s)
         return 200, msgspec.json.encode({"clockMs": 1, "born": self._incarnation})
 
     async def _connect(self, timeout_s, may_connect):
