--- a/tests/entry/test_where.py
+++ b/tests/entry/test_where.py
@@ -12,6 +12,7 @@
 from basilwind.client import Reply
 from basilwind.context import Context
 from basilwind.core import run
+from basilwind.entry.owner import PoolOwner
 from basilwind.entry.peer_app import PeerApp
 from basilwind.entry.peer_client import PeerClient
 from basilwind.entry.peer_messages import WhereRequest, WhereResponse
@@ -84,6 +85,13 @@
                 reasons, [Reason("owner", OWNER_ADDRESS), Reason("asked", "q 2 acme")]
             )
 
+    def test_real_owner_tells_each_decision(self):
+        owner = PoolOwner("pool", 1, make_services(Clock()))
+        topics = [reason.topic for reason in self._reasons(owner=owner)]
+        decisions = ["queue", "pool", "customer", "admission", "overload"]
+        self.assertEqual(topics, ["owner", *decisions, "step 0", "step 0"])
+        self.assertEqual(owner.state.dirty, set())
+
     def test_without_an_owner_the_queue_is_told(self):
         # A question must not fail just when an operator needs it.
         for address in (None, OWNER_ADDRESS):
