--- a/basilwind/scheduling/place_waits.py
+++ b/basilwind/scheduling/place_waits.py
@@ -138,6 +138,17 @@
         # ``RackQueue`` by size of the tasks and run time.
         self._queues = {}
 
+    def trial(self, now, wall_time, is_overloaded):
+        """Returns a ``PlaceWaits`` that logs nothing, for one round; see there."""
+        waits = PlaceWaits(
+            self._run_times,
+            self._remote_factor,
+            self._find_queue,
+            lambda event, **fields: None,
+        )
+        waits.begin_round(now, wall_time, is_overloaded)
+        return waits
+
     def begin_round(self, now, wall_time, is_overloaded):
         """Begins a scheduling round.
 
--- a/basilwind/scheduling/placement.py
+++ b/basilwind/scheduling/placement.py
@@ -72,7 +72,7 @@
     return sum(task.spec.is_filler for task in worker.tasks.values())
 
 
-def _score(spec, worker):
+def score_worker(spec, worker):
     """Returns the sort key of a worker for a task; the smallest is the best fit."""
     is_remote = bool(spec.data_rack) and spec.data_rack != worker.entry.rack
     remaining_cpu = worker.free_cpu - spec.reserved_cpu
@@ -240,7 +240,7 @@
                 continue
             # The places only get scarcer, and a gang that is partly remote is slow.
             queue = None
-        worker = min(fitting, key=lambda worker: _score(spec, worker))
+        worker = min(fitting, key=lambda worker: score_worker(spec, worker))
         worker.reserve(task)
         placed.append((task, worker))
         is_near = worker.entry.rack == spec.data_rack
