Fair shares, job rates and admission of customers that compete for a pool

One customer that sends several times its share would fill the pool for all. New jobs of different customers go by start tags during overload, jobs beyond a customer's rate go last, and admission counts what goes ahead of a job under fair queueing. Without customers order and admission stay as they are.

--- a/basilwind/entry/caller_app.py
+++ b/basilwind/entry/caller_app.py
@@ -17,7 +17,11 @@
 from basilwind.entry.pool_arbiter import OWNER_RETRY_S
 from basilwind.errors import NotOwner, NotStarted, OutcomeUnknown, RequestInvalid
 from basilwind.platform.jobs import decode_job
-from basilwind.scheduling.admission import retry_after_s
+from basilwind.scheduling.admission import (
+    RefusalReason,
+    is_too_large,
+    retry_after_s,
+)
 from basilwind.scheduling.records import SubmissionRecord
 
 JOB_ID = re.compile(r"[0-9a-f]{16}\Z", re.IGNORECASE)
@@ -28,6 +32,13 @@
 QUEUE_CACHE_S = 0.5  # callers accept counts that are up to 2 s old
 ADMISSION_TIMEOUT_S = 0.1  # an owner answers in 2 ms; a missing owner is not waited for
 REFUSALS = (429, 503)  # statuses which promise that the job will never run
+UNCERTAIN = (503, 504)  # statuses whose causes an operator looks for
+REFUSAL_TEXTS = {
+    RefusalReason.BACKLOG: "your waiting jobs can't be served in time; return later",
+    RefusalReason.EXCESS: "you send more jobs per second than agreed; return later",
+    RefusalReason.QUOTA: "your quota is used up for some time; return later",
+    RefusalReason.TOO_LARGE: "a task or gang of the job is larger than your quota",
+}
 
 
 class CallerApp:
@@ -137,26 +148,33 @@
             return await self._cancel(queue, name, deadline)
         return _error_response(405, "use POST, GET or DELETE")
 
-    async def _submit(self, queue, version, job_id, request, deadline):
+    async def _submit(self, queue, version, job_id, request, deadline, customer=""):
         try:
             spec = decode_job(request.body)
         except RequestInvalid as error:
             return _error_response(400, str(error))
         record = msgspec.json.encode(
             SubmissionRecord(
-                queue.name, self._services.wall_clock(), spec, queue, version
+                queue.name, self._services.wall_clock(), spec, queue, version, customer
             )
         )
         if len(record) + 64 > self._services.settings.store_record_bytes:
             return _error_response(413, "the job is larger than the store's records")
-        response = await self._admission_refusal(queue, job_id)
+        response = await self._admission_refusal(queue, job_id, customer, spec)
         if response is None:
             response = await self._accept(queue, version, job_id, record, deadline)
         if response.status in REFUSALS and await self._is_accepted(queue, job_id):
             # The job was accepted on an earlier attempt, so a refusal would be wrong.
             response = json_response({})
+        details = {"customer": customer} if customer else {}
+        if response.status in UNCERTAIN:
+            details["reason"] = msgspec.json.decode(response.body)["error"]
         self._services.report(
-            "job submitted", job=job_id, queue=queue.name, status=response.status
+            "job submitted",
+            job=job_id,
+            queue=queue.name,
+            status=response.status,
+            **details,
         )
         return response
 
@@ -300,8 +318,10 @@
         self._queue_cache[queue.name] = (self._services.clock(), answer)
         return answer
 
-    async def _admission_refusal(self, queue, job_id):
+    async def _admission_refusal(self, queue, job_id, customer, spec):
         """Returns a 429 response if the queue can't take the job in time, or None."""
+        if customer:
+            return await self._customer_refusal(queue, job_id, customer, spec)
         answer = None
         with anyio.move_on_after(ADMISSION_TIMEOUT_S):
             try:
@@ -321,6 +341,59 @@
         )
         return response
 
+    async def _customer_refusal(self, queue, job_id, customer, spec):
+        """Returns a response that refuses a customer's job, or None."""
+        limits = self._services.configuration.find_customer(customer)
+        if limits is not None and is_too_large(spec, limits.maximum):
+            reason = RefusalReason.TOO_LARGE
+            return self._refuse(queue, job_id, customer, reason, None)
+        answer = None
+        with anyio.move_on_after(ADMISSION_TIMEOUT_S):
+            try:
+                answer = await self._peers.admission(
+                    queue.pool, queue.name, job_id, customer
+                )
+            except NotOwner:
+                # Jobs are accepted without an owner; the next owner picks them up.
+                return None
+        if answer is None:
+            return None
+        if answer.is_known:
+            is_foreign = answer.customer not in ("", customer)
+            return (
+                _error_response(403, "the job belongs to another customer")
+                if is_foreign
+                else None
+            )
+        if answer.reason is None or not answer.refuse_for_s:
+            return None
+        wait_s = retry_after_s(job_id, answer.refuse_for_s)
+        return self._refuse(queue, job_id, customer, answer.reason, wait_s)
+
+    def _refuse(self, queue, job_id, customer, reason, wait_s):
+        """Logs a refusal and returns its response; retries help unless it's too large.
+
+        Args:
+            queue: ``Queue``.
+            job_id: Id of the job.
+            customer: Name of the customer.
+            reason: ``RefusalReason``.
+            wait_s: Seconds after which to retry, or None.
+        """
+        body = {"error": REFUSAL_TEXTS[reason], "reason": reason.value}
+        response = HttpResponse(429, msgspec.json.encode(body))
+        if wait_s is not None:
+            response.headers["Retry-After"] = str(wait_s)
+        self._services.report(
+            "job refused",
+            job=job_id,
+            queue=queue.name,
+            customer=customer,
+            reason=reason.value,
+            retry_after_s=wait_s,
+        )
+        return response
+
 
 def _caller_timeout_s(request, queue):
     """Returns how long the caller waits for a response, in seconds."""
--- a/basilwind/entry/configuration.py
+++ b/basilwind/entry/configuration.py
@@ -28,6 +28,7 @@
         self._current = None
         self._waves = {}
         self._known_queues = {}
+        self._known_customers = {}
         self._clock = clock
         self._on_change = on_change
         self._on_version = on_version
@@ -61,6 +62,14 @@
         """
         return self._known_queues.get(name)
 
+    def find_customer(self, name):
+        """Returns a ``Customer`` by name, or None.
+
+        Customers that were removed from the configuration are still found, since jobs
+        may belong to them.
+        """
+        return self._known_customers.get(name)
+
     def remember_queue(self, queue):
         """Adds a ``Queue`` of an earlier configuration, unless a later one is known."""
         self._known_queues.setdefault(queue.name, queue)
@@ -92,6 +101,7 @@
         self._on_version(self._current, configuration, is_gap, self._clock())
         self._current = configuration
         self._known_queues.update(configuration.queues)
+        self._known_customers.update(configuration.customers or {})
 
     def _add_wave(self, wave):
         if wave.number not in self._waves:
--- a/basilwind/entry/owner.py
+++ b/basilwind/entry/owner.py
@@ -72,6 +72,7 @@
             services.settings.finished_job_retention_s,
             self._report,
             self._worker_limits,
+            find_customer=services.configuration.find_customer,
         )
         self._journal = JobJournal(
             services.store,
@@ -610,6 +611,15 @@
         """Returns for how many seconds a queue refuses new jobs; 0 to accept them."""
         return self._state.refuse_for_s(queue, self._clock(), self._wall_clock())
 
+    def admit(self, queue, customer):
+        """Returns the ``Admission`` of a customer's new job."""
+        return self._state.admit(queue, customer, self._clock(), self._wall_clock())
+
+    def find_customer_of(self, job_id):
+        """Returns the customer's name of a known job, or None for an unknown one."""
+        job = self._state.jobs.get(job_id)
+        return None if job is None else job.customer
+
     def summary(self):
         """Returns the numbers of live jobs, active tasks and workers, for metrics."""
         live = sum(job.state is not JobState.COMPLETED for job in self._live_jobs())
--- a/basilwind/entry/peer_app.py
+++ b/basilwind/entry/peer_app.py
@@ -14,6 +14,8 @@
     HANDOVER_PATH,
     HOST_PATH,
     TAKEOVER_PATH,
+    AdmissionRequest,
+    AdmissionResponse,
     DaemonResponse,
     DeclineRequest,
     HandoverRequest,
@@ -83,6 +85,11 @@
             return json_response(await job_response(owner, rest[0]))
         if kind == "queues" and rest:
             return json_response(queue_response(owner, rest[0]))
+        if kind == "admission":
+            submission = decode_json(
+                request.body, AdmissionRequest, request.path, RequestInvalid
+            )
+            return json_response(admission_response(owner, submission))
         if kind == "decline":
             decline = decode_json(
                 request.body, DeclineRequest, request.path, RequestInvalid
@@ -136,3 +143,12 @@
 def queue_response(owner, queue):
     """Returns an owner's ``QueueResponse`` for a queue."""
     return QueueResponse(owner.count_waiting(queue), owner.refuse_for_s(queue))
+
+
+def admission_response(owner, request):
+    """Returns an owner's ``AdmissionResponse`` to an ``AdmissionRequest``."""
+    customer = owner.find_customer_of(request.job_id)
+    if customer is not None:
+        return AdmissionResponse(customer=customer, is_known=True)
+    admission = owner.admit(request.queue, request.customer)
+    return AdmissionResponse(admission.refuse_for_s, admission.reason)
--- a/basilwind/entry/peer_client.py
+++ b/basilwind/entry/peer_client.py
@@ -3,11 +3,13 @@
 import msgspec
 
 from basilwind.checked_json import decode_json
-from basilwind.entry.peer_app import queue_response
+from basilwind.entry.peer_app import admission_response, queue_response
 from basilwind.entry.peer_messages import (
     HANDOVER_PATH,
     HOST_PATH,
     TAKEOVER_PATH,
+    AdmissionRequest,
+    AdmissionResponse,
     DaemonResponse,
     DeclineRequest,
     HandoverRequest,
@@ -99,6 +101,31 @@
         body = await self._call(pool, f"/queues/{pool}/{queue}")
         return decode_json(body, QueueResponse, f"queue {queue}", NotOwner)
 
+    async def admission(self, pool, queue, job_id, customer):
+        """Has a pool's owner decide on a customer's submission.
+
+        Args:
+            pool: Name of the pool.
+            queue: Name of the queue.
+            job_id: Id of the job.
+            customer: Name of the customer.
+
+        Returns:
+            ``AdmissionResponse``.
+
+        Raises:
+            NotOwner: No owner answered.
+        """
+        request = AdmissionRequest(queue, job_id, customer)
+        owner = self._find_owner(pool)
+        if owner is not None:
+            return admission_response(owner, request)
+        body = await self._call(
+            pool, f"/admission/{pool}", "POST", msgspec.json.encode(request)
+        )
+        what = f"admission of job {job_id}"
+        return decode_json(body, AdmissionResponse, what, NotOwner)
+
     async def withhold(self, pool, worker_ids, token, at_risk=()):
         """Has an owner keep new tasks off the given workers, and only off those.
 
--- a/basilwind/entry/peer_messages.py
+++ b/basilwind/entry/peer_messages.py
@@ -7,7 +7,8 @@
 
 import msgspec
 
-from basilwind.checked_json import Count, Duration, Name
+from basilwind.checked_json import Count, Duration, Name, OptionalName
+from basilwind.scheduling.admission import RefusalReason
 from basilwind.scheduling.jobs import JobState
 
 HOST_PATH = "/host"
@@ -36,6 +37,36 @@
     refuse_for_s: Duration = 0.0
 
 
+class AdmissionRequest(msgspec.Struct):
+    """Request to a pool's owner to decide on a submission.
+
+    Attributes:
+        queue: Name of the queue.
+        job_id: Id of the job.
+        customer: Name of the customer that submits it.
+    """
+
+    queue: str
+    job_id: JobId
+    customer: OptionalName
+
+
+class AdmissionResponse(msgspec.Struct):
+    """Decision of a pool's owner on a submission.
+
+    Attributes:
+        refuse_for_s: For how many seconds it is refused; 0 to accept it.
+        reason: Why it is refused, or None.
+        customer: Customer of the job that is known under this id; empty if none is.
+        is_known: Whether the job is known, and therefore accepted.
+    """
+
+    refuse_for_s: Duration = 0.0
+    reason: RefusalReason | None = None
+    customer: OptionalName = ""
+    is_known: bool = False
+
+
 class DeclineRequest(msgspec.Struct):
     """Request to a pool's owner to leave a job to another pool.
 
--- a/basilwind/scheduling/admission.py
+++ b/basilwind/scheduling/admission.py
@@ -4,9 +4,14 @@
 can use an answer. A job that would end after its result is of any use is refused at
 once. Callers are told to retry when the backlog has drained, spread over some seconds
 so that they do not return all at once. Nothing is refused while workers are free.
+
+Load pattern with customers: one of them sends several times its share. The others' jobs
+end as early as under fair queueing, so only its own jobs are refused.
 """
 
+import enum
 import math
+from dataclasses import dataclass
 
 USEFUL_LATENESS_FACTOR = 3.0  # an answer is of use up to three times its objective
 POOL_GROWTH_FACTOR = 3.0  # during its burst a pool gets about three times its hosts
@@ -41,10 +46,146 @@
     """
     if cores <= 0:
         return 0.0
+    wait_s = backlog / (cores * POOL_GROWTH_FACTOR)
+    return max(0.0, wait_s - useful_s(queue, run_times))
+
+
+def useful_s(queue, run_times):
+    """Returns the time for which a result of a queue's jobs is of use, seconds."""
     chain_s = TYPICAL_STEPS * run_times.expected_s(queue.name, 0.0)
     objective_s = queue.target_s + queue.stretch * chain_s
-    wait_s = backlog / (cores * POOL_GROWTH_FACTOR)
-    return max(0.0, wait_s - USEFUL_LATENESS_FACTOR * objective_s)
+    return USEFUL_LATENESS_FACTOR * objective_s
+
+
+class RefusalReason(enum.Enum):
+    """Why a customer's job is refused, as callers see it."""
+
+    BACKLOG = "backlog"
+    EXCESS = "excess"
+    QUOTA = "quota"
+    TOO_LARGE = "too-large"
+
+
+@dataclass(frozen=True, slots=True)
+class Admission:
+    """Whether a customer's new job is accepted.
+
+    Attributes:
+        refuse_for_s: Seconds for which it is refused; 0 to accept it.
+        reason: ``RefusalReason``, or None if it is accepted.
+    """
+
+    refuse_for_s: float = 0.0
+    reason: RefusalReason | None = None
+
+
+ACCEPTED = Admission()
+
+
+@dataclass(slots=True)
+class CustomerWork:
+    """Unfinished work of a customer in a pool that goes before its next job.
+
+    Attributes:
+        weight: Its weight; above 0.
+        maximum_cores: Cores that it may use in all pools; 0 for no limit.
+        started: Work of its started jobs, core-seconds.
+        waiting: Work of its other jobs that are not excess, core-seconds.
+        running_cores: Cores that its tasks reserve on workers.
+    """
+
+    weight: float
+    maximum_cores: float = 0.0
+    started: float = 0.0
+    waiting: float = 0.0
+    running_cores: float = 0.0
+
+    @property
+    def is_at_quota(self):
+        """Whether it can start nothing until some of its tasks have ended."""
+        return 0.0 < self.maximum_cores <= self.running_cores
+
+    def limit(self, work, seconds):
+        """Returns how much of some work its quota lets it do within a time."""
+        if not self.maximum_cores:
+            return work
+        return min(work, self.maximum_cores * seconds)
+
+
+def fair_wait_s(own, works, cores, horizon_s):
+    """Returns the time until a customer's next job starts under fair queueing.
+
+    While the customer's backlog drains, each other customer gets its share by weight
+    and needs no more than its backlog. The customer's own share bounds the time, so
+    what others have started does not delay a customer with little work of its own.
+
+    Args:
+        own: ``CustomerWork`` of the customer.
+        works: ``CustomerWork`` objects of all customers, with its own.
+        cores: Cores of the pool's usable workers; above 0.
+        horizon_s: Time for which a result is of use, seconds. Work that others' quotas
+            do not allow to run within it delays nobody.
+    """
+    drain = own.waiting / own.weight
+    ahead = own.started + own.waiting
+    weights = own.weight
+    for other in works:
+        if other is own or not other.started + other.waiting:
+            continue
+        weights += other.weight
+        waiting = min(other.waiting, other.weight * drain)
+        ahead += other.limit(other.started + waiting, horizon_s)
+    by_share = (own.started + own.waiting) * weights / own.weight
+    return min(ahead, by_share) / (cores * POOL_GROWTH_FACTOR)
+
+
+def admit(own, works, cores, horizon_s, refill_s, is_overloaded):
+    """Decides on a customer's new job.
+
+    Args:
+        own: ``CustomerWork`` of the customer.
+        works: ``CustomerWork`` objects of all customers, with its own.
+        cores: Cores of the pool's usable workers.
+        horizon_s: Time for which a result is of use, seconds.
+        refill_s: Seconds until the job would not be excess; 0 if it is not.
+        is_overloaded: Whether the backlog exceeds what the pool can start in time.
+
+    Returns:
+        ``Admission``.
+    """
+    if cores <= 0:
+        return ACCEPTED
+    if refill_s > 0 and is_overloaded:
+        return Admission(refill_s, RefusalReason.EXCESS)
+    if own.maximum_cores:
+        wait_s = (own.started + own.waiting) / own.maximum_cores
+        if wait_s > horizon_s:
+            return Admission(wait_s - horizon_s, RefusalReason.QUOTA)
+        if own.is_at_quota:
+            return ACCEPTED
+    wait_s = fair_wait_s(own, works, cores, horizon_s)
+    if wait_s > horizon_s:
+        return Admission(wait_s - horizon_s, RefusalReason.BACKLOG)
+    return ACCEPTED
+
+
+def is_too_large(spec, maximum):
+    """Returns whether a job's task, or gang as a whole, can never fit a quota.
+
+    Args:
+        spec: ``JobSpec``.
+        maximum: ``Resources`` of its customer; a resource with 0 has no limit.
+    """
+    for step in spec.steps:
+        count = step.count if step.is_gang else 1
+        needs = (
+            (step.reserved_cpu, maximum.cpu),
+            (step.memory, maximum.memory),
+            (step.gpu, maximum.gpu),
+        )
+        if any(0 < most < count * need for need, most in needs):
+            return True
+    return False
 
 
 def retry_after_s(job_id, wait_s):
--- a/basilwind/scheduling/jobs.py
+++ b/basilwind/scheduling/jobs.py
@@ -168,6 +168,7 @@
         unplaced_since: Boot time since which its tasks have fit on no worker, or None.
         reserved_worker: ``WorkerView`` that is kept free for it, or None.
         objective_estimate: Last ``ObjectiveEstimate``, or None.
+        rank: Last ``Rank``, or None.
     """
 
     __slots__ = (
@@ -183,6 +184,7 @@
         "unplaced_since",
         "reserved_worker",
         "objective_estimate",
+        "rank",
     )
 
     def __init__(self, job, occurrence, number):
@@ -198,6 +200,7 @@
         self.unplaced_since = None
         self.reserved_worker = None
         self.objective_estimate = None
+        self.rank = None
 
     @property
     def is_done(self):
@@ -250,6 +253,8 @@
         spec: ``JobSpec``.
         accepted_at: Time of acceptance, Unix seconds.
         customer: Name of the customer that submitted it; empty if there is none.
+        is_excess: Whether its customer sent more than its weight in jobs per second.
+            Not persisted: after a takeover jobs count as not excess.
         state: ``JobState``.
         occurrences: Steps of each started and unfinished occurrence, by its number.
         done_occurrences: ``DoneOccurrences``.
@@ -268,6 +273,7 @@
         "spec",
         "accepted_at",
         "customer",
+        "is_excess",
         "state",
         "occurrences",
         "done_occurrences",
@@ -282,6 +288,7 @@
     def __init__(self, job_id, queue, spec: JobSpec, accepted_at, customer=""):
         self.job_id = job_id
         self.customer = customer
+        self.is_excess = False
         self.queue = queue
         self.spec = spec
         self.accepted_at = accepted_at
--- a/basilwind/scheduling/ordering.py
+++ b/basilwind/scheduling/ordering.py
@@ -11,7 +11,9 @@
 While the backlog exceeds what the pool can start in time (overload), least slack first
 would start every job when it can only just meet its objective, and most would then miss
 it. New jobs go newest first during overload: those that are started meet their
-objective, and the others are late in either order.
+objective, and the others are late in either order. New jobs of different customers go
+by their shares instead, as one customer's jobs would otherwise displace the others'.
+Excess jobs of customers go behind all others.
 
 During a burst hundreds of steps wait, and each answer of a worker ranks all of them.
 Each step therefore keeps its estimate, so that ranking only compares it with the time.
@@ -46,17 +48,22 @@
 
     Attributes:
         is_finite: Whether its tasks end by themselves, unlike long-running ones.
+        is_excess: Whether its customer sends more jobs than its weight allows.
         priority: Priority class of the queue.
         is_late: Whether its job cannot meet the objective any more.
         is_new: Whether no task of its job was started.
+        start_tag: Start tag of a new job during overload, if several customers wait;
+            otherwise 0.
         urgency: Slack in seconds, negated for new jobs during overload; for a late or
             a long-running job the Unix time at which it was accepted or due.
     """
 
     is_finite: bool
+    is_excess: bool
     priority: int
     is_late: bool
     is_new: bool
+    start_tag: float
     urgency: float
 
 
@@ -84,7 +91,15 @@
         ``Rank``.
     """
     if step.spec.is_lasting:
-        return Rank(False, queue.priority, False, False, step.job.accepted_at)
+        return Rank(
+            False,
+            step.job.is_excess,
+            queue.priority,
+            False,
+            False,
+            0.0,
+            step.job.accepted_at,
+        )
     job = step.job
     estimate = step.objective_estimate
     if (
@@ -98,11 +113,10 @@
     slack = estimate.latest_start - wall_time
     is_new = not job.has_started
     if slack < (START_MARGIN * estimate.critical_path_s if is_new else 0.0):
-        return Rank(
-            True, queue.priority, True, False, _release_time(job, step.occurrence)
-        )
+        released_at = _release_time(job, step.occurrence)
+        return Rank(True, job.is_excess, queue.priority, True, False, 0.0, released_at)
     urgency = -slack if is_new and is_newest_first else slack
-    return Rank(True, queue.priority, False, is_new, urgency)
+    return Rank(True, job.is_excess, queue.priority, False, is_new, 0.0, urgency)
 
 
 def is_late(job, queue, run_times, wall_time):
--- a/basilwind/scheduling/pool.py
+++ b/basilwind/scheduling/pool.py
@@ -7,7 +7,14 @@
 from dataclasses import dataclass
 
 from basilwind.scheduling import health
-from basilwind.scheduling.admission import refuse_for_s, work_ahead
+from basilwind.scheduling.admission import (
+    ACCEPTED,
+    RefusalReason,
+    refuse_for_s,
+    useful_s,
+    work_ahead,
+)
+from basilwind.scheduling.customer_queues import describe_rank
 from basilwind.scheduling.demand import PoolReport, WorkerLoad
 from basilwind.scheduling.eligibility import can_be_placed_later
 from basilwind.scheduling.interruptions import may_interrupt
@@ -140,12 +147,15 @@
         """Returns the ``PoolReport`` for the planner."""
         urgent, late = self._measure_demand(now, wall_time)
         largest = self._largest_workers()
+        quota_room = self._customers.quota_room(self.workers.values())
         long_running = [
             task
             for job in self.jobs.values()
             if job.is_live
             for task in job.tasks()
-            if task.spec.is_lasting and self._is_in_demand(task.step, largest, now)
+            if task.spec.is_lasting
+            and self._is_in_demand(task.step, largest, now)
+            and (task.is_active or quota_room.take(task.step, 1))
         ]
         return PoolReport(
             pool=self.name,
@@ -227,26 +237,68 @@
         queue = self._find_queue(queue_name)
         if queue is None:
             return 0.0
+        cores = self._refresh_backlog(now, wall_time)
+        if self._customers.has_work:
+            return self.admit(queue_name, "", now, wall_time).refuse_for_s
+        return refuse_for_s(queue, self._cached_backlog, cores, self.run_times)
+
+    def admit(self, queue_name, customer, now, wall_time):
+        """Decides on a new job of a customer.
+
+        Args:
+            queue_name: Name of the queue.
+            customer: Name of the customer; empty for a job without one.
+            now: Boot time in seconds.
+            wall_time: Unix time in seconds.
+
+        Returns:
+            ``Admission``.
+        """
+        queue = self._find_queue(queue_name)
+        if queue is None:
+            return ACCEPTED
+        cores = self._refresh_backlog(now, wall_time)
+        admission = self._customers.admit(
+            customer,
+            cores,
+            useful_s(queue, self.run_times),
+            is_overloaded(self._urgent_waiting, cores),
+            now,
+        )
+        # Free workers are of no use to a customer whose quota is used up.
+        if admission.reason in (RefusalReason.BACKLOG, RefusalReason.EXCESS) and any(
+            not worker.tasks and not worker.unwanted_runs
+            for worker in self._usable_workers(now)
+        ):
+            return ACCEPTED
+        return admission
+
+    def _refresh_backlog(self, now, wall_time):
+        """Measures the backlog unless that was done lately; returns usable cores."""
         cores = sum(worker.entry.cpu for worker in self._usable_workers(now)) / 1000
         if now - self._backlog_measured_at > BACKLOG_MAX_AGE_S:
             self._backlog_measured_at = now
             self._cached_backlog = self._measure_backlog(cores, wall_time)
-        return refuse_for_s(queue, self._cached_backlog, cores, self.run_times)
+        return cores
 
     def _measure_backlog(self, cores, wall_time):
         """Returns the work that goes before a new job, core-seconds."""
         largest = self._largest_workers()
         running_work = self._running_work()
         backlog = 0.0
+        self._customers.start_measuring(self.workers.values())
         for job in self.jobs.values():
             queue = self._find_queue(job.queue) if job.is_live else None
             if queue is not None:
-                backlog += work_ahead(
+                running = running_work.get(job.job_id, 0.0)
+                ahead = work_ahead(
                     self._unfinished_work(job, largest.can_fit),
-                    running_work.get(job.job_id, 0.0),
+                    running,
                     slack_s(job, queue, self.run_times, wall_time),
                     cores,
                 )
+                backlog += ahead
+                self._customers.add_work(job, ahead, running)
         return backlog
 
     # Orders
@@ -267,7 +319,10 @@
             self._usable_workers(now), self.workers.values(), now
         )
         cores = sum(worker.entry.cpu for worker in workers) / 1000
-        self._is_overloaded = is_overloaded(self._urgent_waiting, cores)
+        # Excess jobs go behind all others, so they do not change the others' order.
+        self._is_overloaded = is_overloaded(
+            self._urgent_waiting - self._customers.excess_waiting, cores
+        )
         workers, kept = self._crashes.isolate(workers, now)
         orders, shortages = [], []
         may_have_unrecorded_runs = self.has_unrecorded_runs(now)
@@ -373,7 +428,9 @@
         """
         ranked = []
         largest = self._largest_workers()
+        quota_room = self._customers.quota_room(self.workers.values())
         self._urgent_waiting = self._late_waiting = 0.0
+        self._customers.excess_waiting = 0.0
         for step in list(self._ready):
             waiting = len(step.waiting())
             if not waiting:
@@ -390,12 +447,22 @@
             ranked.append((rank, step))
             if not self._is_in_demand(step, largest, now):
                 continue
-            work = waiting * self._task_work(step.job.queue, step.spec)
+            startable = quota_room.take(step, waiting)
+            work = startable * self._task_work(step.job.queue, step.spec)
             if rank.is_late:
                 self._late_waiting += work
             else:
                 self._urgent_waiting += work
+                if rank.is_excess:
+                    self._customers.excess_waiting += work
+        ranked = self._customers.add_start_tags(
+            ranked,
+            lambda step: self._task_work(step.job.queue, step.spec),
+            self._is_overloaded,
+        )
         ranked.sort(key=lambda pair: pair[0])
+        for rank, step in ranked:
+            step.rank = rank
         return [step for _, step in ranked]
 
     def _start_orders(self, step, placed, now):
@@ -418,6 +485,8 @@
             task.ordered_at = now
             orders.append(StartOrder(task, task.run, worker))
         job = step.job
+        work = len(orders) * self._task_work(job.queue, step.spec)
+        self._customers.charge(job.customer, work)
         self._report(
             "step placed",
             step=step.name,
@@ -426,6 +495,7 @@
                 [order.task.index, order.run, order.worker.worker_id]
                 for order in orders
             ],
+            **describe_rank(step),
         )
         job.has_started = True
         if job.state is JobState.PENDING:
--- a/basilwind/scheduling/pool_jobs.py
+++ b/basilwind/scheduling/pool_jobs.py
@@ -1,6 +1,7 @@
 """The jobs of a pool: submitted, ready to run, and ended."""
 
 from basilwind.scheduling.crashes import CrashTracker
+from basilwind.scheduling.customer_queues import CustomerQueues
 from basilwind.scheduling.estimates import RunTimes
 from basilwind.scheduling.jobs import Job, JobState, TaskState
 from basilwind.scheduling.records import DeclineRecord
@@ -22,6 +23,7 @@
         finished_job_retention_s: How long an ended job is kept, seconds.
         report: Called with an event's name and fields, for logs and metrics.
         worker_limits: ``WorkerLimits``.
+        find_customer: Returns the ``Customer`` of a name, or None.
 
     Attributes:
         jobs: ``Job`` by id.
@@ -40,7 +42,14 @@
     """
 
     def __init__(
-        self, name, token, find_queue, finished_job_retention_s, report, worker_limits
+        self,
+        name,
+        token,
+        find_queue,
+        finished_job_retention_s,
+        report,
+        worker_limits,
+        find_customer=lambda name: None,
     ):
         self.name = name
         self.token = token
@@ -76,6 +85,7 @@
         # Ids of live jobs whose occurrences have due times.
         self._timed_jobs = set()
         self._crashes = CrashTracker()
+        self._customers = CustomerQueues(find_customer)
         # Starts to revoke on workers that were dropped, and the boot time of that, by
         # worker id.
         self._revoked_starts = {}
@@ -95,6 +105,7 @@
         if job_id in self.jobs:
             return
         job = Job(job_id, queue_name, spec, accepted_at, customer)
+        job.is_excess = self._customers.count_job(customer, now)
         self.add_job(job, wall_time)
         self.dirty.add(job_id)
         work = self._unfinished_work(job)
--- a/tests/platform/test_borders.py
+++ b/tests/platform/test_borders.py
@@ -15,7 +15,11 @@
 
 from basilwind.checked_json import MAX_ERROR_LENGTH
 from basilwind.entry.peer_client import PeerClient
-from basilwind.entry.peer_messages import DaemonResponse, HandoverResponse
+from basilwind.entry.peer_messages import (
+    AdmissionResponse,
+    DaemonResponse,
+    HandoverResponse,
+)
 from basilwind.errors import (
     BasilwindError,
     RecordInvalid,
@@ -33,6 +37,7 @@
 from basilwind.platform.machines import MachineClient, MachineState
 from basilwind.platform.store import StoreClient
 from basilwind.platform.workers import WorkerControlClient
+from basilwind.scheduling.admission import RefusalReason
 from basilwind.scheduling.demand import PoolReport, WorkerLoad
 from basilwind.scheduling.jobs import Job
 from basilwind.scheduling.ownership import Claim
@@ -364,6 +369,7 @@
         | hostile(_plain(HandoverResponse("e#1", {"m": 1.0})))
         | hostile({"state": "running"})
         | hostile({"waiting": 3, "refuse_for_s": 1.0})
+        | hostile(_plain(AdmissionResponse(1.0, RefusalReason.BACKLOG, "c", True)))
     )
     def test_answers_of_peers(self, body):
         claim = Claim("e#1", "h:1", 7)
@@ -379,6 +385,7 @@
             lambda transport: client(transport).job_state("pool", "a" * 16),
             lambda transport: client(transport).decline("pool", "a" * 16, 1, "p"),
             lambda transport: client(transport).queue("pool", "q"),
+            lambda transport: client(transport).admission("pool", "q", "a" * 16, "c"),
         ):
             self._answer(body, call)
 
--- a/tests/scheduling/model.py
+++ b/tests/scheduling/model.py
@@ -247,6 +247,7 @@
             worker, so that the owner notices it.
         names_incarnations: Whether calls that depend on an incarnation reach no other
             one, as with the client of the workers.
+        find_customer: Returns the ``Customer`` of a name, or None.
     """
 
     def __init__(
@@ -260,7 +261,9 @@
         stop_s=0.0,
         is_strict=False,
         names_incarnations=False,
+        find_customer=lambda name: None,
     ):
+        self._find_customer = find_customer
         self._names_incarnations = names_incarnations
         self._fail = fail
         self._stop_s = stop_s
@@ -313,6 +316,7 @@
             120.0,
             lambda *arguments, **fields: None,
             WORKER_LIMITS,
+            find_customer=self._find_customer,
         )
 
     def refresh(self, listed=None):
@@ -321,10 +325,10 @@
         entries = {name: self.workers[name].entry for name in names}
         self.state.set_workers(entries, self.now)
 
-    def submit(self, job_id, spec):
+    def submit(self, job_id, spec, customer=""):
         """Submits a job to the owner."""
         self.submitted[job_id] = spec
-        self.state.submit(job_id, "q", spec, self.now, self.now, self.now)
+        self.state.submit(job_id, "q", spec, self.now, self.now, self.now, customer)
 
     def flush(self):
         """Writes dirty jobs to the journal, if the store is available."""
--- a/tests/utils/entry_fakes.py
+++ b/tests/utils/entry_fakes.py
@@ -211,6 +211,7 @@
     configuration = types.SimpleNamespace(
         current=CONFIGURATION,
         find_queue=queues.get,
+        find_customer=lambda name: (CONFIGURATION.customers or {}).get(name),
         remember_queue=lambda queue: queues.setdefault(queue.name, queue),
         waves={},
     )
