--- a/basilwind/scheduling/customer_queues.py
+++ b/basilwind/scheduling/customer_queues.py
@@ -23,7 +23,9 @@
 
     def __init__(self, find_customer):
         self._find_customer = find_customer
-        self._shares = FairShares()
+        # ``FairShares`` by priority class. What a customer uses in a higher class takes
+        # nothing from its share in a lower one; otherwise its jobs there would starve.
+        self._shares = {}
         self._rates = JobRates()
         # ``CustomerWork`` by name at the last measurement.
         self._work = {}
@@ -39,9 +41,20 @@
         customer = self._find_customer(name) if name else None
         return customer is not None and self._rates.take(customer, now)
 
-    def charge(self, name, work):
-        """Charges a customer for started work, core-seconds."""
-        self._shares.charge(name, self._weight(name), work)
+    def charge(self, step, work):
+        """Charges the customer of a ranked step for started work, core-seconds."""
+        name = step.job.customer
+        self._shares_of(step.rank).charge(name, self._weight(name), work)
+
+    def refund(self, step, work):
+        """Takes back a charge for work that was not started."""
+        if step.rank is not None:
+            name = step.job.customer
+            self._shares_of(step.rank).refund(name, self._weight(name), work)
+
+    def is_at_quota(self, name):
+        """Returns whether a customer could start nothing at the last measurement."""
+        return name in self._work and self._work[name].is_at_quota
 
     def quota_room(self, workers):
         """Returns the ``QuotaRoom`` of the customers.
@@ -62,32 +75,50 @@
         Returns:
             The pairs, with start tags if steps of several customers wait.
         """
-        waiting = {}
+        groups = {}
         if any(step.job.customer for _, step in ranked):
             for pair in ranked:
                 if pair[0].is_new and not pair[0].is_excess:
-                    waiting.setdefault(pair[1].job.customer, []).append(pair)
-        for pairs in waiting.values():
+                    group = groups.setdefault(pair[0].priority, {})
+                    group.setdefault(pair[1].job.customer, []).append(pair)
+        for priority in self._shares.keys() - groups.keys():
+            del self._shares[priority]
+        tag_of = {}
+        for priority, group in groups.items():
+            tags = self._tag_group(priority, group, task_work)
+            if is_overloaded and len(group) > 1:
+                tag_of |= tags
+        if not tag_of:
+            return ranked
+        return [
+            (replace(rank, start_tag=tag_of[step]) if step in tag_of else rank, step)
+            for rank, step in ranked
+        ]
+
+    def _tag_group(self, priority, group, task_work):
+        """Returns the start tags of a priority class by step.
+
+        Args:
+            priority: Priority class.
+            group: Pairs of ``Rank`` and ``StepRun`` of its new steps by customer.
+            task_work: As for ``add_start_tags``.
+        """
+        for pairs in group.values():
             pairs.sort(key=lambda pair: pair[0])
-        works = {
+        waiting = {
             name: (
                 self._weight(name),
                 [len(step.waiting()) * task_work(step) for _, step in pairs],
             )
-            for name, pairs in waiting.items()
+            for name, pairs in group.items()
         }
-        tags = self._shares.start_tags(works)
-        if not is_overloaded or len(waiting) < 2:
-            return ranked
-        tag_of = {
+        shares = self._shares.setdefault(priority, FairShares())
+        tags = shares.start_tags(waiting)
+        return {
             step: tag
-            for name, pairs in waiting.items()
+            for name, pairs in group.items()
             for (_, step), tag in zip(pairs, tags[name], strict=True)
         }
-        return [
-            (replace(rank, start_tag=tag_of[step]) if step in tag_of else rank, step)
-            for rank, step in ranked
-        ]
 
     def start_measuring(self, workers):
         """Starts a new measurement of the customers' work.
@@ -134,6 +165,9 @@
         works = self._work.values()
         return admit(own, works, cores, horizon_s, refill_s, is_overloaded)
 
+    def _shares_of(self, rank):
+        return self._shares.setdefault(rank.priority, FairShares())
+
     def _work_of(self, name):
         if name not in self._work:
             customer = self._find_customer(name) if name else None
--- a/basilwind/scheduling/fair_shares.py
+++ b/basilwind/scheduling/fair_shares.py
@@ -9,24 +9,26 @@
 
 MIN_WEIGHT = 0.01  # a customer with weight 0 is served last, but it is served
 BUCKET_DEPTH_S = 5.0  # jobs that a customer may send at once, in seconds of its rate
+ONE_JOB = 1.0 - 1e-6  # tokens; a refill computed in floating point may be this short
 FORGET_AFTER_S = 60.0  # bounds memory; buckets of most weights are full long before
 
 
 class FairShares:
-    """Start-time fair queueing over the customers of one pool.
+    """Start-time fair queueing over the customers of a priority class in a pool.
 
     A customer's tag is its virtual time: core-seconds started divided by its weight.
-    The pool's virtual time follows the lowest tag among the customers that were served
-    while they had work waiting. A customer that starts to wait has at least this tag,
-    so being idle earns no credit. Once no customer waits, all start anew.
+    The pool's virtual time is the highest tag at which a waiting customer was served. A
+    customer that starts to wait has at least this tag, so being idle earns no credit,
+    and one whose steps fit nowhere does not hold the virtual time back. Once no
+    customer waits, all start anew.
     """
 
     def __init__(self):
         self._tags = {}
         self._virtual_time = 0.0
         self._waiting = frozenset()
-        # Lowest tag before a charge of a waiting customer since the last tagging.
-        self._served_tag = None
+        # Highest tag at which a waiting customer was served since the last tagging.
+        self._served_tag = 0.0
 
     def __len__(self):
         return len(self._tags)
@@ -42,10 +44,14 @@
         tag = max(self._tags.get(customer, 0.0), self._virtual_time)
         if customer in self._waiting:
             tag = self._tags[customer]
-            if self._served_tag is None or tag < self._served_tag:
-                self._served_tag = tag
+            self._served_tag = max(self._served_tag, tag)
         self._tags[customer] = tag + core_seconds / max(weight, MIN_WEIGHT)
 
+    def refund(self, customer, weight, core_seconds):
+        """Takes back the charge for work whose start a worker did not accept."""
+        if customer in self._tags:
+            self._tags[customer] -= core_seconds / max(weight, MIN_WEIGHT)
+
     def start_tags(self, waiting):
         """Returns the start tags of new steps and notes which customers wait.
 
@@ -71,9 +77,9 @@
         if not waiting:
             self._tags.clear()
             self._virtual_time = 0.0
-        elif self._served_tag is not None:
+        else:
             self._virtual_time = max(self._virtual_time, self._served_tag)
-        self._served_tag = None
+        self._served_tag = 0.0
         for customer in waiting:
             if customer not in self._waiting:
                 tag = self._tags.get(customer, 0.0)
@@ -116,9 +122,9 @@
         bucket.tokens = _tokens(bucket, rate, now)
         bucket.filled_at = bucket.taken_at = now
         bucket.keep_s = max(FORGET_AFTER_S, 1.0 / rate)
-        if bucket.tokens < 1.0:
+        if bucket.tokens < ONE_JOB:
             return True
-        bucket.tokens -= 1.0
+        bucket.tokens = max(0.0, bucket.tokens - 1.0)
         return False
 
     def refill_s(self, customer, now):
@@ -127,7 +133,8 @@
         if bucket is None:
             return 0.0
         rate = max(customer.weight, MIN_WEIGHT)
-        return max(0.0, 1.0 - _tokens(bucket, rate, now)) / rate
+        tokens = _tokens(bucket, rate, now)
+        return 0.0 if tokens >= ONE_JOB else (1.0 - tokens) / rate
 
     def _drop_idle(self, now):
         """Drops the buckets of idle customers, at most once a second.
@@ -148,5 +155,4 @@
 
 def _tokens(bucket, rate, now):
     filled = bucket.tokens + max(0.0, now - bucket.filled_at) * rate
-    # A little tolerance, so that waiting for ``refill_s`` is enough despite rounding.
-    return min(_depth(rate), filled + 1e-9)
+    return min(_depth(rate), filled)
--- a/basilwind/scheduling/pool.py
+++ b/basilwind/scheduling/pool.py
@@ -486,7 +486,7 @@
             orders.append(StartOrder(task, task.run, worker))
         job = step.job
         work = len(orders) * self._task_work(job.queue, step.spec)
-        self._customers.charge(job.customer, work)
+        self._customers.charge(step, work)
         self._report(
             "step placed",
             step=step.name,
@@ -565,6 +565,7 @@
             task.confirmed_at = now
             task.progressed_at = now
             return
+        self._customers.refund(task.step, self._task_work(task.job.queue, task.spec))
         if outcome in (StartOutcome.UNHEALTHY, StartOutcome.UNREACHABLE):
             health.back_off(order.worker, now)
         elif outcome is StartOutcome.NO_TICKET:
--- a/basilwind/scheduling/pool_jobs.py
+++ b/basilwind/scheduling/pool_jobs.py
@@ -109,7 +109,7 @@
         self.add_job(job, wall_time)
         self.dirty.add(job_id)
         work = self._unfinished_work(job)
-        if work:
+        if work and not self._customers.is_at_quota(customer):
             self._arrived_work += work
             self._arrived_jobs += 1
         if job_id in self._early_cancels:
