--- a/tests/scheduling/test_ordering.py
+++ b/tests/scheduling/test_ordering.py
@@ -3,6 +3,7 @@
 from unittest import mock
 
 from basilwind.scheduling import ordering
+from basilwind.scheduling.fleet import Customer, Resources
 from basilwind.scheduling.jobs import Job
 from basilwind.scheduling.ordering import ESTIMATE_MAX_AGE_S, is_late, rank_step
 from basilwind.scheduling.reports import EndKind
@@ -53,6 +54,55 @@
         self.assertEqual(step.objective_estimate.estimated_at, 900.0)
 
 
+class TestCustomers(unittest.TestCase):
+    """Jobs of several customers wait; those without customer keep their order."""
+
+    def _order(self, submissions, customers=()):
+        """Returns the numbers of jobs in the order in which their steps go.
+
+        Args:
+            submissions: Pairs of customer and age in seconds.
+            customers: ``Customer`` objects.
+        """
+        customers = {customer.name: customer for customer in customers}
+        model = PoolModel(self.fail, workers=1, find_customer=customers.get)
+        model.hold()
+        begin = model.now
+        for number, (customer, age_s) in enumerate(submissions):
+            model.now = begin - age_s
+            model.submit(f"{number:016x}", make_job(count=4, cpu=2000), customer)
+        model.now = begin
+        model.state._is_overloaded = True
+        steps = model.state._rank_ready_steps(begin, begin)
+        return [int(step.job.job_id, 16) for step in steps]
+
+    def test_overload_without_customers_is_newest_first(self):
+        ages = [("", age / 10) for age in range(8)]
+        self.assertEqual(self._order(ages), list(range(8)))
+
+    def test_one_customer_alone_is_ordered_as_without_customers(self):
+        ages = [random.Random(3).uniform(0, 1) for _ in range(12)]
+        alone = self._order([("a", age) for age in ages])
+        self.assertEqual(alone, self._order([("", age) for age in ages]))
+
+    def test_customers_take_turns_by_weight_and_keep_their_own_order(self):
+        customers = [Customer(name, w, Resources()) for name, w in (("a", 2), ("b", 1))]
+        submissions = [("a", n / 10) for n in range(6)]
+        submissions += [("b", n / 10 + 0.05) for n in range(6)]
+        order = self._order(submissions, customers)
+        self.assertEqual([n for n in order if n < 6], list(range(6)))
+        self.assertEqual([n for n in order if n >= 6], list(range(6, 12)))
+        self.assertEqual(sum(n < 6 for n in order[:6]), 4)
+
+    def test_excess_jobs_go_behind_all_others_even_late_ones(self):
+        # The bucket holds five jobs; the sixth is excess although it is the newest.
+        customers = [Customer("a", 1.0, Resources())]
+        submissions = [("", 5.0)] + [("a", 0.9 - n / 10) for n in range(7)]
+        order = self._order(submissions, customers)
+        self.assertEqual(set(order[-2:]), {6, 7})
+        self.assertEqual(order[-3], 0)
+
+
 class TestOverload(unittest.TestCase):
     """First seconds of a burst: jobs arrive at twice the rate that a pool can serve."""
 
