--- a/basilwind/scheduling/quota_demand.py
+++ b/basilwind/scheduling/quota_demand.py
@@ -30,6 +30,8 @@
             return count
         if name not in self._left:
             self._left[name] = self._measure(name)
+        if not self._left[name]:
+            return count
         needs = (step.spec.reserved_cpu, step.spec.memory, step.spec.gpu)
         for index, left in self._left[name].items():
             if needs[index]:
--- a/tests/scheduling/test_competing_customers.py
+++ b/tests/scheduling/test_competing_customers.py
@@ -65,6 +65,32 @@
         reasons = {r for offer in loaded.of("hot") for r in offer.refusals}
         self.assertEqual(reasons, {RefusalReason.EXCESS})
 
+    def test_excess_jobs_do_not_make_others_go_newest_first(self):
+        """Load: hot has 100 s of excess work waiting, a less than overload means.
+
+        The first job of hot is not excess and starts whole.
+        """
+        replay = LoadReplay(self.fail, {"hot": 0.2, "a": 100.0})
+        model = replay.model
+        for number in range(51):
+            spec = make_job(count=16 if number else 1, cpu=2000, memory=10)
+            model.submit(f"{number:016x}", spec, "hot")
+        model.schedule()
+        for number in range(2):
+            job_id = f"{100 + number:016x}"
+            model.submit(job_id, make_job(count=1, cpu=1000, memory=10), "a")
+        model.now += 0.1
+        for _ in range(2):
+            steps = model.state._rank_ready_steps(model.now, model.now)
+            model.schedule()
+        self.assertEqual([step.job.customer for step in steps[:2]], ["a", "a"])
+        self.assertFalse(model.state._is_overloaded)
+        now = model.now
+        self.assertIs(
+            model.state.admit("q", "hot", now, now).reason, RefusalReason.EXCESS
+        )
+        self.assertIsNone(model.state.admit("q", "a", now, now).reason)
+
     def test_rack_lost_for_8_s_beside_a_hot_customer(self):
         """Load: hot times 6, b times 2.3, half of the workers gone for 8 s."""
         calm, loaded = self._play(2.0, lost_s=8.0), self._play(12.0, lost_s=8.0)
