--- a/basilwind/scheduling/customer_queues.py
+++ b/basilwind/scheduling/customer_queues.py
@@ -85,9 +85,12 @@
             del self._shares[priority]
         tag_of = {}
         for priority, group in groups.items():
-            tags = self._tag_group(priority, group, task_work)
+            shares = self._shares.setdefault(priority, FairShares())
             if is_overloaded and len(group) > 1:
-                tag_of |= tags
+                tag_of |= self._tag_group(shares, group, task_work)
+            else:
+                # Their order needs no tags, but who waits matters to virtual time.
+                shares.start_tags({name: (self._weight(name), []) for name in group})
         if not tag_of:
             return ranked
         return [
@@ -95,11 +98,11 @@
             for rank, step in ranked
         ]
 
-    def _tag_group(self, priority, group, task_work):
+    def _tag_group(self, shares, group, task_work):
         """Returns the start tags of a priority class by step.
 
         Args:
-            priority: Priority class.
+            shares: Its ``FairShares``.
             group: Pairs of ``Rank`` and ``StepRun`` of its new steps by customer.
             task_work: As for ``add_start_tags``.
         """
@@ -112,7 +115,6 @@
             )
             for name, pairs in group.items()
         }
-        shares = self._shares.setdefault(priority, FairShares())
         tags = shares.start_tags(waiting)
         return {
             step: tag
