--- a/basilwind/entry/owner.py
+++ b/basilwind/entry/owner.py
@@ -82,6 +82,7 @@
             self._report,
             self._worker_limits,
             remote_factor=services.settings.remote_factor,
+            find_customer=services.configuration.find_customer,
         )
         self._journal = JobJournal(
             services.store,
@@ -650,6 +651,15 @@
             )
         )
 
+    def admit(self, queue, customer):
+        """Returns the ``Admission`` of a customer's new job."""
+        return self._state.admit(queue, customer, self._clock(), self._wall_clock())
+
+    def find_customer_of(self, job_id):
+        """Returns the customer's name of a known job, or None for an unknown one."""
+        job = self._state.jobs.get(job_id)
+        return None if job is None else job.customer
+
     def summary(self):
         """Returns the numbers of live jobs, active tasks and workers, for metrics."""
         live = sum(job.state is not JobState.COMPLETED for job in self._live_jobs())
--- a/basilwind/scheduling/jobs.py
+++ b/basilwind/scheduling/jobs.py
@@ -196,6 +196,7 @@
         reserved_worker: ``WorkerView`` that is kept free for it, or None.
         objective_estimate: Last ``ObjectiveEstimate``, or None.
         place_wait: ``PlaceWait`` of its last wait for a rack, or None.
+        rank: Last ``Rank``, or None.
     """
 
     __slots__ = (
@@ -212,6 +213,7 @@
         "reserved_worker",
         "objective_estimate",
         "place_wait",
+        "rank",
     )
 
     def __init__(self, job, occurrence, number):
@@ -228,6 +230,7 @@
         self.reserved_worker = None
         self.objective_estimate = None
         self.place_wait = None
+        self.rank = None
 
     @property
     def is_done(self):
@@ -280,6 +283,8 @@
         spec: ``JobSpec``.
         accepted_at: Time of acceptance, Unix seconds.
         customer: Name of the customer that submitted it; empty if there is none.
+        is_excess: Whether its customer sent more than its weight in jobs per second.
+            Not persisted: after a takeover jobs count as not excess.
         state: ``JobState``.
         occurrences: Steps of each started and unfinished occurrence, by its number.
         done_occurrences: ``DoneOccurrences``.
@@ -298,6 +303,7 @@
         "spec",
         "accepted_at",
         "customer",
+        "is_excess",
         "state",
         "occurrences",
         "done_occurrences",
@@ -312,6 +318,7 @@
     def __init__(self, job_id, queue, spec: JobSpec, accepted_at, customer=""):
         self.job_id = job_id
         self.customer = customer
+        self.is_excess = False
         self.queue = queue
         self.spec = spec
         self.accepted_at = accepted_at
--- a/basilwind/scheduling/pool_jobs.py
+++ b/basilwind/scheduling/pool_jobs.py
@@ -1,6 +1,7 @@
 """The jobs of a pool: submitted, ready to run, and ended."""
 
 from basilwind.scheduling.crashes import CrashTracker
+from basilwind.scheduling.customer_queues import CustomerQueues
 from basilwind.scheduling.jobs import Job, JobState, TaskState, is_foreign
 from basilwind.scheduling.place_waits import PlaceWaits
 from basilwind.scheduling.records import DeclineRecord
@@ -24,6 +25,7 @@
         report: Called with an event's name and fields, for logs and metrics.
         worker_limits: ``WorkerLimits``.
         remote_factor: Factor by which tasks take longer away from their rack.
+        find_customer: Returns the ``Customer`` of a name, or None.
 
     Attributes:
         jobs: ``Job`` by id.
@@ -50,6 +52,7 @@
         report,
         worker_limits,
         remote_factor=1.0,
+        find_customer=lambda name: None,
     ):
         self.name = name
         self.token = token
@@ -88,6 +91,7 @@
         # Ids of live jobs whose occurrences have due times.
         self._timed_jobs = set()
         self._crashes = CrashTracker()
+        self._customers = CustomerQueues(find_customer)
         # Starts to revoke on workers that were dropped, and the boot time of that, by
         # worker id.
         self._revoked_starts = {}
@@ -107,10 +111,11 @@
         if job_id in self.jobs:
             return
         job = Job(job_id, queue_name, spec, accepted_at, customer)
+        job.is_excess = self._customers.count_job(customer, now)
         self.add_job(job, wall_time)
         self.dirty.add(job_id)
         work = self._unfinished_work(job)
-        if work:
+        if work and not self._customers.is_at_quota(customer):
             self._arrived_work += work
             self._arrived_jobs += 1
         for canceller in self._early_cancels.pop(job_id, ()):
--- a/tests/entry/test_keys.py
+++ b/tests/entry/test_keys.py
@@ -20,7 +20,7 @@
 from basilwind.entry.owner import PoolOwner
 from basilwind.entry.peer_app import job_response
 from basilwind.entry.peer_client import PeerClient
-from basilwind.entry.peer_messages import QueueResponse
+from basilwind.entry.peer_messages import AdmissionResponse, QueueResponse
 from basilwind.errors import NotOwner
 from basilwind.platform.store import KeyedRecord
 from basilwind.scheduling.jobs import JobState, JobStatus
@@ -67,6 +67,12 @@
         self.on_call()
         return QueueResponse(2)
 
+    async def admission(self, pool, queue, job_id, customer):
+        status = await self.job_state(pool, job_id)
+        if status is None:
+            return AdmissionResponse()
+        return AdmissionResponse(customer=status.customer, is_known=True)
+
 
 class TestCalls(unittest.TestCase):
     def setUp(self):
--- a/tests/scheduling/model.py
+++ b/tests/scheduling/model.py
@@ -248,6 +248,7 @@
         names_incarnations: Whether calls that depend on an incarnation reach no other
             one, as with the client of the workers.
         remote_factor: Factor by which tasks take longer away from their rack.
+        find_customer: Returns the ``Customer`` of a name, or None.
     """
 
     def __init__(
@@ -262,8 +263,10 @@
         is_strict=False,
         names_incarnations=False,
         remote_factor=1.0,
+        find_customer=lambda name: None,
     ):
         self._remote_factor = remote_factor
+        self._find_customer = find_customer
         # Pairs of name and fields of the events that the owner reported.
         self.events = []
         self._names_incarnations = names_incarnations
@@ -319,6 +322,7 @@
             lambda event, **fields: self.events.append((event, fields)),
             WORKER_LIMITS,
             remote_factor=self._remote_factor,
+            find_customer=self._find_customer,
         )
 
     def refresh(self, listed=None):
@@ -327,10 +331,10 @@
         entries = {name: self.workers[name].entry for name in names}
         self.state.set_workers(entries, self.now)
 
-    def submit(self, job_id, spec):
+    def submit(self, job_id, spec, customer=""):
         """Submits a job to the owner."""
         self.submitted[job_id] = spec
-        self.state.submit(job_id, "q", spec, self.now, self.now, self.now)
+        self.state.submit(job_id, "q", spec, self.now, self.now, self.now, customer)
 
     def flush(self):
         """Writes dirty jobs to the journal, if the store is available."""
