--- a/basilwind/scheduling/capacity.py
+++ b/basilwind/scheduling/capacity.py
@@ -32,6 +32,7 @@
 RISING_LOAD_SHARE = 0.6
 KEPT_BURSTS = 2  # of a pool, for a new planner; they tell the period
 FORECAST_TOLERANCE_S = 1.5  # how late a predicted burst may begin
+FIRST_FORECAST_TOLERANCE_S = 1.5  # how early one may begin that is the first of a pool
 # Of the expected peak, for each of several pools that may be the next one to be hit.
 SHARED_FORECAST_SHARE = 0.6
 
@@ -247,7 +248,7 @@
         if len(firsts) < 2:
             return 0.0
         interval_s = (firsts[-1] - firsts[0]) / (len(firsts) - 1)
-        if not _is_due(firsts[-1] + interval_s, now):
+        if not _is_due(firsts[-1] + interval_s, now, FIRST_FORECAST_TOLERANCE_S):
             return 0.0
         is_only_candidate = len(firsts) == len(self._trends) - 1
         share = 1.0 if is_only_candidate else SHARED_FORECAST_SHARE
@@ -262,6 +263,12 @@
         )
 
 
-def _is_due(due, now):
-    """Returns whether a burst that is due at a boot time has to be prepared now."""
-    return due - HOST_MOVE_S <= now <= due + FORECAST_TOLERANCE_S
+def _is_due(due, now, early_s=0.0):
+    """Returns whether a burst that is due at a boot time has to be prepared now.
+
+    Args:
+        due: Boot time at which it is due.
+        now: Boot time in seconds.
+        early_s: How much earlier it may begin, seconds.
+    """
+    return due - early_s - HOST_MOVE_S <= now <= due + FORECAST_TOLERANCE_S
