--- a/basilwind/entry/configuration.py
+++ b/basilwind/entry/configuration.py
@@ -10,6 +10,12 @@
     decode_configuration,
     decode_wave,
 )
+from basilwind.scheduling.fleet import Customer, Resources
+from basilwind.scheduling.quota import has_limit
+
+# With a poll of this length, an idle proof that the configuration is the newest is at
+# most a second old, which is less than the time in which a maximum must be in force.
+LIMITED_WAIT_S = 0.5
 
 
 class ConfigurationWatcher:
@@ -28,6 +34,7 @@
         self._current = None
         self._waves = {}
         self._known_queues = {}
+        self._known_customers = {}
         self._clock = clock
         self._on_change = on_change
         self._on_version = on_version
@@ -65,6 +72,22 @@
         """Adds a ``Queue`` of an earlier configuration, unless a later one is known."""
         self._known_queues.setdefault(queue.name, queue)
 
+    def find_customer(self, name):
+        """Returns a ``Customer`` by name, or None if it is unknown.
+
+        Customers that were removed from the configuration are still found, with their
+        last maximum. If there are no customers at all, nothing is limited.
+        """
+        if self._current is not None and self._current.customers is None:
+            return Customer(name, 1.0, Resources())
+        return self._known_customers.get(name)
+
+    def customer_names(self):
+        """Returns the names of all customers that this daemon knows."""
+        if self._current is None or self._current.customers is None:
+            return []
+        return list(self._known_customers)
+
     async def run(self):
         """Follows the operator's topic."""
         await self._follower.run()
@@ -92,6 +115,9 @@
         self._on_version(self._current, configuration, is_gap, self._clock())
         self._current = configuration
         self._known_queues.update(configuration.queues)
+        self._known_customers.update(configuration.customers or {})
+        if any(map(has_limit, self._known_customers.values())):
+            self._follower.limit_wait(LIMITED_WAIT_S)
 
     def _add_wave(self, wave):
         if wave.number not in self._waves:
--- a/basilwind/entry/daemon.py
+++ b/basilwind/entry/daemon.py
@@ -10,7 +10,12 @@
 from basilwind.entry.caller_app import CallerApp
 from basilwind.entry.clock import boot_time, wall_time
 from basilwind.entry.configuration import ConfigurationWatcher
-from basilwind.entry.duties import FLEET_DUTY, POOL_PREFIX, DutyManager
+from basilwind.entry.duties import (
+    FLEET_DUTY,
+    POOL_PREFIX,
+    QUOTA_DUTY,
+    DutyManager,
+)
 from basilwind.entry.duty_runner import DutyRunner
 from basilwind.entry.intake import Intake
 from basilwind.entry.intake_router import IntakeRouter
@@ -22,6 +27,7 @@
 from basilwind.entry.peer_client import PeerClient
 from basilwind.entry.planner import FleetPlanner
 from basilwind.entry.pool_arbiter import PoolArbiter
+from basilwind.entry.quota_granter import QuotaGranter
 from basilwind.entry.registry import WorkerRegistry
 from basilwind.entry.route_history import RouteHistory
 from basilwind.entry.services import Services
@@ -34,6 +40,7 @@
 from basilwind.platform.store import StoreClient
 from basilwind.platform.transport import MAX_WORKER_CONNECTIONS, Transport
 from basilwind.platform.workers import WorkerControlClient
+from basilwind.scheduling.quota import has_limit
 
 READY_CHECK_S = 1.0  # the balancer drops a daemon after two failed checks
 BALANCER_REMOVAL_S = 2.6  # two failed checks, plus time for a new connection in flight
@@ -59,7 +66,11 @@
         self._metrics = EntryMetrics(self._pool_owners, count_dropped_lines)
         transport = Transport()
         self._peers = PeerClient(
-            transport, self._find_loaded_owner, self._find_owner_address
+            transport,
+            self._find_loaded_owner,
+            self._find_owner_address,
+            self._find_granter,
+            self._find_granter_address,
         )
         self._shared_services = self._create_services(settings, transport)
         self._duty_runner = DutyRunner(
@@ -79,6 +90,7 @@
             self._peers.decline,
             boot_time,
         )
+        self._shared_services.request_grants = self._peers.request_grants
         self._shared_services.outage_witnesses = OutageWitnesses(
             self._shared_services.duties,
             self._store_monitor,
@@ -102,7 +114,10 @@
             HttpServer(self._serve_readiness, settings.ready_address),
             HttpServer(
                 PeerApp(
-                    self._find_loaded_owner, self._get_intake, self._shared_services
+                    self._find_loaded_owner,
+                    self._get_intake,
+                    self._shared_services,
+                    self._find_granter,
                 ),
                 f"{settings.ip}:{settings.peer_port}",
             ),
@@ -205,14 +220,22 @@
         claim = self._shared_services.duties.find_claim(POOL_PREFIX + pool)
         return claim.address if claim else None
 
+    def _find_granter(self):
+        return self._duty_runner.find(QUOTA_DUTY)
+
+    def _find_granter_address(self):
+        claim = self._shared_services.duties.find_claim(QUOTA_DUTY)
+        return claim.address if claim else None
+
     def _on_configuration(self):
         configuration = self._shared_services.configuration.current
         if configuration is None:
             return
         pools = [pool for pool in configuration.pools.values() if not pool.is_spare]
-        self._shared_services.duties.set_wanted(
-            [POOL_PREFIX + pool.name for pool in pools] + [FLEET_DUTY]
-        )
+        wanted = [POOL_PREFIX + pool.name for pool in pools] + [FLEET_DUTY]
+        if any(map(has_limit, (configuration.customers or {}).values())):
+            wanted.append(QUOTA_DUTY)
+        self._shared_services.duties.set_wanted(wanted)
         for owner in self._pool_owners():
             owner.request_scheduling()
 
@@ -225,7 +248,7 @@
             self._duty_runner.sync(self.tasks)
 
     def _create_duty_work(self, duty, token):
-        """Returns a duty's ``PoolOwner`` or ``FleetPlanner``, or None."""
+        """Returns the work of a duty: an object to run, or None."""
         duties = self._shared_services.duties
         if duty == FLEET_DUTY:
             if not self._settings.machines_address:
@@ -233,6 +256,8 @@
             return FleetPlanner(
                 token, self._shared_services, self._peers, duties.previous_claim(duty)
             )
+        if duty == QUOTA_DUTY:
+            return QuotaGranter(token, self._shared_services)
         return PoolOwner(
             duty.removeprefix(POOL_PREFIX),
             token,
--- a/basilwind/entry/duties.py
+++ b/basilwind/entry/duties.py
@@ -1,7 +1,7 @@
 """Claims duties through the platform's store and renews them with heartbeats.
 
-A duty is the ownership of a pool or the planning of the fleet; one daemon at a time
-holds it.
+A duty is the ownership of a pool, the planning of the fleet or the granting of quota;
+one daemon at a time holds it.
 """
 
 import math
@@ -27,6 +27,7 @@
 # make conditional claims fail.
 HEARTBEATS_TOPIC = "keyed.heartbeats"
 FLEET_DUTY = "fleet"
+QUOTA_DUTY = "quota"
 POOL_PREFIX = "pool/"
 _CLAIM_PREFIX = "claim/"
 _RELEASE_PREFIX = "release/"
--- a/basilwind/entry/follower.py
+++ b/basilwind/entry/follower.py
@@ -84,6 +84,10 @@
         """Boot time of the last failed read, or None."""
         return self._failed_at
 
+    def limit_wait(self, wait_s):
+        """Shortens the wait of a read in the store, in seconds."""
+        self._wait_s = min(self._wait_s, wait_s)
+
     async def run(self):
         """Follows the topic until cancelled."""
         while True:
--- a/basilwind/entry/journal.py
+++ b/basilwind/entry/journal.py
@@ -16,6 +16,7 @@
 DECLINE_PREFIX = "~"  # never the first character of a job id
 FORGET_INTERVAL_S = 0.5
 WORKERS_KEY = "/workers"  # never the key of a job or of a part of one
+QUOTA_KEY = "/quota"
 MAX_PARTS = 64  # further records of a job; its state takes up to 1 MB
 MAX_PART_SUFFIX_BYTES = 8
 MAX_CALL_BYTES = 1_000_000  # below the store's limit of 2 MB per call
@@ -71,7 +72,8 @@
 
     def pending_batch(self):
         """Returns the number of the batch that contains all jobs that are dirty now."""
-        return self._last_batch + 1 if self._state.dirty else self._last_batch
+        is_due = self._state.dirty or self._state.quota.is_record_due
+        return self._last_batch + 1 if is_due else self._last_batch
 
     def has_written(self, batch):
         """Returns whether all batches up to ``batch`` are durable."""
@@ -91,7 +93,8 @@
         """
         while True:
             await self._wake_event.wait()
-            if not self._state.dirty and not self._forgotten:
+            is_quota_due = self._state.quota.is_record_due
+            if not self._state.dirty and not self._forgotten and not is_quota_due:
                 continue
             await self._write()
             await anyio.sleep(BATCH_DELAY_S)
@@ -142,8 +145,13 @@
         if workers != state.recorded_workers:
             # Written along with jobs only, as each call costs money.
             groups.append([encode_keyed_record(WORKERS_KEY, encode_workers(workers))])
+        quota_record = state.quota.begin_record()
+        if quota_record is not None:
+            groups.append([encode_keyed_record(QUOTA_KEY, quota_record)])
         for chunk in _split_by_size(groups):
             await self._topic.append(chunk)
+        if quota_record is not None:
+            state.quota.finish_record()
         for job_id in job_ids:
             if job_id in state.jobs:
                 state.jobs[job_id].is_recorded = True
--- a/basilwind/entry/metrics.py
+++ b/basilwind/entry/metrics.py
@@ -5,6 +5,8 @@
 
 from basilwind.api.asgi import HttpResponse, read_request, send_response
 
+QUOTA_KINDS = ("granted", "used", "needed")
+MAX_QUOTA_CUSTOMERS = 100  # limits the number of time series
 LATENCY_BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5)
 
 
@@ -47,6 +49,12 @@
             ["pool", "kind"],
             registry=self._registry,
         )
+        self._quota = Gauge(
+            "basilwind_quota_millicores",
+            "CPU granted, used and needed of customers with a maximum.",
+            ["pool", "customer", "kind"],
+            registry=self._registry,
+        )
         lines = Gauge(
             "basilwind_log_lines_left_out", "Log lines.", registry=self._registry
         )
@@ -65,6 +73,17 @@
         """Counts a call to the platform's store."""
         self._store.labels(call, "answered" if is_answered else "failed").inc()
 
+    def _update_quota(self):
+        self._quota.clear()
+        summaries = {owner.pool: owner.quota_summary() for owner in self._get_owners()}
+        names = sorted({row[0] for rows in summaries.values() for row in rows})
+        listed = set(names[:MAX_QUOTA_CUSTOMERS])
+        for pool, rows in summaries.items():
+            for name, *amounts in rows:
+                customer = name if name in listed else "other"
+                for kind, amount in zip(QUOTA_KINDS, amounts, strict=True):
+                    self._quota.labels(pool, customer, kind).inc(amount)
+
     async def __call__(self, scope, receive, send):
         """Serves the metrics in the Prometheus text format."""
         await read_request(scope, receive)
@@ -74,5 +93,6 @@
             self._pools.labels(owner.pool, "jobs").set(live)
             self._pools.labels(owner.pool, "tasks").set(active)
             self._pools.labels(owner.pool, "workers").set(workers)
+        self._update_quota()
         body = generate_latest(self._registry)
         await send_response(send, HttpResponse(200, body, CONTENT_TYPE_LATEST))
--- a/basilwind/entry/owner.py
+++ b/basilwind/entry/owner.py
@@ -10,6 +10,7 @@
 from basilwind.entry.follower import PLATFORM_RETRY_S
 from basilwind.entry.intake import cancelled_job_id, decode_submitted_job, intake_topic
 from basilwind.entry.journal import JobJournal
+from basilwind.entry.quota_client import QuotaClient
 from basilwind.entry.registry import REAPPEAR_S
 from basilwind.entry.takeover import read_latest_records, restore_jobs
 from basilwind.entry.worker_leases import WorkerLeaseRenewer
@@ -25,6 +26,8 @@
 from basilwind.scheduling.jobs import JobState
 from basilwind.scheduling.ownership import MAX_STORE_SILENCE_S, has_reached_store
 from basilwind.scheduling.pool import PoolState
+from basilwind.scheduling.quota import UNBOUNDED, QuotaBook
+from basilwind.scheduling.quota_use import measure_uses
 from basilwind.scheduling.records import decode_submission
 from basilwind.scheduling.reports import StartOutcome
 from basilwind.scheduling.run_events import age_s, order_row
@@ -72,6 +75,12 @@
             services.settings.finished_job_retention_s,
             self._report,
             self._worker_limits,
+            QuotaBook(
+                services.configuration.find_customer,
+                services.configuration.customer_names,
+                services.may_use_quota,
+                self._report,
+            ),
         )
         self._journal = JobJournal(
             services.store,
@@ -90,6 +99,13 @@
             self._handle_fenced,
             self._send_stops_of,
         )
+        self._quota_client = QuotaClient(
+            self._state,
+            self._journal,
+            services.request_grants,
+            self._clock,
+            self._schedule_event.set,
+        )
         self._tasks = None
         self._intake_offset = 0
         self._is_loaded = False
@@ -144,6 +160,8 @@
                 tasks.start_soon(self._schedule)
                 tasks.start_soon(self._run_housekeeping)
                 tasks.start_soon(self._query_policy)
+                if self._services.request_grants is not None:
+                    tasks.start_soon(self._quota_client.run)
                 self.update_workers()
         finally:
             self._report(
@@ -378,7 +396,9 @@
                     self._tasks.start_soon(self._send_stop, stop)
                 if orders:
                     self._tasks.start_soon(self._send_starts, orders)
-            if self._state.dirty:
+                if self._state.quota.take_call_due():
+                    self._quota_client.request_call()
+            if self._state.dirty or self._state.quota.is_record_due:
                 self._journal.request_write()
 
     async def _send_starts(self, orders):
@@ -435,7 +455,9 @@
             )
             return
         # This process may have been paused since the order was journalled.
-        if not self._state.may_send(order) or not self._services.may_extend_leases(now):
+        if not self._services.may_extend_leases(now) or not self._state.may_send(
+            order, now
+        ):
             self._state.apply_start_outcome(order, StartOutcome.NOT_SENT, now)
             return
         ticket = (task.step.tickets or {}).get(worker.worker_id)
@@ -616,5 +638,14 @@
         active = sum(len(worker.tasks) for worker in self._state.workers.values())
         return live, active, len(self._state.workers)
 
+    def quota_summary(self):
+        """Returns customer, granted, used and needed CPU (millicores), for metrics."""
+        uses = measure_uses(self._state, self._clock())
+        return [
+            (name, self._state.quota.grant(name).cpu, use.used.cpu, use.need.cpu)
+            for name, use in uses.items()
+            if self._state.quota.limit(name).cpu < UNBOUNDED
+        ]
+
     def _live_jobs(self):
         return (job for job in self._state.jobs.values() if job.is_live)
--- a/basilwind/entry/peer_app.py
+++ b/basilwind/entry/peer_app.py
@@ -11,6 +11,7 @@
 )
 from basilwind.checked_json import decode_json
 from basilwind.entry.peer_messages import (
+    GRANTS_PATH,
     HANDOVER_PATH,
     HOST_PATH,
     TAKEOVER_PATH,
@@ -24,6 +25,7 @@
     WithholdRequest,
 )
 from basilwind.errors import NotOwner, NotStarted, RequestInvalid
+from basilwind.scheduling.quota import GrantRequest
 
 NOT_OWNER = 421
 
@@ -35,9 +37,11 @@
         find_owner: Returns the loaded ``PoolOwner`` of a pool, or None.
         get_intake: Returns the ``Intake`` of a pool.
         services: ``Services``.
+        find_granter: Returns the ``QuotaGranter`` in this daemon, or None.
     """
 
-    def __init__(self, find_owner, get_intake, services):
+    def __init__(self, find_owner, get_intake, services, find_granter=lambda: None):
+        self._find_granter = find_granter
         self._find_owner = find_owner
         self._get_intake = get_intake
         self._services = services
@@ -72,6 +76,8 @@
             return self._describe_daemon()
         if request.path == HANDOVER_PATH:
             return self._hand_over_planning(request.body)
+        if request.path == GRANTS_PATH:
+            return await self._answer_quota(request.body)
         kind, _, path = request.path.strip("/").partition("/")
         pool, *rest = path.split("/")
         if kind == "intake":
@@ -108,6 +114,13 @@
             )
         )
 
+    async def _answer_quota(self, body):
+        request = decode_json(body, GrantRequest, GRANTS_PATH, RequestInvalid)
+        granter = self._find_granter()
+        if granter is None:
+            raise NotOwner("quota is not granted here")
+        return json_response(await granter.answer(request))
+
     def _hand_over_planning(self, body):
         request = decode_json(body, HandoverRequest, HANDOVER_PATH, RequestInvalid)
         ages_s = self._services.machine_orders.hand_over(
--- a/basilwind/entry/peer_client.py
+++ b/basilwind/entry/peer_client.py
@@ -1,10 +1,12 @@
 """Calls other daemons, mostly the owner of a pool."""
 
+import anyio
 import msgspec
 
 from basilwind.checked_json import decode_json
 from basilwind.entry.peer_app import queue_response
 from basilwind.entry.peer_messages import (
+    GRANTS_PATH,
     HANDOVER_PATH,
     HOST_PATH,
     TAKEOVER_PATH,
@@ -27,8 +29,10 @@
 )
 from basilwind.logs import log
 from basilwind.scheduling.demand import PoolReport
+from basilwind.scheduling.quota import GrantResponse
 
 CALL_TIMEOUT_S = 1.0  # a third of the callers' deadline of 3 s
+GRANTS_TIMEOUT_S = 0.3  # an answer takes 10 ms, as raises are journalled first
 PLANNER_TIMEOUT_S = 0.3  # an answer takes 2 ms, or 24 ms between regions
 RELAY_TIMEOUT_S = 1.5  # a peer stores a record or gives up within 1 s
 
@@ -40,9 +44,21 @@
         transport: ``Transport``.
         find_owner: Returns the ``PoolOwner`` of a pool in this daemon, or None.
         find_address: Returns HOST:PORT of the daemon that owns a pool, or None.
+        find_granter: Returns the ``QuotaGranter`` in this daemon, or None.
+        find_granter_address: Returns HOST:PORT of the daemon that grants quota, or
+            None.
     """
 
-    def __init__(self, transport, find_owner, find_address):
+    def __init__(
+        self,
+        transport,
+        find_owner,
+        find_address,
+        find_granter=lambda: None,
+        find_granter_address=lambda: None,
+    ):
+        self._find_granter = find_granter
+        self._find_granter_address = find_granter_address
         self._transport = transport
         self._find_owner = find_owner
         self._find_address = find_address
@@ -126,6 +142,30 @@
         )
         return decode_json(body, PoolReport, f"report of pool {pool}", NotOwner)
 
+    async def request_grants(self, request):
+        """Sends a ``GrantRequest`` to the granter and returns its ``GrantResponse``.
+
+        Raises:
+            NotOwner: No granter answered in time.
+        """
+        granter = self._find_granter()
+        if granter is not None:
+            with anyio.move_on_after(GRANTS_TIMEOUT_S):
+                return await granter.answer(request)
+            raise NotOwner("quota: no answer in time")
+        address = self._find_granter_address()
+        if not address:
+            raise NotOwner("quota has no granter")
+        body = await self._call_address(
+            address,
+            "granter",
+            GRANTS_PATH,
+            "POST",
+            msgspec.json.encode(request),
+            GRANTS_TIMEOUT_S,
+        )
+        return decode_json(body, GrantResponse, "grants", NotOwner)
+
     async def relay(self, claim, pool, queue, key, value):
         """Has a peer store a record in a pool's intake topic.
 
@@ -216,12 +256,17 @@
         address = self._find_address(pool)
         if not address:
             raise NotOwner(f"pool {pool!r} has no owner")
+        return await self._call_address(
+            address, f"owner of pool {pool!r}", path, method, body, timeout_s
+        )
+
+    async def _call_address(self, address, holder, path, method, body, timeout_s):
         try:
             status, answer = await self._transport.call(
                 method, f"http://{address}{path}", timeout_s, body
             )
         except (CallRefused, CallUnanswered) as error:
-            raise NotOwner(f"owner of pool {pool!r}: {error}") from error
+            raise NotOwner(f"{holder}: {error}") from error
         if status != 200:
-            raise NotOwner(f"owner of pool {pool!r} answered {status}")
+            raise NotOwner(f"{holder} answered {status}")
         return answer
--- a/basilwind/entry/peer_messages.py
+++ b/basilwind/entry/peer_messages.py
@@ -13,6 +13,7 @@
 HOST_PATH = "/host"
 HANDOVER_PATH = "/planner/handover"
 TAKEOVER_PATH = "/takeover"
+GRANTS_PATH = "/quota/grants"
 
 JobId = Annotated[str, msgspec.Meta(pattern=r"^[0-9A-Fa-f]{16}\Z")]
 IntakeKey = Annotated[str, msgspec.Meta(pattern=r"^!?[0-9A-Fa-f]{16}\Z")]
--- a/basilwind/entry/services.py
+++ b/basilwind/entry/services.py
@@ -20,6 +20,9 @@
 from basilwind.scheduling.machine_orders import MachineOrders
 from basilwind.scheduling.ownership import is_sole_holder, may_extend_leases
 
+# From the check until a worker executes a start; a call to a worker takes some ms.
+CALL_MARGIN_S = 0.2
+
 
 @dataclass
 class Services:
@@ -46,6 +49,8 @@
         outage: ``OutageDetector``; set after the peer client is created.
         arbiter: ``PoolArbiter``; set after the peer client is created.
         outage_witnesses: ``OutageWitnesses``; set after the peer client is created.
+        request_grants: Coroutine function that sends a ``GrantRequest`` to the granter
+            and returns its ``GrantResponse``; set after the peer client is created.
         machine_orders: ``MachineOrders`` that this daemon has given.
     """
 
@@ -68,6 +73,7 @@
     outage: OutageDetector | None = None
     arbiter: PoolArbiter | None = None
     outage_witnesses: OutageWitnesses | None = None
+    request_grants: Callable | None = None
     machine_orders: MachineOrders = field(default_factory=MachineOrders)
 
     def is_sole_holder(self, now):
@@ -76,6 +82,16 @@
             self.store_monitor.confirmed_at, self.outage.is_confirmed, now
         )
 
+    def is_configuration_fresh(self, now):
+        """Returns whether no older configuration than the one in force can be used."""
+        confirmed_at = self.configuration.confirmed_at
+        limit_s = self.settings.config_apply_s - CALL_MARGIN_S
+        return confirmed_at is not None and now - confirmed_at <= limit_s
+
+    def may_use_quota(self, now):
+        """Returns whether tasks of customers with a maximum may be started."""
+        return self.is_configuration_fresh(now) or self.outage.is_confirmed
+
     def may_extend_leases(self, now):
         """Returns whether owners in this daemon may grant and extend leases."""
         return may_extend_leases(self.duties.confirmed_at, now)
--- a/basilwind/entry/takeover.py
+++ b/basilwind/entry/takeover.py
@@ -7,6 +7,7 @@
 from basilwind.entry.journal import (
     DECLINE_PREFIX,
     MAX_PARTS,
+    QUOTA_KEY,
     WORKERS_KEY,
     journal_topic,
     part_key,
@@ -68,6 +69,7 @@
     _drop_forgotten(state, job_records, submissions)
     _restore_declines(state, job_records, wall_clock(), report)
     _restore_workers(state, job_records, report)
+    _restore_quota(state, job_records, report)
     elsewhere = []
     for record in submissions:
         submitted = decode_submitted_job(record, remember_queue, report)
@@ -110,6 +112,16 @@
         report("job record damaged", job=WORKERS_KEY, error=str(error))
 
 
+def _restore_quota(state, job_records, report):
+    value = job_records.get(QUOTA_KEY)
+    if value is None:
+        return
+    try:
+        state.quota.restore(value)
+    except RecordInvalid as error:
+        report("job record damaged", job=QUOTA_KEY, error=str(error))
+
+
 def _note_parts(job_records, note_parts):
     parts = {}
     for key in job_records:
--- a/basilwind/scheduling/placement.py
+++ b/basilwind/scheduling/placement.py
@@ -155,13 +155,14 @@
     return racks[min(fitting, key=lambda rack: (capacity[rack], rack))]
 
 
-def place_step(step, workers, now):
+def place_step(step, workers, now, most=None):
     """Reserves workers for a step's waiting tasks; a gang is placed as a whole.
 
     Args:
         step: ``StepRun``.
         workers: Usable ``WorkerView`` objects.
         now: Boot time in seconds.
+        most: Maximum number of tasks, or None for all.
 
     Returns:
         Pairs of task and worker, and whether capacity was missing.
@@ -180,7 +181,7 @@
             return [], True
     placed = []
     is_short = False
-    for task in step.waiting():
+    for task in step.waiting()[:most]:
         fitting = [
             worker
             for worker in candidates
@@ -199,13 +200,14 @@
     return placed, is_short
 
 
-def place_suspects(step, worker, now):
+def place_suspects(step, worker, now, most=None):
     """Reserves a worker that is kept for a job for the suspects of one of its steps.
 
     Args:
         step: ``StepRun``.
         worker: ``WorkerView`` that is kept for the job, or None.
         now: Boot time in seconds.
+        most: Maximum number of tasks, or None for all.
 
     Returns:
         Pairs of task and worker.
@@ -214,6 +216,8 @@
         return []
     placed = []
     for task in step.waiting():
+        if len(placed) == most:
+            break
         if (
             task in step.job.suspects
             and worker.has_capacity_for(step.spec)
@@ -224,11 +228,11 @@
     return placed
 
 
-def place_suspected_gang(step, workers, now):
+def place_suspected_gang(step, workers, now, most=None):
     """Reserves workers for a gang that has suspects, those for it alone if possible."""
     quiet = [worker for worker in workers if is_quiet(worker, step.job, now)]
-    placed, is_short = place_step(step, quiet, now)
-    return (placed, is_short) if placed else place_step(step, workers, now)
+    placed, is_short = place_step(step, quiet, now, most)
+    return (placed, is_short) if placed else place_step(step, workers, now, most)
 
 
 def choose_reserved_worker(step, workers):
--- a/basilwind/scheduling/pool.py
+++ b/basilwind/scheduling/pool.py
@@ -32,6 +32,13 @@
 )
 from basilwind.scheduling.policy import Ticket, workers_to_ask
 from basilwind.scheduling.pool_stops import PoolStops
+from basilwind.scheduling.quota import is_within
+from basilwind.scheduling.quota_use import (
+    QuotaRound,
+    cap_waiting_work,
+    measure_used,
+    tasks_within_maximum,
+)
 from basilwind.scheduling.reachability import reachable_workers
 from basilwind.scheduling.reports import StartOutcome
 from basilwind.scheduling.run_events import RequeueReason, worker_evidence
@@ -147,6 +154,7 @@
             for task in job.tasks()
             if task.spec.is_lasting and self._is_in_demand(task.step, largest, now)
         ]
+        long_running = tasks_within_maximum(self.quota, long_running)
         return PoolReport(
             pool=self.name,
             workers=[
@@ -270,6 +278,8 @@
         self._is_overloaded = is_overloaded(self._urgent_waiting, cores)
         workers, kept = self._crashes.isolate(workers, now)
         orders, shortages = [], []
+        self.quota.begin_round(now)
+        quota = QuotaRound(self.quota, measure_used(self, now), now)
         may_have_unrecorded_runs = self.has_unrecorded_runs(now)
         for step in self._rank_ready_steps(now, wall_time):
             if may_have_unrecorded_runs and self._may_have_unrecorded_runs(step):
@@ -278,7 +288,9 @@
                 continue
             if step.job.suspects and not step.spec.is_gang:
                 # Its other tasks wait, as they may crash their workers, too.
-                placed = place_suspects(step, kept.get(step.job.job_id), now)
+                most = quota.most(step, len(step.waiting()))
+                placed = place_suspects(step, kept.get(step.job.job_id), now, most)
+                quota.add(step, len(placed))
                 orders += self._start_orders(step, placed, now)
                 if placed:
                     step.unplaced_since = None
@@ -289,8 +301,13 @@
                 continue
             if step.spec.is_gang and not is_gang_waiting(step):
                 continue
+            most = quota.most(step, len(step.waiting()))
+            if not most:
+                step.unplaced_since = step.reserved_worker = None
+                continue
             place = place_suspected_gang if step.job.suspects else place_step
-            placed, is_short = place(step, workers, now)
+            placed, is_short = place(step, workers, now, most)
+            quota.add(step, len(placed))
             orders += self._start_orders(step, placed, now)
             if not is_short or step.tickets is not None:
                 step.unplaced_since = None
@@ -317,9 +334,7 @@
 
         It has not if their last runs were still executing after the takeover.
         """
-        return step.job.job_id in self._jobs_known_before and any(
-            task.token < self.token for task in step.waiting()
-        )
+        return any(self.may_have_unrecorded_run(task) for task in step.tasks)
 
     def may_start_unrecorded(self, order):
         """Returns whether an order may be sent before its start is recorded.
@@ -341,14 +356,14 @@
             and order.worker.worker_id in self.recorded_workers
         )
 
-    @staticmethod
-    def may_send(order):
+    def may_send(self, order, now):
         """Returns whether an order that had to wait for its record is still valid.
 
         A worker that does not answer may have started anew, with another clock.
 
         Args:
             order: ``StartOrder``.
+            now: Boot time in seconds.
         """
         return (
             not order.task.is_stopping
@@ -356,6 +371,21 @@
             and order.worker.is_clock_known
             and order.worker.unanswered_since is None
             and not order.worker.is_over_capacity
+            and self._has_quota(order.task, now)
+        )
+
+    def _has_quota(self, task, now):
+        """Returns whether the quota by which a task was placed still holds.
+
+        This process may have been paused since, or the grant lowered.
+        """
+        name = task.job.customer
+        if self.quota.limit(name) is None:
+            return True
+        if not self.quota.may_start(name, now):
+            return False
+        return not self.quota.was_lowered_since(name, task.ordered_at) or is_within(
+            measure_used(self, now)[name], self.quota.grant(name)
         )
 
     def _usable_workers(self, now):
@@ -374,6 +404,8 @@
         ranked = []
         largest = self._largest_workers()
         self._urgent_waiting = self._late_waiting = 0.0
+        used = measure_used(self, now)
+        limited = {name: [0.0, 0.0] for name in used}
         for step in list(self._ready):
             waiting = len(step.waiting())
             if not waiting:
@@ -391,10 +423,15 @@
             if not self._is_in_demand(step, largest, now):
                 continue
             work = waiting * self._task_work(step.job.queue, step.spec)
-            if rank.is_late:
+            if step.job.customer in limited:
+                limited[step.job.customer][rank.is_late] += work
+            elif rank.is_late:
                 self._late_waiting += work
             else:
                 self._urgent_waiting += work
+        urgent, late = cap_waiting_work(self.quota, used, limited)
+        self._urgent_waiting += urgent
+        self._late_waiting += late
         ranked.sort(key=lambda pair: pair[0])
         return [step for _, step in ranked]
 
--- a/basilwind/scheduling/pool_jobs.py
+++ b/basilwind/scheduling/pool_jobs.py
@@ -3,6 +3,7 @@
 from basilwind.scheduling.crashes import CrashTracker
 from basilwind.scheduling.estimates import RunTimes
 from basilwind.scheduling.jobs import Job, JobState, TaskState
+from basilwind.scheduling.quota import QuotaBook
 from basilwind.scheduling.records import DeclineRecord
 from basilwind.scheduling.run_events import MAX_ROWS, identity_row, requeue_row
 
@@ -22,8 +23,10 @@
         finished_job_retention_s: How long an ended job is kept, seconds.
         report: Called with an event's name and fields, for logs and metrics.
         worker_limits: ``WorkerLimits``.
+        quota: ``QuotaBook``, or None if there are no customers.
 
     Attributes:
+        quota: ``QuotaBook`` with the grants of customers that have a maximum.
         jobs: ``Job`` by id.
         workers: ``WorkerView`` by worker id.
         run_times: ``RunTimes`` learned from finished tasks.
@@ -40,10 +43,18 @@
     """
 
     def __init__(
-        self, name, token, find_queue, finished_job_retention_s, report, worker_limits
+        self,
+        name,
+        token,
+        find_queue,
+        finished_job_retention_s,
+        report,
+        worker_limits,
+        quota=None,
     ):
         self.name = name
         self.token = token
+        self.quota = QuotaBook() if quota is None else quota
         self.jobs = {}
         self.workers = {}
         self.run_times = RunTimes()
@@ -270,6 +281,21 @@
             worker.release(task)
         task.reset()
 
+    def ready_steps(self):
+        """Returns the ``StepRun`` objects that may have waiting tasks."""
+        return list(self._ready)
+
+    def may_have_unrecorded_run(self, task):
+        """Returns whether the previous owner may have started a waiting task.
+
+        It has not if the task's last run was still executing after the takeover.
+        """
+        return (
+            task.state is TaskState.WAITING
+            and task.token < self.token
+            and task.job.job_id in self._jobs_known_before
+        )
+
     def report_restored_runs(self):
         """Logs the runs that a previous owner's records tell of."""
         rows = [
--- /dev/null
+++ b/basilwind/scheduling/quota_use.py
@@ -0,0 +1,175 @@
+"""What customers use and need in a pool, and what a scheduling round may start."""
+
+from basilwind.scheduling.jobs import TaskState
+from basilwind.scheduling.quota import (
+    NOTHING,
+    Use,
+    combine,
+    count_within,
+    is_within,
+    multiply,
+    size_of,
+    subtract,
+)
+
+# The planner measures demand every 0.4 s, and a host takes 0.7 s or more to arrive:
+# within that time, the amount that a customer may still start yields no more work.
+DEMAND_HORIZON_S = 1.1
+
+
+class QuotaRound:
+    """What each limited customer may start in one scheduling round.
+
+    Args:
+        book: ``QuotaBook``.
+        used: ``Resources`` that may be running, by limited customer.
+        now: Boot time in seconds.
+    """
+
+    def __init__(self, book, used, now):
+        self._book = book
+        self._used = used
+        self._now = now
+
+    def most(self, step, tasks):
+        """Returns how many of a step's waiting tasks may be placed.
+
+        Args:
+            step: ``StepRun``.
+            tasks: Number of tasks that are to be placed; all or none if it is a gang.
+        """
+        name = step.job.customer
+        if name not in self._used:
+            return tasks
+        size, used = size_of(step.spec), self._used[name]
+        unit = multiply(size, tasks) if step.spec.is_gang else size
+        room = self._book.room(name, used, self._now)
+        if not is_within(unit, room) or not self._book.may_start(name, self._now):
+            self._book.note_blocked(name, used, unit, self._now)
+            return 0
+        most = min(tasks, count_within(room, size))
+        if most < tasks:
+            self._book.note_blocked(name, used, unit, self._now)
+        return most
+
+    def add(self, step, count):
+        """Notes that tasks of a step were placed."""
+        name = step.job.customer
+        if name in self._used:
+            placed = multiply(size_of(step.spec), count)
+            self._used[name] = combine(sum, self._used[name], placed)
+
+
+def measure_used(pool, now):
+    """Returns the ``Resources`` that may be running in a pool, by limited customer.
+
+    A run counts until its end is known. That includes runs of a previous owner that it
+    may have started without a record.
+
+    Args:
+        pool: ``PoolState``.
+        now: Boot time in seconds.
+    """
+    used = dict.fromkeys(pool.quota.limited_customers(), NOTHING)
+    if not used:
+        return used
+    for name, spec in _possible_runs(pool, now):
+        if name in used:
+            used[name] = combine(sum, used[name], size_of(spec))
+    return used
+
+
+def _possible_runs(pool, now):
+    """Yields the customer and the ``StepSpec`` of each run that may execute."""
+    for worker in pool.workers.values():
+        for task in worker.tasks.values():
+            yield task.job.customer, task.spec
+        for (task_name, _), spec in worker.unwanted_runs.items():
+            job = pool.jobs.get(task_name.partition(".")[0])
+            if job is not None:
+                yield job.customer, spec
+    may_be_unrecorded = pool.has_unrecorded_runs(now)
+    if now >= pool.previous_leases_until and not may_be_unrecorded:
+        return
+    for job in pool.jobs.values():
+        if not job.customer:
+            continue
+        for task in job.tasks():
+            is_elsewhere = task.is_active and task.worker_id not in pool.workers
+            if is_elsewhere or (
+                may_be_unrecorded and pool.may_have_unrecorded_run(task)
+            ):
+                yield job.customer, task.spec
+
+
+def measure_uses(pool, now):
+    """Returns the ``Use`` of each limited customer in a pool.
+
+    Args:
+        pool: ``PoolState``.
+        now: Boot time in seconds.
+    """
+    used = measure_used(pool, now)
+    waiting = dict.fromkeys(used, NOTHING)
+    for step in pool.ready_steps():
+        name = step.job.customer
+        if name in waiting:
+            size = multiply(size_of(step.spec), len(step.waiting()))
+            waiting[name] = combine(sum, waiting[name], size)
+    capacity = combine(
+        sum, NOTHING, *(worker.entry for worker in pool.workers.values())
+    )
+    return {
+        name: Use(
+            amount,
+            combine(
+                max,
+                amount,
+                combine(min, capacity, combine(sum, amount, waiting[name])),
+            ),
+        )
+        for name, amount in used.items()
+    }
+
+
+def cap_waiting_work(book, used, waiting):
+    """Returns the waiting work of limited customers as far as quota lets it run.
+
+    Work that quota does not let run must draw no hosts.
+
+    Args:
+        book: ``QuotaBook``.
+        used: ``Resources`` that may be running, by limited customer.
+        waiting: Urgent and late work by customer, core-seconds.
+
+    Returns:
+        Urgent and late work, core-seconds.
+    """
+    urgent_total = late_total = 0.0
+    for name, (urgent, late) in waiting.items():
+        free_cpu = subtract(book.limit(name) or NOTHING, used[name]).cpu
+        most = max(0, free_cpu) / 1000 * DEMAND_HORIZON_S
+        urgent = min(urgent, most)
+        urgent_total += urgent
+        late_total += min(late, most - urgent)
+    return urgent_total, late_total
+
+
+def tasks_within_maximum(book, tasks):
+    """Returns the tasks that their customers' maximums let run, running ones first.
+
+    Args:
+        book: ``QuotaBook``.
+        tasks: Tasks.
+    """
+    limits = {name: book.limit(name) for name in {task.job.customer for task in tasks}}
+    kept = []
+    for task in sorted(tasks, key=lambda task: task.state is TaskState.WAITING):
+        name = task.job.customer
+        if limits[name] is not None:
+            left = subtract(limits[name], size_of(task.spec))
+            if task.state is TaskState.WAITING and not is_within(NOTHING, left):
+                continue
+            limits[name] = left
+        kept.append(task)
+    return kept
--- a/tests/scheduling/model.py
+++ b/tests/scheduling/model.py
@@ -365,7 +365,7 @@
             outcome = StartOutcome.WRONG_INCARNATION
             self.state.apply_start_outcome(order, outcome, self.now)
             return
-        if not self.state.may_send(order):
+        if not self.state.may_send(order, self.now):
             self.state.apply_start_outcome(order, StartOutcome.NOT_SENT, self.now)
             return
         name, run, token = order.task.name, order.run, self.state.token
--- a/tests/scheduling/test_expired_leases.py
+++ b/tests/scheduling/test_expired_leases.py
@@ -209,9 +209,9 @@
         model.submit("job", make_job(count=1))
         model.hold()
         (order,) = model.state.schedule(model.now, model.now)
-        self.assertTrue(model.state.may_send(order))
+        self.assertTrue(model.state.may_send(order, model.now))
         model.restart(order.worker.worker_id)
-        self.assertFalse(model.state.may_send(order))
+        self.assertFalse(model.state.may_send(order, model.now))
 
     def test_worker_that_answered_was_taken_for_gone_as_its_host_started_another(self):
         model = make_model(self.fail, workers=1)
--- a/tests/utils/entry_fakes.py
+++ b/tests/utils/entry_fakes.py
@@ -211,6 +211,9 @@
     configuration = types.SimpleNamespace(
         current=CONFIGURATION,
         find_queue=queues.get,
+        find_customer=lambda name: None,
+        customer_names=lambda: (),
+        confirmed_at=clock(),
         remember_queue=lambda queue: queues.setdefault(queue.name, queue),
         waves={},
     )
@@ -222,6 +225,7 @@
         move_s=1.5,
         maintenance_s=2.0,
         machine_lease_s=3,
+        config_apply_s=3.0,
     )
     routes = FakeRoutes()
     return Services(
