--- a/basilwind/entry/journal.py
+++ b/basilwind/entry/journal.py
@@ -8,6 +8,7 @@
 from basilwind.entry.intake import CANCEL_PREFIX
 from basilwind.errors import StoreRefused, StoreUnanswered
 from basilwind.platform.store import encode_keyed_record
+from basilwind.scheduling.quota_use import measure_ending
 from basilwind.scheduling.records import encode_job_records, encode_workers
 
 PRODUCER = "owner"  # shared by all owners, as fencing is per producer
@@ -145,9 +146,10 @@
         if workers != state.recorded_workers:
             # Written along with jobs only, as each call costs money.
             groups.append([encode_keyed_record(WORKERS_KEY, encode_workers(workers))])
-        quota_record = state.quota.begin_record()
+        quota_record = state.quota.begin_record(measure_ending(state))
         if quota_record is not None:
-            groups.append([encode_keyed_record(QUOTA_KEY, quota_record)])
+            # It comes first, as the records of ended jobs lack what it counts.
+            groups.insert(0, [encode_keyed_record(QUOTA_KEY, quota_record)])
         for chunk in _split_by_size(groups):
             await self._topic.append(chunk)
         if quota_record is not None:
--- a/basilwind/scheduling/pool_workers.py
+++ b/basilwind/scheduling/pool_workers.py
@@ -283,6 +283,17 @@
             return True
         return not all(worker.has_reported_fully for worker in self.workers.values())
 
+    def has_silent_workers(self, now):
+        """Returns whether runs of a previous owner may execute without being reported.
+
+        Those that the journal lacks because their jobs have ended are meant.
+        """
+        if now >= self.previous_leases_until:
+            return False
+        return bool(self._unreported_workers) or not all(
+            worker.has_reported_fully for worker in self.workers.values()
+        )
+
     def knows_all_runs(self, now):
         """Returns whether no run of a previous owner can be unknown."""
         if self.has_unrecorded_runs(now):
--- a/basilwind/scheduling/quota.py
+++ b/basilwind/scheduling/quota.py
@@ -1,7 +1,7 @@
 """What the owner of a pool may start for customers with a maximum.
 
-The granter of the fleet grants each pool a part of a customer's maximum. An owner starts
-tasks only within its grants.
+The granter of the fleet grants each pool a part of a customer's maximum. An owner
+starts tasks only within its grants.
 """
 
 from dataclasses import dataclass
@@ -159,11 +159,13 @@
         token: Fencing token of the granter whose answer was last applied.
         sequence: Number of that answer.
         rows: ``GrantRow`` of each customer with a grant.
+        ending: Runs of ended jobs, by customer. The records of ended jobs lack them.
     """
 
     token: Count
     sequence: Count
     rows: list[GrantRow]
+    ending: dict[str, Amount] = {}
 
 
 @dataclass(slots=True)
@@ -221,6 +223,10 @@
         self._is_record_due = False
         self._is_call_due = False
         self._has_changed = False
+        # ``Resources`` of runs of ended jobs by customer, as last recorded here, and as
+        # the previous owner recorded them.
+        self._recorded_ending = {}
+        self._previous_ending = {}
         # Grants that are being written to the journal.
         self._being_recorded = None
 
@@ -404,10 +410,27 @@
 
     # Journal
 
-    def begin_record(self):
-        """Returns the journal's record of the grants, or None if it has them."""
-        if not self._has_changed:
+    @property
+    def previous_ending(self):
+        """``Resources`` of the previous owner's runs of ended jobs, by customer."""
+        return self._previous_ending
+
+    def forget_previous_ending(self):
+        """Forgets these runs, once the workers have reported all that execute."""
+        self._previous_ending = {}
+
+    def begin_record(self, ending):
+        """Returns the journal's record of the grants, or None if it is up to date.
+
+        Args:
+            ending: ``Resources`` of runs of ended jobs, by customer.
+        """
+        ending = dict(ending)
+        for name, amount in self._previous_ending.items():
+            ending[name] = combine(sum, amount, ending.get(name, NOTHING))
+        if not self._has_changed and ending == self._recorded_ending:
             return None
+        self._recorded_ending = ending
         self._has_changed = self._is_record_due = False
         rows = []
         self._being_recorded = {}
@@ -417,7 +440,8 @@
             rows.append(
                 GrantRow(name, Amount.of(holding.grant), Amount.of(holding.basis))
             )
-        return msgspec.json.encode(QuotaRecord(*self._applied, rows))
+        amounts = {name: Amount.of(amount) for name, amount in ending.items()}
+        return msgspec.json.encode(QuotaRecord(*self._applied, rows, amounts))
 
     def finish_record(self):
         """Notes that the record of the last ``begin_record`` is durable."""
@@ -433,6 +457,10 @@
         """
         record = decode_json(data, QuotaRecord, "quota", RecordInvalid)
         self._applied = record.token, record.sequence
+        self._previous_ending = {
+            name: amount.resources for name, amount in record.ending.items()
+        }
+        self._recorded_ending = dict(self._previous_ending)
         for row in record.rows:
             grant = row.grant.resources
             self._holdings[row.customer] = _Holding(
--- a/basilwind/scheduling/quota_use.py
+++ b/basilwind/scheduling/quota_use.py
@@ -73,21 +73,52 @@
     used = dict.fromkeys(pool.quota.limited_customers(), NOTHING)
     if not used:
         return used
+    if not pool.has_silent_workers(now):
+        pool.quota.forget_previous_ending()
+    for name, amount in pool.quota.previous_ending.items():
+        if name in used:
+            used[name] = amount
     for name, spec in _possible_runs(pool, now):
         if name in used:
             used[name] = combine(sum, used[name], size_of(spec))
     return used
 
 
-def _possible_runs(pool, now):
-    """Yields the customer and the ``StepSpec`` of each run that may execute."""
+def measure_ending(pool):
+    """Returns the ``Resources`` of runs of ended jobs, by limited customer.
+
+    A successor does not know them before the workers report them, as the records of
+    ended jobs have no tasks.
+
+    Args:
+        pool: ``PoolState``.
+    """
+    limited = set(pool.quota.limited_customers())
+    ending = {}
+    if not limited:
+        return ending
+    for job, spec in _runs_on_workers(pool):
+        if job.customer in limited and not job.is_live:
+            amount = ending.get(job.customer, NOTHING)
+            ending[job.customer] = combine(sum, amount, size_of(spec))
+    return ending
+
+
+def _runs_on_workers(pool):
+    """Yields the ``Job`` and the ``StepSpec`` of each run that a worker may have."""
     for worker in pool.workers.values():
         for task in worker.tasks.values():
-            yield task.job.customer, task.spec
+            yield task.job, task.spec
         for (task_name, _), spec in worker.unwanted_runs.items():
             job = pool.jobs.get(task_name.partition(".")[0])
             if job is not None:
-                yield job.customer, spec
+                yield job, spec
+
+
+def _possible_runs(pool, now):
+    """Yields the customer and the ``StepSpec`` of each run that may execute."""
+    for job, spec in _runs_on_workers(pool):
+        yield job.customer, spec
     may_be_unrecorded = pool.has_unrecorded_runs(now)
     if now >= pool.previous_leases_until and not may_be_unrecorded:
         return
--- a/tests/scheduling/model.py
+++ b/tests/scheduling/model.py
@@ -15,6 +15,7 @@
 from basilwind.scheduling.fleet import Queue, WorkerEntry
 from basilwind.scheduling.jobs import Job, JobState, TaskState
 from basilwind.scheduling.pool import PoolState
+from basilwind.scheduling.quota_use import measure_ending
 from basilwind.scheduling.records import decode_job_record, encode_job, restore_job
 from basilwind.scheduling.reports import (
     EndedRun,
@@ -245,6 +246,10 @@
         stop_s: Time that workers take to end a run, seconds.
         is_strict: As for ``ModelWorker``. A restart then breaks the connection to the
             worker, so that the owner notices it.
+        make_quota: Function that returns a ``QuotaBook`` for each owner, or None if
+            there are no customers.
+        max_running_cpu: What customer "c", to which all jobs belong, may have running,
+            millicores; None if there are no customers.
         names_incarnations: Whether calls that depend on an incarnation reach no other
             one, as with the client of the workers.
     """
@@ -260,7 +265,11 @@
         stop_s=0.0,
         is_strict=False,
         names_incarnations=False,
+        make_quota=lambda: None,
+        max_running_cpu=None,
     ):
+        self._make_quota = make_quota
+        self._max_running_cpu = max_running_cpu
         self._names_incarnations = names_incarnations
         self._fail = fail
         self._stop_s = stop_s
@@ -288,6 +297,7 @@
         }
         self.submitted = {}
         self.journal = {}
+        self.quota_record = None
         self.acknowledged_done = set()
         self.delayed_orders = []
         # Pairs of order and delivery that wait for the store to record their jobs.
@@ -313,6 +323,7 @@
             120.0,
             lambda *arguments, **fields: None,
             WORKER_LIMITS,
+            self._make_quota(),
         )
 
     def refresh(self, listed=None):
@@ -324,12 +335,34 @@
     def submit(self, job_id, spec):
         """Submits a job to the owner."""
         self.submitted[job_id] = spec
-        self.state.submit(job_id, "q", spec, self.now, self.now, self.now)
+        self.state.submit(
+            job_id, "q", spec, self.now, self.now, self.now, self._customer
+        )
+
+    @property
+    def _customer(self):
+        return "" if self._max_running_cpu is None else "c"
+
+    def _check_quota(self):
+        """Fails if the runs, also those being stopped, exceed the grant."""
+        if self._max_running_cpu is None:
+            return
+        running = sum(
+            self._step_of(name).cpu
+            for worker in self.workers.values()
+            for name in worker.runs
+        )
+        if running > self._max_running_cpu:
+            self._fail(f"{running} run with a grant of {self._max_running_cpu}")
 
     def flush(self):
         """Writes dirty jobs to the journal, if the store is available."""
         if self.is_store_unavailable:
             return
+        quota = self.state.quota.begin_record(measure_ending(self.state))
+        if quota is not None:
+            self.quota_record = quota
+            self.state.quota.finish_record()
         for job_id in self.state.dirty:
             self.journal[job_id] = encode_job(self.state.jobs[job_id])
             self.state.jobs[job_id].is_recorded = True
@@ -407,6 +440,7 @@
             self._started_at[name] = self.now
             self._last_executed[name] = self.now
             self._check_capacity(worker, cpu_when_sent)
+            self._check_quota()
             if sum(name in other.runs for other in self.workers.values()) > 1:
                 self._fail(f"two runs of {name} at the same time")
             if name in self.acknowledged_done:
@@ -601,7 +635,7 @@
         # The previous owner can't send them any more.
         self.unrecorded_orders = []
         for job_id, spec in self.submitted.items():
-            job = Job(job_id, "q", spec, self.now)
+            job = Job(job_id, "q", spec, self.now, self._customer)
             if job_id in self.journal:
                 job.is_recorded = True
                 restore_job(job, decode_job_record(self.journal[job_id]), self.now)
@@ -610,6 +644,8 @@
         state.unrecorded_runs_until = self.now + previous_leases_s
         state.expect_workers(self.recorded_workers)
         state.expect_withheld_workers(self.now)
+        if self.quota_record is not None:
+            state.quota.restore(self.quota_record)
         self.state = state
         self.refresh(listed)
 
--- /dev/null
+++ b/tests/scheduling/test_quota.py
@@ -0,0 +1,413 @@
+"""Quota: all pools together never start more than a customer's maximum."""
+
+import random
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from basilwind.scheduling.fleet import Customer, Resources
+from basilwind.scheduling.quota import Amount, GrantResponse, GrantRow, QuotaBook
+from basilwind.scheduling.quota_ledger import divide, share_fairly
+from tests.scheduling.model import PoolModel, make_job, seeds_to_play
+from tests.scheduling.quota_model import CUSTOMER, QuotaFleet
+from tests.scheduling.test_pool import apply_fault
+
+SEEDS = 150
+STEP_COUNT = 400
+POOL_SEEDS = 100
+POOL_FAULTS = [
+    "schedule",
+    "schedule",
+    "schedule delayed",
+    "schedule answer lost",
+    "schedule unreachable",
+    "hold",
+    "hold",
+    "hold one",
+    "finish",
+    "fail",
+    "wait",
+    "wait long",
+    "disconnect",
+    "reconnect",
+    "restart",
+    "deliver delayed",
+    "take over",
+    "take over unlisted",
+    "relist",
+    "store down",
+    "store up",
+    "cancel",
+    "submit",
+    "submit unread",
+]
+AMOUNTS = st.lists(st.integers(0, 5000), min_size=1, max_size=6)
+
+
+def raise_failure(message):
+    raise AssertionError(message)
+
+
+class TestDivide(unittest.TestCase):
+    """A division above the maximum would be granted as it is."""
+
+    @given(st.integers(0, 10_000), AMOUNTS, st.data())
+    def test_sum_is_within_the_maximum_and_needs_come_first(self, total, needs, data):
+        held = data.draw(
+            st.lists(st.integers(0, 5000), min_size=len(needs), max_size=len(needs))
+        )
+        targets = divide(total, needs, held)
+        self.assertLessEqual(sum(targets), total)
+        for need, target, fair in zip(
+            needs, targets, share_fairly(total, needs), strict=True
+        ):
+            self.assertGreaterEqual(target, fair)
+            if sum(needs) <= total:
+                self.assertGreaterEqual(target, need)
+
+    def test_small_needs_are_met_in_full(self):
+        self.assertEqual(share_fairly(900, [100, 1000, 1000]), [100, 400, 400])
+
+    def test_half_is_spread_evenly_without_need(self):
+        self.assertEqual(divide(8000, [0, 0], [0, 0]), [2000, 2000])
+
+    def test_even_share_is_given_up_for_needs(self):
+        self.assertEqual(divide(8000, [0, 9000], [2000, 2000]), [0, 8000])
+
+    def test_surplus_stays_where_it_is(self):
+        self.assertEqual(divide(8000, [0, 1000], [6000, 0]), [6000, 2000])
+
+
+class TestExchanges(unittest.TestCase):
+    def setUp(self):
+        self.fleet = QuotaFleet(self.fail, maximum=8000, pools=2)
+        self.fleet.settle()
+
+    def test_burst_within_the_even_share_starts_without_a_call(self):
+        self.assertEqual(self.fleet.start("p0", 2), 2)
+
+    def test_demand_that_moves_gets_the_amount_within_two_exchanges(self):
+        self.assertEqual(self.fleet.start("p0", 2), 2)
+        self.fleet.owners["p0"].waiting = 6
+        self.fleet.settle()
+        self.assertEqual(self.fleet.start("p0", 0), 6)
+        self.fleet.finish("p0")
+        self.fleet.start("p1", 8)
+        self.fleet.exchange("p1")
+        started = 0
+        for _ in range(2):
+            self.fleet.exchange("p0")
+            self.fleet.exchange("p1")
+            started += self.fleet.start("p1", 0)
+        self.assertEqual(len(self.fleet.runs["p1"]), 8)
+
+    def test_pools_that_share_a_maximum_of_one_task_take_turns(self):
+        fleet = QuotaFleet(self.fail, maximum=1000, pools=2)
+        started = {"p0": 0, "p1": 0}
+        for _ in range(40):
+            for pool in fleet.pools:
+                started[pool] += fleet.start(pool, 1)
+                fleet.exchange(pool)
+            fleet.now += 0.3
+            for owner in (*fleet.owners.values(), fleet.granter):
+                owner.read_configuration()
+            for pool in fleet.pools:
+                fleet.finish(pool)
+        self.assertTrue(all(started.values()), started)
+
+    def test_nothing_starts_below_a_lowered_maximum_until_enough_has_ended(self):
+        self.fleet.owners["p0"].waiting = 8
+        self.fleet.settle()
+        self.assertEqual(self.fleet.start("p0", 0), 8)
+        self.fleet.publish(4000)
+        self.fleet.now += 4.0
+        for daemon in (*self.fleet.owners.values(), self.fleet.granter):
+            daemon.read_configuration()
+        self.fleet.start("p1", 4)
+        self.fleet.settle()
+        self.assertEqual(self.fleet.start("p1", 0), 0)
+        self.fleet.finish("p0")
+        self.fleet.settle()
+        self.assertEqual(self.fleet.start("p1", 0), 4)
+
+    def test_unconfirmed_configuration_lets_nothing_start(self):
+        self.fleet.now += 3.5
+        self.assertEqual(self.fleet.start("p0", 1), 0)
+
+    def test_late_report_does_not_lower_what_a_later_one_raised(self):
+        late = self.fleet.owners["p0"].call()
+        self.fleet.owners["p0"].waiting = 8
+        self.fleet.settle()
+        self.fleet.replace_granter()
+        self.fleet.granter.receive(*late)
+        self.assertEqual(self.fleet.granter.ledger.entry("p0", CUSTOMER).cpu, 8000)
+
+    def test_report_of_a_superseded_owner_is_refused(self):
+        previous = self.fleet.owners["p0"]
+        self.fleet.take_over("p0")
+        self.fleet.settle()
+        _, request = previous.call()
+        self.assertFalse(self.fleet.granter.ledger.apply_report(request))
+
+    def test_pool_that_never_reported_may_hold_everything(self):
+        # Its owner may have started tasks before the customer had a maximum.
+        fleet = QuotaFleet(self.fail, maximum=8000, pools=2)
+        for _ in range(4):
+            fleet.exchange("p0")
+        self.assertEqual(fleet.start("p0", 1), 0)
+
+
+class FaultPlay:
+    """Random steps of owners and granters that are late, frozen and replaced.
+
+    Args:
+        seed: Seed of the random steps.
+    """
+
+    def __init__(self, seed):
+        self.random = random.Random(seed)
+        self.fleet = QuotaFleet(raise_failure, maximum=6000, pools=3)
+        self.fleet.settle(2)
+
+    def play(self, steps):
+        """Plays a number of steps."""
+        names = self.random.choices(list(STEPS), STEPS.values(), k=steps)
+        for name in names:
+            getattr(self, name)()
+
+    def _pool(self):
+        return self.random.choice(self.fleet.pools)
+
+    def _owner(self):
+        # Superseded owners and granters go on until they notice.
+        if self.random.random() < 0.8:
+            return self.fleet.owners[self._pool()]
+        return self.random.choice(self.fleet.all_owners[-6:])
+
+    def _granter(self):
+        if self.random.random() < 0.8:
+            return self.fleet.granter
+        return self.random.choice(self.fleet.all_granters[-2:])
+
+    def _take(self, messages):
+        """Takes a message: mostly the newest, sometimes one that is late."""
+        if not messages:
+            return None
+        is_late = self.random.random() < 0.3
+        return messages.pop(self.random.randrange(len(messages)) if is_late else -1)
+
+    def submit(self):
+        self._owner().waiting += self.random.randint(1, 6)
+
+    def drop_waiting(self):
+        self._owner().waiting = 0
+
+    def schedule(self):
+        self._owner().schedule()
+
+    def send_one(self):
+        owner = self._owner()
+        if owner.orders:
+            owner.send(self.random.choice(list(owner.orders)))
+
+    def send_all(self):
+        owner = self._owner()
+        for task in list(owner.orders):
+            owner.send(task)
+
+    def start(self):
+        self.schedule()
+        self.send_all()
+
+    def write_journal(self):
+        self._owner().write(self.random.random() < 0.8)
+
+    def call(self):
+        self.fleet.requests.append(self._owner().call())
+
+    def deliver_request(self):
+        request = self._take(self.fleet.requests)
+        if request is not None:
+            self._granter().receive(*request)
+
+    def write_ledger(self):
+        self._granter().write()
+
+    def deliver_response(self):
+        response = self._take(self.fleet.responses)
+        if response is not None:
+            owner, request, answer = response
+            owner.apply(request, answer)
+
+    def exchange(self):
+        self.fleet.exchange(self._pool())
+
+    def end_runs(self):
+        running = self.fleet.runs[self._pool()]
+        for task in self.random.sample(sorted(running), len(running) // 2):
+            running.discard(task)
+
+    def finish(self):
+        self.fleet.finish(self._pool())
+
+    def learn(self):
+        self.fleet.owners[self._pool()].learn()
+
+    def replace_owner(self):
+        self.fleet.take_over(self._pool())
+
+    def replace_granter(self):
+        self.fleet.replace_granter()
+
+    def publish(self):
+        self.fleet.publish(self.random.choice((1000, 3000, 6000, 9000)))
+
+    def read_configuration(self):
+        self.random.choice((self._owner(), self._granter())).read_configuration()
+
+    def all_read_configuration(self):
+        for daemon in (*self.fleet.owners.values(), self.fleet.granter):
+            daemon.read_configuration()
+
+    def advance(self):
+        self.fleet.now += self.random.choice((0.1, 1.0, 4.0))
+
+
+STEPS = dict(
+    submit=8,
+    drop_waiting=3,
+    schedule=6,
+    send_one=3,
+    send_all=6,
+    start=15,
+    write_journal=12,
+    call=12,
+    deliver_request=12,
+    write_ledger=10,
+    deliver_response=12,
+    exchange=8,
+    end_runs=3,
+    finish=6,
+    learn=6,
+    replace_owner=2,
+    replace_granter=2,
+    publish=1,
+    read_configuration=4,
+    all_read_configuration=8,
+    advance=4,
+)
+
+
+class TestFaults(unittest.TestCase):
+    """No order of late, lost and repeated steps lets more start than the maximum."""
+
+    def test_starts_stay_within_the_highest_maximum_in_force(self):
+        for seed in seeds_to_play(SEEDS):
+            with self.subTest(seed=seed):
+                FaultPlay(seed).play(STEP_COUNT)
+
+    def test_single_pool_keeps_its_grant_under_faults(self):
+        # Runs of a previous owner count, recorded or not, as do those being stopped.
+        for seed in seeds_to_play(POOL_SEEDS):
+            with self.subTest(seed=seed):
+                self._play_pool(seed)
+
+    def _play_pool(self, seed):
+        choose = random.Random(seed)
+        model = PoolModel(
+            self.fail, make_quota=lambda: make_quota(3000), max_running_cpu=3000
+        )
+        for number in range(3):
+            model.submit(f"job{number}", make_job(count=3, steps=2))
+        for _ in range(60):
+            apply_fault(model, choose.choice(POOL_FAULTS), choose.randrange(3))
+
+
+def make_quota(grant, names=(CUSTOMER,)):
+    """Returns a ``QuotaBook`` with a grant of CPU."""
+    book = QuotaBook(lambda name: _find(name, names), lambda: names)
+    unbounded = 10**12
+    basis = Amount(8000, unbounded, unbounded)
+    row = GrantRow(CUSTOMER, Amount(grant, unbounded, unbounded), basis)
+    book.apply(GrantResponse(1, 1, [row]), 0.0)
+    return book
+
+
+def _find(name, names):
+    return Customer(name, 1.0, Resources(cpu=8000 if name in names else 0))
+
+
+class TestPool(unittest.TestCase):
+    """The pool places no more than fits, and blocked steps hold up nobody else."""
+
+    def setUp(self):
+        self.model = PoolModel(self.fail)
+        self.model.hold()
+        self.state = self.model.state
+        self.state.quota = make_quota(3000)
+
+    def _submit(self, job_id, spec, customer=CUSTOMER):
+        self.model.submitted[job_id] = spec
+        now = self.model.now
+        self.state.submit(job_id, "q", spec, now, now, now, customer)
+
+    def _schedule(self):
+        return self.state.schedule(self.model.now, self.model.now)
+
+    def test_as_many_tasks_start_as_fit(self):
+        self._submit("a", make_job(count=5))
+        self.assertEqual(len(self._schedule()), 3)
+        self.assertEqual(self._schedule(), [])
+
+    def test_gang_starts_as_a_whole_or_not_at_all(self):
+        self._submit("a", make_job(count=4, is_gang=True))
+        self.assertEqual(self._schedule(), [])
+        self._submit("b", make_job(count=3, is_gang=True))
+        self.assertEqual(len(self._schedule()), 3)
+
+    def test_fillers_count_in_full(self):
+        self._submit("a", make_job(count=5, is_filler=True, is_lasting=True))
+        self.assertEqual(len(self._schedule()), 3)
+
+    def test_customer_at_its_maximum_holds_up_nobody_else(self):
+        self._submit("a", make_job(count=20))
+        self._submit("b", make_job(count=20, is_lasting=True))
+        self._submit("c", make_job(count=6), "other")
+        self._submit("d", make_job(count=6), "")
+        jobs = [order.task.job.job_id for order in self._schedule()]
+        self.assertEqual([jobs.count(job) for job in "cd"], [6, 6])
+        self.assertEqual(jobs.count("a") + jobs.count("b"), 3)
+
+    def test_blocked_work_draws_no_hosts(self):
+        self._submit("a", make_job(count=500, estimate_s=10.0))
+        self._submit("b", make_job(count=500, is_lasting=True))
+        report = self.state.pool_report(self.model.now, self.model.now)
+        self.assertLessEqual(report.urgent_work + report.late_work, 8 * 1.1)
+        self.assertLessEqual(report.lasting_cpu, 8000)
+
+    def test_runs_that_are_being_stopped_count(self):
+        self._submit("a", make_job(count=3))
+        self.model.schedule()
+        self.state.cancel("a", self.model.now)
+        self._submit("b", make_job(count=3))
+        self.assertEqual(self._schedule(), [])
+
+    def test_order_is_not_sent_once_its_quota_is_gone(self):
+        self._submit("a", make_job(count=3))
+        order = self._schedule()[0]
+        self.assertTrue(self.state.may_send(order, self.model.now))
+        row = GrantRow(CUSTOMER, Amount(1000, 10**12, 10**12), Amount(8000, 1, 1))
+        self.state.quota.apply(GrantResponse(1, 2, [row]), self.model.now)
+        self.assertFalse(self.state.may_send(order, self.model.now))
+
+    def test_successor_counts_runs_that_may_lack_a_record(self):
+        self._submit("a", make_job(count=3))
+        self.model.flush()
+        self.model.take_over()
+        self.state = self.model.state
+        for job in self.state.jobs.values():
+            job.customer = CUSTOMER
+        self.state.quota = make_quota(3000)
+        self._submit("b", make_job(count=3))
+        self.assertEqual(self._schedule(), [])
