--- a/basilwind/entry/owner.py
+++ b/basilwind/entry/owner.py
@@ -79,7 +79,7 @@
                 services.configuration.find_customer,
                 services.configuration.customer_names,
                 services.may_use_quota,
-                self._report,
+                self._report_quota,
             ),
         )
         self._journal = JobJournal(
@@ -216,6 +216,12 @@
         """Returns for how long leases may have been extended without confirmation."""
         return age_s(self._services.duties.confirmed_at, self._clock())
 
+    def _report_quota(self, event, **fields):
+        configuration_age_s = age_s(
+            self._services.configuration.confirmed_at, self._clock()
+        )
+        self._report(event, configuration_age_s=configuration_age_s, **fields)
+
     def _report(self, event, **fields):
         self._services.report(event, pool=self.pool, **fields)
 
--- a/basilwind/scheduling/quota.py
+++ b/basilwind/scheduling/quota.py
@@ -334,7 +334,6 @@
             grant=_row(holding.grant),
             basis=_row(holding.basis),
             maximum=_row(self.limit(name) or NOTHING),
-            is_configuration_confirmed=self._is_confirmed(now),
         )
 
     def take_call_due(self):
