--- a/basilwind/entry/configuration.py
+++ b/basilwind/entry/configuration.py
@@ -72,6 +72,12 @@
         """Adds a ``Queue`` of an earlier configuration, unless a later one is known."""
         self._known_queues.setdefault(queue.name, queue)
 
+    def pool_names(self):
+        """Returns the names of all pools that run jobs."""
+        if self._current is None:
+            return []
+        return [pool.name for pool in self._current.pools.values() if not pool.is_spare]
+
     def find_customer(self, name):
         """Returns a ``Customer`` by name, or None if it is unknown.
 
--- a/basilwind/entry/owner.py
+++ b/basilwind/entry/owner.py
@@ -105,6 +105,7 @@
             services.request_grants,
             self._clock,
             self._schedule_event.set,
+            lambda: len(services.configuration.pool_names()),
         )
         self._tasks = None
         self._intake_offset = 0
--- a/basilwind/entry/quota_client.py
+++ b/basilwind/entry/quota_client.py
@@ -8,6 +8,9 @@
 from basilwind.scheduling.quota_use import measure_uses
 
 CALL_INTERVAL_S = 1.0
+# Another pool may need the surplus, and a customer that uses less than half of its
+# maximum must not wait for longer than a second.
+SURPLUS_INTERVAL_S = 0.4
 MIN_PAUSE_S = 0.05  # between calls while quota blocks starts
 # While calls bring no grants, as when a customer is at its maximum, further calls only
 # take processor time.
@@ -30,9 +33,15 @@
             ``GrantResponse``; raises ``NotOwner`` if there is none.
         clock: Returns boot time.
         on_grants: Called after grants have changed.
+        count_pools: Returns the number of pools that share the maximums.
     """
 
-    def __init__(self, state, journal, request_grants, clock, on_grants):
+    def __init__(
+        self, state, journal, request_grants, clock, on_grants, count_pools=lambda: 1
+    ):
+        self._count_pools = count_pools
+        self._is_requested = False
+        self._interval_s = CALL_INTERVAL_S
         self._state = state
         self._journal = journal
         self._request_grants = request_grants
@@ -47,6 +56,7 @@
 
     def request_call(self):
         """Requests a call soon, because quota holds up a start."""
+        self._is_requested = True
         self._call_event.set()
 
     async def run(self):
@@ -54,7 +64,10 @@
         while True:
             await self.call()
             await anyio.sleep(self._pause_s)
-            await self._call_event.wait(CALL_INTERVAL_S - self._pause_s)
+            await self._call_event.wait(max(0.0, self._interval_s - self._pause_s))
+            if not self._is_requested:
+                self._pause_s = MIN_PAUSE_S
+            self._is_requested = False
 
     async def call(self):
         """Calls the granter once, if any customer has a limit."""
@@ -62,6 +75,8 @@
         rows = book.rows(measure_uses(self._state, now), now)
         if not rows:
             return
+        has_surplus = book.has_surplus(rows, self._count_pools())
+        self._interval_s = SURPLUS_INTERVAL_S if has_surplus else CALL_INTERVAL_S
         changed = [row for row in rows if self._known.get(row.customer) != row]
         self._number += 1
         request = GrantRequest(
--- a/basilwind/entry/quota_granter.py
+++ b/basilwind/entry/quota_granter.py
@@ -75,19 +75,16 @@
         if not self._is_loaded or not self._ledger.apply_report(request):
             raise NotOwner(f"quota of pool {request.pool!r}: not answered")
         rows, has_raise = self._ledger.answer(
-            request.pool, self._pools(), self._may_raise(), self._services.clock()
+            request.pool,
+            self._services.configuration.pool_names(),
+            self._may_raise(),
+            self._services.clock(),
         )
         if has_raise and not await self._is_journalled():
             rows = []
         self._sequence += 1
         return GrantResponse(self._token, self._sequence, rows)
 
-    def _pools(self):
-        configuration = self._services.configuration.current
-        if configuration is None:
-            return []
-        return [pool.name for pool in configuration.pools.values() if not pool.is_spare]
-
     def _may_raise(self):
         return (
             not self._services.store_monitor.is_suspected
--- a/basilwind/scheduling/pool.py
+++ b/basilwind/scheduling/pool.py
@@ -288,7 +288,7 @@
                 continue
             if step.job.suspects and not step.spec.is_gang:
                 # Its other tasks wait, as they may crash their workers, too.
-                most = quota.most(step, len(step.waiting()))
+                most = quota.most(step)
                 placed = place_suspects(step, kept.get(step.job.job_id), now, most)
                 quota.add(step, len(placed))
                 orders += self._start_orders(step, placed, now)
@@ -301,8 +301,8 @@
                 continue
             if step.spec.is_gang and not is_gang_waiting(step):
                 continue
-            most = quota.most(step, len(step.waiting()))
-            if not most:
+            most = quota.most(step)
+            if most == 0:
                 step.unplaced_since = step.reserved_worker = None
                 continue
             place = place_suspected_gang if step.job.suspects else place_step
--- a/basilwind/scheduling/quota.py
+++ b/basilwind/scheduling/quota.py
@@ -346,6 +346,22 @@
         holding = self._holdings.get(name)
         return holding.grant if holding else NOTHING
 
+    def has_surplus(self, rows, pools):
+        """Returns whether more is granted than is needed, beyond the even share.
+
+        Args:
+            rows: ``UseRow`` of each limited customer.
+            pools: Number of pools.
+        """
+        return any(
+            grant > max(need, most // 2 // max(1, pools))
+            for row in rows
+            for grant, need, most in zip(
+                _row(row.grant), _row(row.need), _row(row.basis), strict=True
+            )
+            if most < UNBOUNDED
+        )
+
     # Messages
 
     def rows(self, uses, now):
--- a/basilwind/scheduling/quota_use.py
+++ b/basilwind/scheduling/quota_use.py
@@ -31,16 +31,16 @@
         self._used = used
         self._now = now
 
-    def most(self, step, tasks):
-        """Returns how many of a step's waiting tasks may be placed.
+    def most(self, step):
+        """Returns how many of a step's waiting tasks may be placed; None for all.
 
         Args:
-            step: ``StepRun``.
-            tasks: Number of tasks that are to be placed; all or none if it is a gang.
+            step: ``StepRun``; a gang is placed as a whole or not at all.
         """
         name = step.job.customer
         if name not in self._used:
-            return tasks
+            return None
+        tasks = len(step.waiting())
         size, used = size_of(step.spec), self._used[name]
         unit = multiply(size, tasks) if step.spec.is_gang else size
         room = self._book.room(name, used, self._now)
--- a/tests/entry/test_quota_granter.py
+++ b/tests/entry/test_quota_granter.py
@@ -2,13 +2,16 @@
 
 import types
 import unittest
+from dataclasses import replace
 
 import anyio
 import msgspec
 
+from basilwind.entry.configuration import ConfigurationWatcher
 from basilwind.entry.journal import QUOTA_KEY, journal_topic
 from basilwind.entry.metrics import EntryMetrics
 from basilwind.entry.owner import PoolOwner
+from basilwind.entry.peer_app import PeerApp
 from basilwind.entry.peer_client import PeerClient
 from basilwind.entry.quota_granter import TOPIC, QuotaGranter
 from basilwind.errors import NotOwner, ProducerFenced
@@ -17,7 +20,7 @@
 from basilwind.scheduling.outages import SUSPECT_AFTER_S
 from basilwind.scheduling.quota import Amount, GrantRequest, QuotaRecord, UseRow
 from tests.scheduling.model import make_job
-from tests.utils.entry_fakes import Clock, FakeStore, make_services
+from tests.utils.entry_fakes import CONFIGURATION, Clock, FakeStore, make_services
 
 SETTLE_S = 0.3  # some scheduling rounds and calls
 NONE = Amount()
@@ -83,7 +86,6 @@
         async def scenario(granter):
             response = await granter.answer(make_request(1))
             (row,) = response.rows
-            # "spare" has no owner, so the rest of the maximum is for this pool.
             self.assertGreaterEqual(row.grant.cpu, 3000)
             self.assertEqual(row.basis.cpu, 8000)
             (record,) = self.ledger_appends()
@@ -247,28 +249,101 @@
         self._run(scenario)
 
 
+class TestCalls(QuotaCase):
+    """Requests and answers must survive the way between two daemons."""
+
+    def test_grants_arrive_over_the_wire(self):
+        async def scenario(granter):
+            app = PeerApp(None, None, self.services, lambda: granter)
+            peers = PeerClient(
+                AppTransport(app), None, None, find_granter_address=lambda: "peer:1"
+            )
+            response = await peers.request_grants(make_request(1))
+            self.assertGreaterEqual(response.rows[0].grant.cpu, 3000)
+            self.assertEqual(response.token, 3)
+            with self.assertRaises(NotOwner):
+                await peers.request_grants(make_request(1))
+
+        self.run_granter(scenario)
+
+    def test_daemon_without_the_duty_does_not_answer(self):
+        async def main():
+            app = PeerApp(None, None, self.services)
+            for address in ("peer:1", None):
+                peers = PeerClient(
+                    *(AppTransport(app), None, None, lambda: None),
+                    lambda address=address: address,
+                )
+                with self.assertRaises(NotOwner):
+                    await peers.request_grants(make_request(1))
+
+        anyio.run(main)
+
+
+class TestConfiguration(unittest.TestCase):
+    def setUp(self):
+        self.watcher = ConfigurationWatcher(None, lambda: 0.0, lambda: None)
+        self.customer = Customer("c", 1.0, Resources(cpu=5))
+
+    def _apply(self, version, customers):
+        configuration = replace(CONFIGURATION, version=version, customers=customers)
+        self.watcher._apply_configuration(configuration, False)
+
+    def test_removed_customer_keeps_its_last_maximum(self):
+        self.assertIsNone(self.watcher.find_customer("c"))
+        self._apply(1, {"c": self.customer})
+        self._apply(2, {})
+        self.assertEqual(self.watcher.find_customer("c"), self.customer)
+        self.assertEqual(self.watcher.customer_names(), ["c"])
+        self.assertIsNone(self.watcher.find_customer("unknown"))
+
+    def test_nothing_is_limited_without_customers(self):
+        self._apply(1, {"c": self.customer})
+        self._apply(2, None)
+        self.assertEqual(self.watcher.find_customer("c").maximum, Resources())
+        self.assertEqual(self.watcher.customer_names(), [])
+
+
+async def call_app(app, method, path, body=b""):
+    """Returns the status and the body of an ASGI application's answer."""
+    sent = []
+
+    async def receive():
+        return {"type": "http.request", "body": body, "more_body": False}
+
+    async def send(message):
+        sent.append(message)
+
+    scope = {
+        "type": "http",
+        "method": method,
+        "path": path,
+        "headers": [],
+        "query_string": b"",
+    }
+    await app(scope, receive, send)
+    return sent[0]["status"], b"".join(part.get("body", b"") for part in sent)
+
+
+class AppTransport:
+    """A transport whose calls reach an ASGI application."""
+
+    def __init__(self, app):
+        self._app = app
+
+    async def call(self, method, url, timeout_s, body=None):
+        path = "/" + url.removeprefix("http://").partition("/")[2]
+        return await call_app(self._app, method, path, body)
+
+
 class TestMetrics(unittest.TestCase):
     def test_further_customers_are_reported_as_other(self):
         rows = [(f"c{n:03}", 1, 1, 1) for n in range(150)]
         owner = types.SimpleNamespace(
             pool="pool", summary=lambda: (0, 0, 0), quota_summary=lambda: rows
         )
-        sent = []
-
-        async def receive():
-            return {"type": "http.request", "body": b"", "more_body": False}
-
-        async def send(message):
-            sent.append(message.get("body", b""))
-
-        scope = {
-            "type": "http",
-            "method": "GET",
-            "path": "/metrics",
-            "headers": [],
-            "query_string": b"",
-        }
-        anyio.run(EntryMetrics(lambda: [owner]), scope, receive, send)
-        text = b"".join(sent).decode()
+        metrics = EntryMetrics(lambda: [owner])
+        _, body = anyio.run(call_app, metrics, "GET", "/metrics")
+        text = body.decode()
         self.assertIn('customer="other",kind="used",pool="pool"} 50.0', text)
         self.assertEqual(text.count('kind="granted"'), 101)
--- a/tests/scheduling/test_quota.py
+++ b/tests/scheduling/test_quota.py
@@ -441,6 +441,14 @@
         self._submit("b", make_job(count=3))
         self.assertEqual(self._schedule(), [])
 
+    def test_runs_that_no_task_needs_count(self):
+        # As after a takeover from an owner whose journal lacks them.
+        self._submit("a", make_job(count=3))
+        worker = next(iter(self.state.workers.values()))
+        spec = make_job().steps[0]
+        worker.set_unwanted_runs({("a.0.0.0", 1): spec, ("a.0.0.1", 1): spec})
+        self.assertEqual(len(self._schedule()), 1)
+
     def test_order_is_not_sent_once_its_quota_is_gone(self):
         self._submit("a", make_job(count=3))
         order = self._schedule()[0]
--- a/tests/utils/entry_fakes.py
+++ b/tests/utils/entry_fakes.py
@@ -213,6 +213,7 @@
         find_queue=queues.get,
         find_customer=lambda name: None,
         customer_names=lambda: (),
+        pool_names=lambda: ["pool"],
         confirmed_at=clock(),
         remember_queue=lambda queue: queues.setdefault(queue.name, queue),
         waves={},
