--- a/basilwind/entry/daemon.py
+++ b/basilwind/entry/daemon.py
@@ -236,6 +236,9 @@
         if any(map(has_limit, (configuration.customers or {}).values())):
             wanted.append(QUOTA_DUTY)
         self._shared_services.duties.set_wanted(wanted)
+        granter = self._find_granter()
+        if granter is not None:
+            granter.apply_configuration()
         for owner in self._pool_owners():
             owner.request_scheduling()
 
--- a/basilwind/entry/journal.py
+++ b/basilwind/entry/journal.py
@@ -150,7 +150,7 @@
         if quota_record is not None:
             # It comes first, as the records of ended jobs lack what it counts.
             groups.insert(0, [encode_keyed_record(QUOTA_KEY, quota_record)])
-        for chunk in _split_by_size(groups):
+        for chunk in split_by_size(groups):
             await self._topic.append(chunk)
         if quota_record is not None:
             state.quota.finish_record()
@@ -191,7 +191,7 @@
             ]
             for job_id in job_ids
         ]
-        for chunk in _split_by_size(groups):
+        for chunk in split_by_size(groups):
             while True:
                 try:
                     await self._store.append(self._intake_topic, chunk)
@@ -205,7 +205,7 @@
     return f"{job_id}/{number}"
 
 
-def _split_by_size(groups):
+def split_by_size(groups):
     """Joins groups of records to appends; a group is never split."""
     chunk, size = [], 0
     for group in groups:
--- a/basilwind/entry/quota_client.py
+++ b/basilwind/entry/quota_client.py
@@ -15,6 +15,8 @@
 # While calls bring no grants, as when a customer is at its maximum, further calls only
 # take processor time.
 MAX_PAUSE_S = 0.4
+# The granter may have dropped a row for a configuration that this daemon never saw.
+FULL_REPORT_CALLS = 20
 WRITE_WAIT_S = (
     1.0  # a lowered grant is journalled within 0.1 s unless the store is away
 )
@@ -77,6 +79,8 @@
             return
         has_surplus = book.has_surplus(rows, self._count_pools())
         self._interval_s = SURPLUS_INTERVAL_S if has_surplus else CALL_INTERVAL_S
+        if self._number % FULL_REPORT_CALLS == 0:
+            self._known.clear()
         changed = [row for row in rows if self._known.get(row.customer) != row]
         self._number += 1
         request = GrantRequest(
--- a/basilwind/entry/quota_granter.py
+++ b/basilwind/entry/quota_granter.py
@@ -4,6 +4,7 @@
 
 from basilwind.entry.auto_reset_event import AutoResetEvent
 from basilwind.entry.fenced_topic import FencedTopic
+from basilwind.entry.journal import split_by_size
 from basilwind.entry.takeover import read_latest_records
 from basilwind.errors import NotOwner, RecordInvalid
 from basilwind.platform.store import encode_keyed_record
@@ -60,6 +61,11 @@
             await self._write()
             await anyio.sleep(BATCH_DELAY_S)
 
+    def apply_configuration(self):
+        """Applies the current configuration."""
+        if self._is_loaded and self._ledger.forget_unlimited():
+            self._write_event.set()
+
     async def answer(self, request):
         """Answers the report of a pool's owner.
 
@@ -106,6 +112,7 @@
                     "quota record damaged", pool=record.key, error=str(error)
                 )
         self._is_loaded = True
+        self.apply_configuration()
         self._services.report("quota taken over", token=self._token, pools=len(records))
 
     async def _is_journalled(self):
@@ -120,9 +127,12 @@
     async def _write(self):
         self._last_batch += 1
         pools, self._ledger.dirty = self._ledger.dirty, set()
-        await self._topic.append(
-            [encode_keyed_record(pool, self._ledger.encode(pool)) for pool in pools]
-        )
+        groups = [
+            [encode_keyed_record(pool, self._ledger.encode(pool))] for pool in pools
+        ]
+        # Without records, the append still shows whether there is a later granter.
+        for chunk in list(split_by_size(groups)) or [[]]:
+            await self._topic.append(chunk)
         self._last_written_batch = self._last_batch
         event, self._written_event = self._written_event, anyio.Event()
         event.set()
--- a/basilwind/scheduling/quota_ledger.py
+++ b/basilwind/scheduling/quota_ledger.py
@@ -137,6 +137,26 @@
         known = self._pools.get(pool)
         return known.entries.get(customer, UNKNOWN) if known else UNKNOWN
 
+    def forget_unlimited(self):
+        """Forgets the bounds of customers that have no limit.
+
+        Owners start their tasks without grants, so nothing is known of what they use
+        if they get a limit again, until all owners have reported.
+
+        Returns:
+            Whether there were any.
+        """
+        has_changed = False
+        for pool_name, pool in self._pools.items():
+            for name in list(pool.entries):
+                customer = self._find_customer(name)
+                if customer is not None and not has_limit(customer):
+                    del pool.entries[name]
+                    pool.rows.pop(name, None)
+                    self.dirty.add(pool_name)
+                    has_changed = True
+        return has_changed
+
     def apply_report(self, request):
         """Applies an owner's report.
 
--- a/tests/entry/test_quota_granter.py
+++ b/tests/entry/test_quota_granter.py
@@ -13,13 +13,21 @@
 from basilwind.entry.owner import PoolOwner
 from basilwind.entry.peer_app import PeerApp
 from basilwind.entry.peer_client import PeerClient
+from basilwind.entry.quota_client import FULL_REPORT_CALLS, QuotaClient
 from basilwind.entry.quota_granter import TOPIC, QuotaGranter
 from basilwind.errors import NotOwner, ProducerFenced
 from basilwind.platform.store import KeyedRecord
 from basilwind.scheduling.fleet import Customer, Resources
 from basilwind.scheduling.outages import SUSPECT_AFTER_S
-from basilwind.scheduling.quota import Amount, GrantRequest, QuotaRecord, UseRow
-from tests.scheduling.model import make_job
+from basilwind.scheduling.quota import (
+    Amount,
+    GrantRequest,
+    GrantResponse,
+    QuotaRecord,
+    UseRow,
+)
+from tests.scheduling.model import PoolModel, make_job
+from tests.scheduling.test_quota import make_quota
 from tests.utils.entry_fakes import CONFIGURATION, Clock, FakeStore, make_services
 
 SETTLE_S = 0.3  # some scheduling rounds and calls
@@ -336,6 +344,36 @@
         return await call_app(self._app, method, path, body)
 
 
+class TestReports(unittest.TestCase):
+    """Reports are small, but the granter gets every row again now and then."""
+
+    def test_rows_that_the_granter_has_are_left_out(self):
+        model = PoolModel(
+            self.fail, make_quota=lambda: make_quota(3000), max_running_cpu=3000
+        )
+        model.state.quota.begin_record({})
+        model.state.quota.finish_record()
+        sent = []
+
+        async def request_grants(request):
+            sent.append(len(request.rows))
+            if len(sent) == 4:
+                raise NotOwner("lost")
+            return GrantResponse(2 if len(sent) < 6 else 3, len(sent), [])
+
+        client = QuotaClient(model.state, None, request_grants, Clock(), None)
+
+        async def main():
+            for _ in range(FULL_REPORT_CALLS + 1):
+                await client.call()
+
+        anyio.run(main)
+        # All rows go with the first call, after a lost one, to a new granter, and after
+        # a number of calls.
+        self.assertEqual(sent[:8], [1, 0, 0, 0, 1, 0, 1, 0])
+        self.assertEqual(sent[8:], [0] * (FULL_REPORT_CALLS - 8) + [1])
+
+
 class TestMetrics(unittest.TestCase):
     def test_further_customers_are_reported_as_other(self):
         rows = [(f"c{n:03}", 1, 1, 1) for n in range(150)]
--- a/tests/scheduling/test_quota.py
+++ b/tests/scheduling/test_quota.py
@@ -8,7 +8,7 @@
 
 from basilwind.scheduling.fleet import Customer, Resources
 from basilwind.scheduling.quota import Amount, GrantResponse, GrantRow, QuotaBook
-from basilwind.scheduling.quota_ledger import divide, share_fairly
+from basilwind.scheduling.quota_ledger import UNKNOWN, divide, share_fairly
 from tests.scheduling.model import PoolModel, make_job, seeds_to_play
 from tests.scheduling.quota_model import CUSTOMER, QuotaFleet
 from tests.scheduling.test_pool import apply_fault
@@ -155,6 +155,21 @@
             fleet.exchange("p0")
         self.assertEqual(fleet.start("p0", 1), 0)
 
+    def test_bounds_from_before_a_time_without_a_limit_are_forgotten(self):
+        # Owners have started tasks without grants meanwhile.
+        ledger, granter = self.fleet.granter.ledger, self.fleet.granter
+        self.assertFalse(ledger.forget_unlimited())
+        granter.maximum = 0
+        self.assertTrue(ledger.forget_unlimited())
+        granter.maximum = 8000
+        self.fleet.owners["p1"].active = {1, 2, 3, 4, 5}
+        self.fleet.exchange("p0")
+        self.fleet.exchange("p0")
+        self.assertEqual(ledger.entry("p1", CUSTOMER), UNKNOWN)
+        self.fleet.owners["p0"].waiting = 8
+        self.fleet.settle()
+        self.assertEqual(self.fleet.owners["p0"].book.grant(CUSTOMER).cpu, 3000)
+
 
 class FaultPlay:
     """Random steps of owners and granters that are late, frozen and replaced.
