--- a/basilwind/scheduling/quota_use.py
+++ b/basilwind/scheduling/quota_use.py
@@ -39,7 +39,10 @@
         """
         name = step.job.customer
         if name not in self._used:
-            return None
+            if self._book.limit(name) is None:
+                return None
+            # The customer may be new in a configuration that has not arrived here.
+            self._used[name] = NOTHING
         tasks = len(step.waiting())
         size, used = size_of(step.spec), self._used[name]
         unit = multiply(size, tasks) if step.spec.is_gang else size
--- a/tests/scheduling/test_quota.py
+++ b/tests/scheduling/test_quota.py
@@ -456,6 +456,13 @@
         self._submit("b", make_job(count=3))
         self.assertEqual(self._schedule(), [])
 
+    def test_unknown_customer_starts_nothing(self):
+        # It may be new in a configuration that has not arrived here.
+        self.state.quota = QuotaBook(lambda name: None)
+        self._submit("a", make_job(count=2))
+        self._submit("b", make_job(count=2), "")
+        self.assertEqual({order.task.job.job_id for order in self._schedule()}, {"b"})
+
     def test_runs_that_no_task_needs_count(self):
         # As after a takeover from an owner whose journal lacks them.
         self._submit("a", make_job(count=3))
