Quota: no start within an old grant after a raise and a cut of the maximum

An owner that took over after a maximum was raised and lowered again saw only the latest version, so its grant seemed to rest on the maximum in force. The granter now keeps grants only while all known bounds are within the maximum. A pool that was just added no longer lowers the grants of the others.

--- a/basilwind/scheduling/quota.py
+++ b/basilwind/scheduling/quota.py
@@ -272,7 +272,8 @@
             basis = combine(max, holding.basis, limit)
             if basis != holding.basis:
                 holding.basis = basis
-                self._has_changed = True
+                # A successor may only see the maximum after it was lowered again.
+                self._has_changed = self._is_record_due = True
             if not is_within(holding.grant, limit):
                 holding.grant = combine(min, holding.grant, limit)
                 self._note_lowered(holding, now)
--- a/basilwind/scheduling/quota_ledger.py
+++ b/basilwind/scheduling/quota_ledger.py
@@ -238,13 +238,13 @@
         others = [
             self.entry(other, row.customer) for other in names if other != pool_name
         ]
+        own = self.entry(pool_name, row.customer)
         free = subtract(limit, combine(sum, NOTHING, *others))
-        if row.basis.resources == limit:
-            # What it holds stays usable while other pools' bounds are too high.
-            kept = combine(
-                min, row.grant.resources, self.entry(pool_name, row.customer)
-            )
-            free = combine(max, free, kept)
+        known = [entry for entry in others if entry != UNKNOWN]
+        if row.basis.resources == limit and _is_covered(limit, own, *known):
+            # A new pool that has not reported yet costs the others nothing. If the
+            # bounds exceed a maximum that was lowered, nothing may start.
+            free = combine(max, free, combine(min, row.grant.resources, own))
         target = self._targets(row.customer, limit, names, now)[pool_name]
         grant = combine(max, NOTHING, combine(min, target, free))
         return Resources(
@@ -315,5 +315,14 @@
     return rounded
 
 
+def _is_covered(limit, *entries):
+    """Returns whether bounds are together within the resources that are limited."""
+    totals = _values(combine(sum, NOTHING, *entries))
+    return all(
+        most >= UNBOUNDED or total <= most
+        for most, total in zip(_values(limit), totals, strict=True)
+    )
+
+
 def _values(amount):
     return amount.cpu, amount.memory, amount.gpu
--- a/tests/scheduling/test_quota.py
+++ b/tests/scheduling/test_quota.py
@@ -129,6 +129,29 @@
         self.fleet.settle()
         self.assertEqual(self.fleet.start("p1", 0), 4)
 
+    def test_owner_that_missed_a_raise_starts_nothing_after_the_cut(self):
+        # The maximum was 8000 before and is 8000 again, but 12000 run elsewhere.
+        fleet = self.fleet
+        fleet.publish(14000)
+        for daemon in (fleet.owners["p1"], fleet.granter):
+            daemon.read_configuration()
+        fleet.owners["p1"].waiting = 12
+        for _ in range(4):
+            fleet.exchange("p1")
+        self.assertEqual(fleet.start("p1", 0), 12)
+        fleet.publish(8000)
+        fleet.now += 4.0
+        fleet.take_over("p0")
+        fleet.granter.read_configuration()
+        fleet.owners["p1"].read_configuration()
+        fleet.exchange("p0")
+        self.assertEqual(fleet.start("p0", 1), 0)
+
+    def test_new_pool_costs_the_others_nothing(self):
+        self.fleet.pools.append("p2")
+        self.fleet.exchange("p0")
+        self.assertEqual(self.fleet.start("p0", 2), 2)
+
     def test_unconfirmed_configuration_lets_nothing_start(self):
         self.fleet.now += 3.5
         self.assertEqual(self.fleet.start("p0", 1), 0)
