Merge quotas by escrow

The demand that a customer's quota lets run is measured in one place (quota_demand), for tasks that fit and no further ahead than hosts take to arrive. Reads of the operator's topic are short wherever there are customers. A fleet whose configuration has no customers any more limits nobody, so the test of removed customers is split: they are found while there are customers at all.

--- a/basilwind/entry/configuration.py
+++ b/basilwind/entry/configuration.py
@@ -1,6 +1,6 @@
 """Keeps the operator's current configuration and maintenance waves."""
 
-from basilwind.entry.follower import WAIT_S, KeyedFollower
+from basilwind.entry.follower import KeyedFollower
 from basilwind.errors import RecordInvalid
 from basilwind.logs import log
 from basilwind.platform.documents import (
@@ -10,9 +10,12 @@
     decode_configuration,
     decode_wave,
 )
+from basilwind.scheduling.fleet import Customer, Resources
 
-# A read's proof of the current keys is at most two reads old.
-STRICT_WAIT_S = 0.5
+# With customers, calls and starts depend on a proof that the configuration is the
+# newest. With reads of this length an idle proof is at most a second old, less than
+# the time in which a key or a maximum must be in force.
+FRESH_WAIT_S = 0.5
 
 
 class ConfigurationWatcher:
@@ -25,17 +28,9 @@
         on_version: Called with the ``Configuration`` that is replaced, or None, with
             the one that replaces it, whether versions between them may have been
             missed, and the boot time.
-        wait_s: How long a read may wait in the store for a record, in seconds.
     """
 
-    def __init__(
-        self,
-        store,
-        clock,
-        on_change,
-        on_version=lambda *arguments: None,
-        wait_s=WAIT_S,
-    ):
+    def __init__(self, store, clock, on_change, on_version=lambda *arguments: None):
         self._current = None
         self._waves = {}
         self._known_queues = {}
@@ -44,12 +39,7 @@
         self._on_change = on_change
         self._on_version = on_version
         self._follower = KeyedFollower(
-            store,
-            OPERATOR_TOPIC,
-            self._apply_records,
-            self._apply_latest,
-            clock,
-            wait_s=wait_s,
+            store, OPERATOR_TOPIC, self._apply_records, self._apply_latest, clock
         )
 
     @property
@@ -78,17 +68,31 @@
         """
         return self._known_queues.get(name)
 
+    def remember_queue(self, queue):
+        """Adds a ``Queue`` of an earlier configuration, unless a later one is known."""
+        self._known_queues.setdefault(queue.name, queue)
+
+    def pool_names(self):
+        """Returns the names of all pools that run jobs."""
+        if self._current is None:
+            return []
+        return [pool.name for pool in self._current.pools.values() if not pool.is_spare]
+
     def find_customer(self, name):
-        """Returns a ``Customer`` by name, or None.
+        """Returns a ``Customer`` by name, or None if it is unknown.
 
-        Customers that were removed from the configuration are still found, since jobs
-        may belong to them.
+        Customers that were removed from the configuration are still found, with their
+        last maximum. If there are no customers at all, nothing is limited.
         """
+        if self._current is not None and self._current.customers is None:
+            return Customer(name, 1.0, Resources())
         return self._known_customers.get(name)
 
-    def remember_queue(self, queue):
-        """Adds a ``Queue`` of an earlier configuration, unless a later one is known."""
-        self._known_queues.setdefault(queue.name, queue)
+    def customer_names(self):
+        """Returns the names of all customers that this daemon knows."""
+        if self._current is None or self._current.customers is None:
+            return []
+        return list(self._known_customers)
 
     async def run(self):
         """Follows the operator's topic."""
@@ -118,6 +122,8 @@
         self._current = configuration
         self._known_queues.update(configuration.queues)
         self._known_customers.update(configuration.customers or {})
+        if configuration.customers is not None:
+            self._follower.limit_wait(FRESH_WAIT_S)
 
     def _add_wave(self, wave):
         if wave.number not in self._waves:
--- a/basilwind/entry/journal.py
+++ b/basilwind/entry/journal.py
@@ -8,6 +8,7 @@
 from basilwind.entry.intake import CANCEL_PREFIX
 from basilwind.errors import StoreRefused, StoreUnanswered
 from basilwind.platform.store import encode_keyed_record
+from basilwind.scheduling.quota_use import measure_ending
 from basilwind.scheduling.records import encode_job_records, encode_workers
 
 PRODUCER = "owner"  # shared by all owners, as fencing is per producer
@@ -16,6 +17,7 @@
 DECLINE_PREFIX = "~"  # never the first character of a job id
 FORGET_INTERVAL_S = 0.5
 WORKERS_KEY = "/workers"  # never the key of a job or of a part of one
+QUOTA_KEY = "/quota"
 MAX_PARTS = 64  # further records of a job; its state takes up to 1 MB
 MAX_PART_SUFFIX_BYTES = 8
 MAX_CALL_BYTES = 1_000_000  # below the store's limit of 2 MB per call
@@ -71,7 +73,8 @@
 
     def pending_batch(self):
         """Returns the number of the batch that contains all jobs that are dirty now."""
-        return self._last_batch + 1 if self._state.dirty else self._last_batch
+        is_due = self._state.dirty or self._state.quota.is_record_due
+        return self._last_batch + 1 if is_due else self._last_batch
 
     def has_written(self, batch):
         """Returns whether all batches up to ``batch`` are durable."""
@@ -91,7 +94,8 @@
         """
         while True:
             await self._wake_event.wait()
-            if not self._state.dirty and not self._forgotten:
+            is_quota_due = self._state.quota.is_record_due
+            if not self._state.dirty and not self._forgotten and not is_quota_due:
                 continue
             await self._write()
             await anyio.sleep(BATCH_DELAY_S)
@@ -142,8 +146,14 @@
         if workers != state.recorded_workers:
             # Written along with jobs only, as each call costs money.
             groups.append([encode_keyed_record(WORKERS_KEY, encode_workers(workers))])
-        for chunk in _split_by_size(groups):
+        quota_record = state.quota.begin_record(measure_ending(state))
+        if quota_record is not None:
+            # It comes first, as the records of ended jobs lack what it counts.
+            groups.insert(0, [encode_keyed_record(QUOTA_KEY, quota_record)])
+        for chunk in split_by_size(groups):
             await self._topic.append(chunk)
+        if quota_record is not None:
+            state.quota.finish_record()
         for job_id in job_ids:
             if job_id in state.jobs:
                 state.jobs[job_id].is_recorded = True
@@ -181,7 +191,7 @@
             ]
             for job_id in job_ids
         ]
-        for chunk in _split_by_size(groups):
+        for chunk in split_by_size(groups):
             while True:
                 try:
                     await self._store.append(self._intake_topic, chunk)
@@ -195,7 +205,7 @@
     return f"{job_id}/{number}"
 
 
-def _split_by_size(groups):
+def split_by_size(groups):
     """Joins groups of records to appends; a group is never split."""
     chunk, size = [], 0
     for group in groups:
--- a/basilwind/entry/owner.py
+++ b/basilwind/entry/owner.py
@@ -14,6 +14,7 @@
     intake_topic,
 )
 from basilwind.entry.journal import JobJournal
+from basilwind.entry.quota_client import QuotaClient
 from basilwind.entry.registry import REAPPEAR_S
 from basilwind.entry.takeover import (
     read_latest_records,
@@ -33,6 +34,8 @@
 from basilwind.scheduling.jobs import Job, JobState, JobStatus, is_foreign
 from basilwind.scheduling.ownership import MAX_STORE_SILENCE_S, has_reached_store
 from basilwind.scheduling.pool import PoolState
+from basilwind.scheduling.quota import UNBOUNDED, QuotaBook
+from basilwind.scheduling.quota_use import measure_uses
 from basilwind.scheduling.records import decode_submission
 from basilwind.scheduling.reports import StartOutcome
 from basilwind.scheduling.run_events import age_s, order_row
@@ -83,6 +86,12 @@
             self._worker_limits,
             remote_factor=services.settings.remote_factor,
             find_customer=services.configuration.find_customer,
+            quota=QuotaBook(
+                services.configuration.find_customer,
+                services.configuration.customer_names,
+                services.may_use_quota,
+                self._report_quota,
+            ),
         )
         self._journal = JobJournal(
             services.store,
@@ -101,6 +110,14 @@
             self._handle_fenced,
             self._send_stops_of,
         )
+        self._quota_client = QuotaClient(
+            self._state,
+            self._journal,
+            services.request_grants,
+            self._clock,
+            self._schedule_event.set,
+            lambda: len(services.configuration.pool_names()),
+        )
         self._tasks = None
         self._intake_offset = 0
         self._is_loaded = False
@@ -155,6 +172,8 @@
                 tasks.start_soon(self._schedule)
                 tasks.start_soon(self._run_housekeeping)
                 tasks.start_soon(self._query_policy)
+                if self._services.request_grants is not None:
+                    tasks.start_soon(self._quota_client.run)
                 self.update_workers()
         finally:
             self._report(
@@ -209,6 +228,12 @@
         """Returns for how long leases may have been extended without confirmation."""
         return age_s(self._services.duties.confirmed_at, self._clock())
 
+    def _report_quota(self, event, **fields):
+        configuration_age_s = age_s(
+            self._services.configuration.confirmed_at, self._clock()
+        )
+        self._report(event, configuration_age_s=configuration_age_s, **fields)
+
     def _report(self, event, **fields):
         self._services.report(event, pool=self.pool, **fields)
 
@@ -397,7 +422,9 @@
                     self._tasks.start_soon(self._send_stop, stop)
                 if orders:
                     self._tasks.start_soon(self._send_starts, orders)
-            if self._state.dirty:
+                if self._state.quota.take_call_due():
+                    self._quota_client.request_call()
+            if self._state.dirty or self._state.quota.is_record_due:
                 self._journal.request_write()
 
     async def _send_starts(self, orders):
@@ -454,7 +481,9 @@
             )
             return
         # This process may have been paused since the order was journalled.
-        if not self._state.may_send(order) or not self._services.may_extend_leases(now):
+        if not self._services.may_extend_leases(now) or not self._state.may_send(
+            order, now
+        ):
             self._state.apply_start_outcome(order, StartOutcome.NOT_SENT, now)
             return
         ticket = (task.step.tickets or {}).get(worker.worker_id)
@@ -666,5 +695,14 @@
         active = sum(len(worker.tasks) for worker in self._state.workers.values())
         return live, active, len(self._state.workers)
 
+    def quota_summary(self):
+        """Returns customer, granted, used and needed CPU (millicores), for metrics."""
+        uses = measure_uses(self._state, self._clock())
+        return [
+            (name, self._state.quota.grant(name).cpu, use.used.cpu, use.need.cpu)
+            for name, use in uses.items()
+            if self._state.quota.limit(name).cpu < UNBOUNDED
+        ]
+
     def _live_jobs(self):
         return (job for job in self._state.jobs.values() if job.is_live)
--- a/basilwind/entry/peer_app.py
+++ b/basilwind/entry/peer_app.py
@@ -11,6 +11,7 @@
 )
 from basilwind.checked_json import decode_json
 from basilwind.entry.peer_messages import (
+    GRANTS_PATH,
     HANDOVER_PATH,
     HOST_PATH,
     TAKEOVER_PATH,
@@ -30,6 +31,7 @@
 )
 from basilwind.errors import NotOwner, NotStarted, RequestInvalid
 from basilwind.platform.jobs import decode_job
+from basilwind.scheduling.quota import GrantRequest
 
 NOT_OWNER = 421
 
@@ -43,10 +45,19 @@
         services: ``Services``.
         answer_where: Coroutine function that takes the body of an operator's
             ``WhereRequest`` and returns a ``WhereResponse``.
+        find_granter: Returns the ``QuotaGranter`` in this daemon, or None.
     """
 
-    def __init__(self, find_owner, get_intake, services, answer_where):
+    def __init__(
+        self,
+        find_owner,
+        get_intake,
+        services,
+        answer_where,
+        find_granter=lambda: None,
+    ):
         self._answer_where = answer_where
+        self._find_granter = find_granter
         self._find_owner = find_owner
         self._get_intake = get_intake
         self._services = services
@@ -83,6 +94,8 @@
             return self._hand_over_planning(request.body)
         if request.path == WHERE_PATH:
             return json_response(await self._answer_where(request.body))
+        if request.path == GRANTS_PATH:
+            return await self._answer_quota(request.body)
         kind, _, path = request.path.strip("/").partition("/")
         pool, *rest = path.split("/")
         if kind == "intake":
@@ -139,6 +152,13 @@
             )
         )
 
+    async def _answer_quota(self, body):
+        request = decode_json(body, GrantRequest, GRANTS_PATH, RequestInvalid)
+        granter = self._find_granter()
+        if granter is None:
+            raise NotOwner("quota is not granted here")
+        return json_response(await granter.answer(request))
+
     def _hand_over_planning(self, body):
         request = decode_json(body, HandoverRequest, HANDOVER_PATH, RequestInvalid)
         ages_s = self._services.machine_orders.hand_over(
--- a/basilwind/entry/peer_messages.py
+++ b/basilwind/entry/peer_messages.py
@@ -16,6 +16,7 @@
 HANDOVER_PATH = "/planner/handover"
 TAKEOVER_PATH = "/takeover"
 WHERE_PATH = "/where"
+GRANTS_PATH = "/quota/grants"
 
 JobId = Annotated[str, msgspec.Meta(pattern=r"^[0-9A-Fa-f]{16}\Z")]
 IntakeKey = Annotated[str, msgspec.Meta(pattern=r"^!?[0-9A-Fa-f]{16}\Z")]
--- a/basilwind/scheduling/placement.py
+++ b/basilwind/scheduling/placement.py
@@ -149,7 +149,7 @@
     return racks[min(fitting, key=lambda rack: (capacity[rack], rack))]
 
 
-def place_step(step, workers, now, waits):
+def place_step(step, workers, now, waits, most=None):
     """Reserves workers for a step's waiting tasks; a gang is placed as a whole.
 
     Args:
@@ -157,6 +157,7 @@
         workers: Usable ``WorkerView`` objects.
         now: Boot time in seconds.
         waits: ``PlaceWaits``.
+        most: Maximum number of tasks, or None for all.
 
     Returns:
         Pairs of task and worker, and whether capacity was missing. It is not missing
@@ -172,32 +173,32 @@
         ]
     if spec.needs_one_rack:
         candidates, expected_s = _restrict_to_rack(step, candidates, waits)
-        placed, is_short = _place_tasks(step, candidates)
-        missing = len(step.waiting()) - len(placed)
+        placed, is_short = _place_tasks(step, candidates, most=most)
+        missing = len(step.waiting()[:most]) - len(placed)
         if expected_s is not None and missing:
             waits.defer(step, "", expected_s, missing)
             return placed, False
         waits.settle(step, placed)
         return placed, is_short
     if spec.data_rack:
-        return _place_near_data(step, candidates, waits)
-    return _place_tasks(step, candidates)
+        return _place_near_data(step, candidates, waits, most)
+    return _place_tasks(step, candidates, most=most)
 
 
-def _place_near_data(step, workers, waits):
+def _place_near_data(step, workers, waits, most):
     """Reserves workers for tasks that take longer away from their data.
 
     Returns:
         As for ``place_step``.
     """
     queue = waits.queue_for_data(step, workers)
-    placed, is_short = _place_tasks(step, workers, queue)
+    placed, is_short = _place_tasks(step, workers, queue, most)
     if queue is not None and queue.waiting:
         waits.defer(step, step.spec.data_rack, queue.expected_s, queue.waiting)
         return placed, False
     waits.settle(step, placed)
     if is_short:
-        waits.add_ahead(step, len(step.waiting()) - len(placed))
+        waits.add_ahead(step, len(step.waiting()[:most]) - len(placed))
     return placed, is_short
 
 
@@ -205,13 +206,14 @@
     return any(worker.entry.rack == spec.data_rack for worker in workers)
 
 
-def _place_tasks(step, workers, queue=None):
+def _place_tasks(step, workers, queue=None, most=None):
     """Reserves workers for waiting tasks, except those for which waiting pays.
 
     Args:
         step: ``StepRun``.
         workers: ``WorkerView`` objects that it may use.
         queue: ``RackQueue`` of the rack with its data; None if no task is to wait.
+        most: Maximum number of tasks, or None for all.
 
     Returns:
         As for ``place_step``.
@@ -219,7 +221,7 @@
     spec = step.spec
     placed = []
     is_short = False
-    for task in step.waiting():
+    for task in step.waiting()[:most]:
         if queue is not None and queue.waiting and queue.pays():
             queue.wait()
             continue
@@ -253,13 +255,14 @@
     return placed, is_short
 
 
-def place_suspects(step, worker, now):
+def place_suspects(step, worker, now, most=None):
     """Reserves a worker that is kept for a job for the suspects of one of its steps.
 
     Args:
         step: ``StepRun``.
         worker: ``WorkerView`` that is kept for the job, or None.
         now: Boot time in seconds.
+        most: Maximum number of tasks, or None for all.
 
     Returns:
         Pairs of task and worker.
@@ -268,6 +271,8 @@
         return []
     placed = []
     for task in step.waiting():
+        if len(placed) == most:
+            break
         if (
             task in step.job.suspects
             and worker.has_capacity_for(step.spec)
@@ -278,11 +283,11 @@
     return placed
 
 
-def place_suspected_gang(step, workers, now, waits):
+def place_suspected_gang(step, workers, now, waits, most=None):
     """Reserves workers for a gang that has suspects, those for it alone if possible."""
     quiet = [worker for worker in workers if is_quiet(worker, step.job, now)]
-    placed, is_short = place_step(step, quiet, now, waits)
-    return (placed, is_short) if placed else place_step(step, workers, now, waits)
+    placed, is_short = place_step(step, quiet, now, waits, most)
+    return (placed, is_short) if placed else place_step(step, workers, now, waits, most)
 
 
 def choose_reserved_worker(step, workers):
--- a/basilwind/scheduling/pool_jobs.py
+++ b/basilwind/scheduling/pool_jobs.py
@@ -4,6 +4,7 @@
 from basilwind.scheduling.customer_queues import CustomerQueues
 from basilwind.scheduling.jobs import Job, JobState, TaskState, is_foreign
 from basilwind.scheduling.place_waits import PlaceWaits
+from basilwind.scheduling.quota import QuotaBook
 from basilwind.scheduling.records import DeclineRecord
 from basilwind.scheduling.run_events import MAX_ROWS, identity_row, requeue_row
 from basilwind.scheduling.run_times import RunTimes
@@ -26,8 +27,10 @@
         worker_limits: ``WorkerLimits``.
         remote_factor: Factor by which tasks take longer away from their rack.
         find_customer: Returns the ``Customer`` of a name, or None.
+        quota: ``QuotaBook``, or None if there are no customers.
 
     Attributes:
+        quota: ``QuotaBook`` with the grants of customers that have a maximum.
         jobs: ``Job`` by id.
         workers: ``WorkerView`` by worker id.
         run_times: ``RunTimes`` learned from finished tasks.
@@ -53,9 +56,11 @@
         worker_limits,
         remote_factor=1.0,
         find_customer=lambda name: None,
+        quota=None,
     ):
         self.name = name
         self.token = token
+        self.quota = QuotaBook() if quota is None else quota
         self.jobs = {}
         self.workers = {}
         self.run_times = RunTimes()
@@ -301,6 +306,21 @@
             worker.release(task)
         task.reset()
 
+    def ready_steps(self):
+        """Returns the ``StepRun`` objects that may have waiting tasks."""
+        return list(self._ready)
+
+    def may_have_unrecorded_run(self, task):
+        """Returns whether the previous owner may have started a waiting task.
+
+        It has not if the task's last run was still executing after the takeover.
+        """
+        return (
+            task.state is TaskState.WAITING
+            and task.token < self.token
+            and task.job.job_id in self._jobs_known_before
+        )
+
     def report_restored_runs(self):
         """Logs the runs that a previous owner's records tell of."""
         rows = [
--- a/basilwind/scheduling/quota_demand.py
+++ b/basilwind/scheduling/quota_demand.py
@@ -1,5 +1,9 @@
 """Which waiting tasks call for workers although their customers have quotas."""
 
+# The planner measures demand every 0.4 s, and a host takes 0.7 s or more to arrive:
+# within that time, what a customer may still start yields no more work.
+DEMAND_HORIZON_S = 1.1
+
 
 class QuotaRoom:
     """What customers may still run in a pool, as far as their maximum tells.
@@ -18,6 +22,19 @@
         self._used = None
         self._left = {}
 
+    def demand(self, step, count, task_work):
+        """Returns the work of waiting tasks that calls for hosts, core-seconds.
+
+        Args:
+            step: ``StepRun``.
+            count: Number of its tasks that wait.
+            task_work: Work of one of them, core-seconds.
+        """
+        startable = self.take(step, count)
+        if self._left.get(step.job.customer):
+            task_work = min(task_work, step.spec.cpu / 1000 * DEMAND_HORIZON_S)
+        return startable * task_work
+
     def take(self, step, count):
         """Returns how many of some waiting tasks may run, and reserves room for them.
 
--- a/tests/utils/entry_fakes.py
+++ b/tests/utils/entry_fakes.py
@@ -215,6 +215,9 @@
         current=CONFIGURATION,
         find_queue=queues.get,
         find_customer=lambda name: (CONFIGURATION.customers or {}).get(name),
+        customer_names=lambda: (),
+        pool_names=lambda: ["pool"],
+        confirmed_at=clock(),
         remember_queue=lambda queue: queues.setdefault(queue.name, queue),
         waves={},
     )
