--- a/basilwind/entry/planner.py
+++ b/basilwind/entry/planner.py
@@ -316,8 +316,8 @@
             if candidate.worker_id:
                 pool = self._workers_to_empty.setdefault(candidate.pool, set())
                 pool.add(candidate.worker_id)
-        # Owners withhold only what a call names. Workers that are being emptied for a move
-        # would get tasks again in the meantime.
+        # Owners withhold only what a call names. Workers that are being emptied for a
+        # move would get tasks again in the meantime.
         wanted = {
             pool: worker_ids | self._withheld.get(pool, set())
             for pool, worker_ids in self._workers_to_empty.items()
--- a/tests/entry/test_wave_beside_moves.py
+++ b/tests/entry/test_wave_beside_moves.py
@@ -23,6 +23,7 @@
         peers = FakePeers()
         calls = []
         peers.on_withhold = lambda worker_ids: calls.append(set(worker_ids))
+        peers.silent = lambda: {"w2"}  # it still runs tasks
         planner = FleetPlanner(7, services, peers)
         planner._withheld = {"pool": {"w1"}}
         chosen = MaintenanceCandidate("m2", "w2", "pool", 3, 0, False)
