--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -14,6 +14,7 @@
     "bursts",
     "capacity",
     "customers",
+    "places",
 )
 
 
