Count each failed run once, in whatever order workers report

Cause: a new owner counted the end of a run that it had not recorded only if it knew no later run. Where the later runs were reported first, the earlier failure was lost, and the task ran again after its last attempt. Change: failures are counted by run number, those above the last one that the previous owner counted, each once.

--- a/basilwind/scheduling/jobs.py
+++ b/basilwind/scheduling/jobs.py
@@ -69,6 +69,9 @@
         token: Fencing token of the owner that ordered the latest run, or that found it
             executing.
         failures: Number of failed runs.
+        failed_runs: Numbers of the failed runs that this owner has counted.
+        settled_run: Number of the last run whose failure the previous owner counted, if
+            it failed.
         crashes: Number of workers that crashed with a run of it.
         isolated_crashes: Number of those crashes that no other job can have caused.
         checkpoint: Newest checkpoint; empty if there is none.
@@ -95,6 +98,8 @@
         "worker_id",
         "token",
         "failures",
+        "failed_runs",
+        "settled_run",
         "crashes",
         "isolated_crashes",
         "checkpoint",
@@ -119,6 +124,8 @@
         self.worker_id = ""
         self.token = 0
         self.failures = 0
+        self.failed_runs = ()
+        self.settled_run = 0
         self.crashes = 0
         self.isolated_crashes = 0
         self.checkpoint = ""
--- a/basilwind/scheduling/pool_workers.py
+++ b/basilwind/scheduling/pool_workers.py
@@ -410,8 +410,9 @@
         if end.kind is EndKind.DONE and not task.spec.is_lasting:
             self._stop_redundant_run(task)
             self._finish_task(task, now)
-        elif is_unrecorded and end.kind in (EndKind.DONE, EndKind.FAILED):
-            self._count_failure(task, now)
+        elif end.kind in (EndKind.DONE, EndKind.FAILED):
+            # Workers report in any order, so a later run may be known already.
+            self._count_failure(task, end.run, now)
 
     def _apply_tracked_end(self, task, worker, end, now):
         """Applies the end of a task's latest run.
@@ -438,7 +439,7 @@
         )
         if reason is RequeueReason.FAILED:
             self._record_failure(worker, now)
-            self._count_failure(task, now)
+            self._count_failure(task, end.run, now)
 
     def _stop_redundant_run(self, task):
         """Stops the latest run of a task that an earlier run has completed."""
@@ -448,9 +449,19 @@
             run = {(task.name, task.run): task.spec}
             worker.set_unwanted_runs(worker.unwanted_runs | run)
 
-    def _count_failure(self, task, now):
-        """Counts a failed run, and fails the job after too many of them."""
+    def _count_failure(self, task, run, now):
+        """Counts a failed run once, and fails the job after too many of them.
+
+        Args:
+            task: ``Task``.
+            run: Number of the run.
+            now: Boot time in seconds.
+        """
+        if run <= task.settled_run or run in task.failed_runs:
+            return
+        task.failed_runs += (run,)
         task.failures += 1
+        self.dirty.add(task.job.job_id)
         queue = self._find_queue(task.job.queue)
         limit = queue.attempts if queue else 1
         if task.failures >= limit and not task.spec.is_lasting and task.job.is_live:
--- a/basilwind/scheduling/records.py
+++ b/basilwind/scheduling/records.py
@@ -292,6 +292,7 @@
         task.run = entry.run
         task.token = entry.token
         task.failures = entry.failures
+        task.settled_run = max(0, entry.run - bool(entry.worker_id))
         task.checkpoint = entry.checkpoint
         job.has_started = True
         if entry.is_done:
