--- a/basilwind/entry/journal.py
+++ b/basilwind/entry/journal.py
@@ -53,6 +53,8 @@
         self._wake_event = AutoResetEvent()
         self._last_batch = 0
         self._last_written_batch = 0
+        # Latest batch with runs that the previous owner had not recorded.
+        self._found_runs_batch = 0
         self._written_event = anyio.Event()
 
     async def fence(self):
@@ -80,6 +82,13 @@
         """Returns whether all batches up to ``batch`` are durable."""
         return self._last_written_batch >= batch
 
+    @property
+    def has_written_found_runs(self):
+        """Whether all runs that a previous owner had not recorded are durable."""
+        return not self._state.has_found_runs and self.has_written(
+            self._found_runs_batch
+        )
+
     async def wait_for(self, batch):
         """Waits until all batches up to ``batch`` are durable."""
         while not self.has_written(batch):
@@ -125,6 +134,9 @@
         job_ids, state.dirty = state.dirty, set()
         forgotten, self._forgotten = self._forgotten, []
         self._last_batch += 1
+        if state.has_found_runs:
+            state.has_found_runs = False
+            self._found_runs_batch = self._last_batch
         groups = [
             self._encode_job(job_id) for job_id in job_ids if job_id in state.jobs
         ]
--- a/basilwind/entry/owner.py
+++ b/basilwind/entry/owner.py
@@ -333,6 +333,7 @@
         return (
             self._is_loaded
             and self._journal.has_written(self._unrecorded_batch)
+            and self._journal.has_written_found_runs
             and not self._state.has_unrecorded_runs(self._clock())
         )
 
--- a/basilwind/scheduling/pool_jobs.py
+++ b/basilwind/scheduling/pool_jobs.py
@@ -35,6 +35,8 @@
         workers: ``WorkerView`` by worker id.
         run_times: ``RunTimes`` learned from finished tasks.
         dirty: Ids of jobs to write to the journal.
+        has_found_runs: Whether the journal lacks runs of a previous owner that workers
+            have reported since its last write began.
         dropped: Ids of ended jobs to delete from the store.
         declined: ``DeclineRecord`` by id of jobs that another pool may have.
         previous_leases_until: Boot time until which runs may execute under leases of
@@ -68,6 +70,7 @@
             self.run_times, remote_factor, find_queue, report
         )
         self.dirty = set()
+        self.has_found_runs = False
         self.dropped = []
         self.declined = {}
         self.previous_leases_until = 0.0
--- a/basilwind/scheduling/pool_workers.py
+++ b/basilwind/scheduling/pool_workers.py
@@ -252,6 +252,7 @@
         task.job.has_started = True
         task.job.state = JobState.RUNNING
         self.dirty.add(task.job.job_id)
+        self.has_found_runs = True
         return True
 
     def _report_unwanted(self, worker, name, run):
@@ -407,6 +408,7 @@
         if is_unrecorded:
             task.run = end.run
             self.dirty.add(task.job.job_id)
+            self.has_found_runs = True
         if end.kind is EndKind.DONE and not task.spec.is_lasting:
             self._stop_redundant_run(task)
             self._finish_task(task, now)
--- a/tests/entry/test_partial_outage.py
+++ b/tests/entry/test_partial_outage.py
@@ -182,6 +182,23 @@
         self._play(scenario)
         self.assertFalse(self._answer(None))
 
+    def test_run_that_was_adopted_without_a_record_is_admitted(self):
+        # Otherwise the successor would start the task a second time, as the journal
+        # still has it waiting.
+        async def scenario(owner):
+            now = self.clock()
+            owner.state.submit("b" * 16, "q", make_job(count=1), now, now, now)
+            run = ReportedRun("b" * 16 + ".0.0.0", 1, "", 10, 0)
+            report = WorkerReport(now, 1, (run,), ())
+            owner.state.apply_report(owner.state.workers["w1"], report, now, now)
+            self.assertFalse(self._answer(owner))
+            owner.request_scheduling()
+            await anyio.sleep(0.2)
+            self.assertFalse(self._answer(owner))
+
+        self._play(scenario)
+        self.assertFalse(self._answer(None))
+
     def test_nothing_starts_without_a_record_after_the_answer(self):
         async def scenario(owner):
             self.assertTrue(self._answer(owner))
