Quota: count runs that are being stopped on workers that are not listed

A worker without tasks was dropped as soon as the registry no longer listed it, also while runs that no task needs were being stopped on it. Its owner no longer counted them against quota. The worker is kept until they have ended, and they are forgotten once the worker's lease has lapsed.

--- a/basilwind/scheduling/pool_workers.py
+++ b/basilwind/scheduling/pool_workers.py
@@ -61,7 +61,8 @@
                 may_have_unrecorded_runs = (
                     now < self.unrecorded_runs_until and not worker.has_reported_fully
                 )
-                if not worker.tasks and not may_have_unrecorded_runs:
+                has_runs = worker.tasks or worker.unwanted_runs
+                if not has_runs and not may_have_unrecorded_runs:
                     self._drop_worker(worker, now)
         return added
 
@@ -579,6 +580,7 @@
                 previous_leases_age_s=age_s(self.previous_leases_until or None, now),
                 **worker_evidence(worker, now),
             )
+            worker.set_unwanted_runs({})
             if not worker.is_listed:
                 self._drop_worker(worker, now)
         self._requeue_unlisted(now)
--- a/tests/scheduling/test_quota.py
+++ b/tests/scheduling/test_quota.py
@@ -497,6 +497,20 @@
         worker.set_unwanted_runs({("a.0.0.0", 1): spec, ("a.0.0.1", 1): spec})
         self.assertEqual(len(self._schedule()), 1)
 
+    def test_runs_that_are_being_stopped_count_on_an_unlisted_worker(self):
+        # A worker without tasks was dropped with its runs, which execute until they
+        # are stopped or its lease ends.
+        self._submit("a", make_job(count=3))
+        worker, *others = self.state.workers.values()
+        spec = make_job().steps[0]
+        worker.set_unwanted_runs({("a.0.0.0", 1): spec, ("a.0.0.1", 1): spec})
+        entries = {other.worker_id: other.entry for other in others}
+        self.state.set_workers(entries, self.model.now)
+        self.assertEqual(len(self._schedule()), 1)
+        worker.set_unwanted_runs({})
+        self.state.set_workers(entries, self.model.now)
+        self.assertNotIn(worker.worker_id, self.state.workers)
+
     def test_order_is_not_sent_once_its_quota_is_gone(self):
         self._submit("a", make_job(count=3))
         order = self._schedule()[0]
