Quota: record redundant runs of jobs that go on for a successor

When an earlier run of a task ended first, its later run was stopped, but the pool's record had only runs of ended jobs. A successor did not count such a run until its worker reported, and could start more than the grant.

--- a/basilwind/entry/journal.py
+++ b/basilwind/entry/journal.py
@@ -160,7 +160,7 @@
             groups.append([encode_keyed_record(WORKERS_KEY, encode_workers(workers))])
         quota_record = state.quota.begin_record(measure_ending(state))
         if quota_record is not None:
-            # It comes first, as the records of ended jobs lack what it counts.
+            # It comes first, as the records of jobs lack what it counts.
             groups.insert(0, [encode_keyed_record(QUOTA_KEY, quota_record)])
         for chunk in split_by_size(groups):
             await self._topic.append(chunk)
--- a/basilwind/scheduling/quota.py
+++ b/basilwind/scheduling/quota.py
@@ -159,7 +159,8 @@
         token: Fencing token of the granter whose answer was last applied.
         sequence: Number of that answer.
         rows: ``GrantRow`` of each customer with a grant.
-        ending: Runs of ended jobs, by customer. The records of ended jobs lack them.
+        ending: Runs of ended jobs and runs that no task needs, by customer. The records
+            of jobs lack them.
     """
 
     token: Count
@@ -223,8 +224,8 @@
         self._is_record_due = False
         self._is_call_due = False
         self._has_changed = False
-        # ``Resources`` of runs of ended jobs by customer, as last recorded here, and as
-        # the previous owner recorded them.
+        # ``Resources`` of runs that job records lack, by customer, as last recorded
+        # here, and as the previous owner recorded them.
         self._recorded_ending = {}
         self._previous_ending = {}
         # Grants that are being written to the journal.
@@ -428,7 +429,7 @@
 
     @property
     def previous_ending(self):
-        """``Resources`` of the previous owner's runs of ended jobs, by customer."""
+        """``Resources`` of previous runs that job records lack, by customer."""
         return self._previous_ending
 
     def forget_previous_ending(self):
@@ -439,7 +440,7 @@
         """Returns the journal's record of the grants, or None if it is up to date.
 
         Args:
-            ending: ``Resources`` of runs of ended jobs, by customer.
+            ending: ``Resources`` of runs that job records lack, by customer.
         """
         ending = dict(ending)
         for name, amount in self._previous_ending.items():
--- a/basilwind/scheduling/quota_use.py
+++ b/basilwind/scheduling/quota_use.py
@@ -89,10 +89,10 @@
 
 
 def measure_ending(pool):
-    """Returns the ``Resources`` of runs of ended jobs, by limited customer.
+    """Returns the ``Resources`` of runs that job records lack, by limited customer.
 
-    A successor does not know them before the workers report them, as the records of
-    ended jobs have no tasks.
+    A successor does not know them before the workers report them: the records of ended
+    jobs have no tasks, and no record has a run that no task needs.
 
     Args:
         pool: ``PoolState``.
@@ -101,27 +101,30 @@
     ending = {}
     if not limited:
         return ending
-    for job, spec in _runs_on_workers(pool):
-        if job.customer in limited and not job.is_live:
+    for job, spec, is_unwanted in _runs_on_workers(pool):
+        if job.customer in limited and (is_unwanted or not job.is_live):
             amount = ending.get(job.customer, NOTHING)
             ending[job.customer] = combine(sum, amount, size_of(spec))
     return ending
 
 
 def _runs_on_workers(pool):
-    """Yields the ``Job`` and the ``StepSpec`` of each run that a worker may have."""
+    """Yields each run that a worker may have.
+
+    These are tuples of its ``Job``, its ``StepSpec``, and whether no task needs it.
+    """
     for worker in pool.workers.values():
         for task in worker.tasks.values():
-            yield task.job, task.spec
+            yield task.job, task.spec, False
         for (task_name, _), spec in worker.unwanted_runs.items():
             job = pool.jobs.get(task_name.partition(".")[0])
             if job is not None:
-                yield job, spec
+                yield job, spec, True
 
 
 def _possible_runs(pool, now):
     """Yields the customer and the ``StepSpec`` of each run that may execute."""
-    for job, spec in _runs_on_workers(pool):
+    for job, spec, _ in _runs_on_workers(pool):
         yield job.customer, spec
     may_be_unrecorded = pool.has_unrecorded_runs(now)
     if now >= pool.previous_leases_until and not may_be_unrecorded:
--- a/tests/scheduling/test_quota.py
+++ b/tests/scheduling/test_quota.py
@@ -9,6 +9,8 @@
 from basilwind.scheduling.fleet import Customer, Resources
 from basilwind.scheduling.quota import Amount, GrantResponse, GrantRow, QuotaBook
 from basilwind.scheduling.quota_ledger import UNKNOWN, divide, share_fairly
+from basilwind.scheduling.quota_use import measure_ending
+from basilwind.scheduling.reports import EndedRun, EndKind, WorkerReport
 from tests.scheduling.model import PoolModel, make_job, seeds_to_play
 from tests.scheduling.quota_model import CUSTOMER, QuotaFleet
 from tests.scheduling.test_pool import apply_fault
@@ -511,6 +513,20 @@
         self.state.set_workers(entries, self.model.now)
         self.assertNotIn(worker.worker_id, self.state.workers)
 
+    def test_successor_counts_redundant_runs_of_a_job_that_goes_on(self):
+        # The record of a finished task has no run, while one that was started again
+        # executes until its worker has stopped it.
+        self._submit("a", make_job(count=1, steps=2))
+        (order,) = self._schedule()
+        order.task.run = 2
+        workers = self.state.workers.values()
+        other = next(worker for worker in workers if worker is not order.worker)
+        end = EndedRun(1, order.task.name, 1, EndKind.DONE, "")
+        report = WorkerReport(500.0, 1, (), (end,))
+        self.state.apply_report(other, report, self.model.now, self.model.now)
+        self.assertTrue(self.state.jobs["a"].is_live)
+        self.assertEqual(measure_ending(self.state)[CUSTOMER].cpu, 1000)
+
     def test_order_is_not_sent_once_its_quota_is_gone(self):
         self._submit("a", make_job(count=3))
         order = self._schedule()[0]
