Quota: report rows again that the granter has answered

If an owner learned of a lowered maximum later than the granter, it raised the basis of the granter's answer to the maximum that it knew. Its row was then the one that the granter had answered, so neither sent it again, and the customer started nothing until its use changed, for up to 2 s while a task waited and 8 s otherwise.

--- a/basilwind/entry/quota_client.py
+++ b/basilwind/entry/quota_client.py
@@ -101,7 +101,12 @@
             self._known.clear()
             self._call_event.set()
         else:
-            self._known = {row.customer: row for row in rows}
+            # A grant may have been changed by an older configuration here, so that its
+            # row stays the same. The granter answers only what it is sent anew.
+            answered = {row.customer for row in response.rows}
+            self._known = {
+                row.customer: row for row in rows if row.customer not in answered
+            }
         self._granter_token = response.token
         if response.rows:
             self._pause_s = MIN_PAUSE_S
--- a/tests/entry/test_quota_granter.py
+++ b/tests/entry/test_quota_granter.py
@@ -23,9 +23,11 @@
     Amount,
     GrantRequest,
     GrantResponse,
+    QuotaBook,
     QuotaRecord,
     UseRow,
 )
+from basilwind.scheduling.quota_ledger import QuotaLedger
 from tests.scheduling.model import PoolModel, make_job
 from tests.scheduling.test_quota import make_quota
 from tests.utils.entry_fakes import CONFIGURATION, Clock, FakeStore, make_services
@@ -373,6 +375,40 @@
         self.assertEqual(sent[:8], [1, 0, 0, 0, 1, 0, 1, 0])
         self.assertEqual(sent[8:], [0] * (FULL_REPORT_CALLS - 8) + [1])
 
+    def test_cut_that_the_owner_learns_of_late_blocks_it_for_one_call(self):
+        # The owner raises the new basis to the maximum that it still knows, so that its
+        # row was the one that the granter had, and was answered only once.
+        limits = {"owner": 8000, "granter": 8000}
+
+        def find(daemon):
+            return lambda name: Customer(name, 1.0, Resources(cpu=limits[daemon]))
+
+        quota = QuotaBook(find("owner"), lambda: ["c"])
+        model = PoolModel(self.fail, make_quota=lambda: quota, max_running_cpu=8000)
+        ledger = QuotaLedger(find("granter"))
+
+        async def request_grants(request):
+            ledger.apply_report(request)
+            rows, _ = ledger.answer(request.pool, [request.pool], True, 0.0)
+            return GrantResponse(2, request.number, rows)
+
+        async def flush():
+            quota.begin_record({})
+            quota.finish_record()
+
+        journal = types.SimpleNamespace(flush=flush)
+        client = QuotaClient(
+            model.state, journal, request_grants, Clock(), lambda: None
+        )
+        for limits["granter"] in (8000, 3000):
+            for _ in range(5):
+                anyio.run(client.call)
+        quota.begin_round(0.0)
+        limits["owner"] = 3000
+        self.assertFalse(quota.may_start("c", 0.0))
+        anyio.run(client.call)
+        self.assertTrue(quota.may_start("c", 0.0))
+
 
 class TestMetrics(unittest.TestCase):
     def test_further_customers_are_reported_as_other(self):
