Count fillers in full where a job or its demand is compared with a maximum

Quota counts the CPU of fillers in full, while the check for too large jobs, the demand for hosts and the check whether a customer is at its quota counted none. A filler larger than its customer's maximum was accepted and could never start, and work that fillers kept from starting called for hosts.

--- a/basilwind/scheduling/admission.py
+++ b/basilwind/scheduling/admission.py
@@ -91,7 +91,7 @@
         maximum_cores: Cores that it may use in all pools; 0 for no limit.
         started: Work of its started jobs, core-seconds.
         waiting: Work of its other jobs that are not excess, core-seconds.
-        running_cores: Cores that its tasks reserve on workers.
+        running_cores: Cores that its tasks on workers count against its maximum.
     """
 
     weight: float
@@ -179,7 +179,7 @@
     for step in spec.steps:
         count = step.count if step.is_gang else 1
         needs = (
-            (step.reserved_cpu, maximum.cpu),
+            (step.cpu, maximum.cpu),
             (step.memory, maximum.memory),
             (step.gpu, maximum.gpu),
         )
--- a/basilwind/scheduling/customer_queues.py
+++ b/basilwind/scheduling/customer_queues.py
@@ -142,7 +142,7 @@
         for worker in workers:
             for task in worker.tasks.values():
                 work = self._work_of(task.job.customer)
-                work.running_cores += task.spec.reserved_cpu / 1000
+                work.running_cores += task.spec.cpu / 1000
 
     def add_work(self, job, ahead, running):
         """Adds a job to the measurement.
--- a/basilwind/scheduling/quota_demand.py
+++ b/basilwind/scheduling/quota_demand.py
@@ -49,7 +49,7 @@
             self._left[name] = self._measure(name)
         if not self._left[name]:
             return count
-        needs = (step.spec.reserved_cpu, step.spec.memory, step.spec.gpu)
+        needs = (step.spec.cpu, step.spec.memory, step.spec.gpu)
         for index, left in self._left[name].items():
             if needs[index]:
                 count = min(count, max(0, left) // needs[index])
@@ -79,7 +79,7 @@
                 if not task.job.customer:
                     continue
                 amounts = used.setdefault(task.job.customer, [0, 0, 0])
-                amounts[0] += task.spec.reserved_cpu
+                amounts[0] += task.spec.cpu
                 amounts[1] += task.spec.memory
                 amounts[2] += task.spec.gpu
         return used
--- a/tests/scheduling/test_admission.py
+++ b/tests/scheduling/test_admission.py
@@ -101,6 +101,9 @@
         self.assertTrue(is_too_large(make_job(count=1, gpu=3), maximum))
         self.assertTrue(is_too_large(make_job(count=5, is_gang=True), maximum))
         self.assertFalse(is_too_large(make_job(count=4, is_gang=True), maximum))
+        # Fillers reserve no CPU, but count in full against the maximum.
+        filler = make_job(count=1, cpu=4001, is_filler=True)
+        self.assertTrue(is_too_large(filler, maximum))
 
 
 class TestQuotaDemand(unittest.TestCase):
@@ -120,6 +123,19 @@
         self.assertEqual(by_memory.urgent_work, 3.0)
         self.assertEqual(self._report(Resources()).urgent_work, 200.0)
 
+    def test_fillers_that_use_the_quota_leave_no_room(self):
+        customer = Customer("a", 1e6, Resources(4000))
+        model = PoolModel(self.fail, find_customer=lambda name: customer)
+        model.submit("fill", make_job(count=4, is_filler=True, is_lasting=True), "a")
+        model.hold()
+        model.schedule()
+        model.submit("job", make_job(count=4), "a")
+        report = model.state.pool_report(model.now, model.now)
+        self.assertEqual(report.urgent_work, 0.0)
+        admission = model.state.admit("q", "a", model.now, model.now)
+        self.assertIsNone(admission.reason)
+        self.assertTrue(model.state._customers.is_at_quota("a"))
+
     def test_long_running_tasks_beyond_the_quota_call_for_no_hosts(self):
         self.assertEqual(
             self._report(Resources(8000), is_lasting=True).lasting_cpu, 8000
