--- a/basilwind/scheduling/quota_ledger.py
+++ b/basilwind/scheduling/quota_ledger.py
@@ -176,11 +176,15 @@
         if request.token != pool.token:
             pool.rows.clear()
             pool.answered.clear()
+            self.dirty.add(request.pool)
+        # The number need not be durable before a raise, which is written with it.
         pool.token, pool.number = request.token, request.number
-        self.dirty.add(request.pool)
         for row in request.rows:
+            bound = self._bound(pool, row)
+            if pool.entries.get(row.customer) != bound:
+                self.dirty.add(request.pool)
             pool.rows[row.customer] = row
-            pool.entries[row.customer] = self._bound(pool, row)
+            pool.entries[row.customer] = bound
             self._note_change(row.customer)
         return True
 
--- a/tests/scheduling/test_quota.py
+++ b/tests/scheduling/test_quota.py
@@ -174,6 +174,16 @@
         _, request = previous.call()
         self.assertFalse(self.fleet.granter.ledger.apply_report(request))
 
+    def test_reports_that_change_no_bound_are_not_journalled(self):
+        # The records of all pools that reported were written with each raise, 3 KB per
+        # pool with 66 customers.
+        self.fleet.settle()
+        ledger = self.fleet.granter.ledger
+        ledger.dirty.clear()
+        _, request = self.fleet.owners["p0"].call()
+        self.assertTrue(ledger.apply_report(request))
+        self.assertEqual(ledger.dirty, set())
+
     def test_pool_that_never_reported_may_hold_everything(self):
         # Its owner may have started tasks before the customer had a maximum.
         fleet = QuotaFleet(self.fail, maximum=8000, pools=2)
