Where: tell rank and admission as a customer's job would get them

Ranks lacked start tags, so in an overloaded pool the job was told as behind or ahead of other customers' steps by chance, and the admission was that of a job without customer.

--- a/basilwind/scheduling/admission.py
+++ b/basilwind/scheduling/admission.py
@@ -169,6 +169,22 @@
     return ACCEPTED
 
 
+def accept_if_free(admission, workers):
+    """Returns an ``Admission`` that refuses nothing for a backlog beside free workers.
+
+    They are of no use to a customer whose quota is used up.
+
+    Args:
+        admission: ``Admission``.
+        workers: Usable ``WorkerView`` objects.
+    """
+    if admission.reason in (RefusalReason.BACKLOG, RefusalReason.EXCESS) and any(
+        not worker.tasks and not worker.unwanted_runs for worker in workers
+    ):
+        return ACCEPTED
+    return admission
+
+
 def is_too_large(spec, maximum):
     """Returns whether a job's task, or gang as a whole, can never fit a quota.
 
--- a/basilwind/scheduling/pool.py
+++ b/basilwind/scheduling/pool.py
@@ -10,7 +10,7 @@
 from basilwind.scheduling import health
 from basilwind.scheduling.admission import (
     ACCEPTED,
-    RefusalReason,
+    accept_if_free,
     refuse_for_s,
     useful_s,
     work_ahead,
@@ -269,13 +269,7 @@
             is_overloaded(self._urgent_waiting, cores),
             now,
         )
-        # Free workers are of no use to a customer whose quota is used up.
-        if admission.reason in (RefusalReason.BACKLOG, RefusalReason.EXCESS) and any(
-            not worker.tasks and not worker.unwanted_runs
-            for worker in self._usable_workers(now)
-        ):
-            return ACCEPTED
-        return admission
+        return accept_if_free(admission, self._usable_workers(now))
 
     def _refresh_backlog(self, now, wall_time):
         """Measures the backlog unless that was done lately; returns usable cores."""
@@ -321,13 +315,14 @@
         with self._unchanged_estimates():
             waiting = [
                 WaitingStep(
-                    self._rank(step, wall_time),
+                    step.rank,
                     step,
                     self._is_held(step, now, may_have_unrecorded_runs),
                 )
                 for step in self._rank_ready_steps(now, wall_time)
             ]
             backlog = self._measure_backlog(cores, wall_time)
+            customers = self._customers
         return PoolSnapshot(
             pool=self.name,
             workers=workers,
@@ -340,6 +335,8 @@
             holds_lasting=now < self._withholding_unknown_until,
             run_times=self.run_times,
             place_waits=self._place_waits.trial(now, wall_time, self._is_overloaded),
+            customers=customers,
+            task_work=lambda step: self._task_work(step.job.queue, step.spec),
         )
 
     @contextmanager
@@ -365,10 +362,6 @@
             for job, latest_start in jobs:
                 job.latest_start = latest_start
 
-    def _rank(self, step, wall_time):
-        queue = self._find_queue(step.job.queue)
-        return rank_step(step, queue, self.run_times, wall_time, self._is_overloaded)
-
     # Orders
 
     def schedule(self, now, wall_time):
--- a/basilwind/scheduling/snapshot.py
+++ b/basilwind/scheduling/snapshot.py
@@ -1,8 +1,10 @@
 """A copy of what an owner decides on, to try decisions without effects."""
 
 import copy
+from collections.abc import Callable
 from dataclasses import dataclass
 
+from basilwind.scheduling.customer_queues import CustomerQueues
 from basilwind.scheduling.jobs import StepRun
 from basilwind.scheduling.ordering import Rank
 from basilwind.scheduling.place_waits import PlaceWaits
@@ -41,6 +43,8 @@
         holds_lasting: Whether long-running tasks wait after a takeover.
         run_times: ``RunTimes`` of the pool, which must not be changed.
         place_waits: ``PlaceWaits`` for the round.
+        customers: A copy of the pool's ``CustomerQueues``.
+        task_work: Returns the expected work of one task of a step, core-seconds.
     """
 
     pool: str
@@ -54,6 +58,8 @@
     holds_lasting: bool
     run_times: RunTimes
     place_waits: PlaceWaits
+    customers: CustomerQueues
+    task_work: Callable
 
 
 def copy_worker(worker):
--- a/basilwind/scheduling/where.py
+++ b/basilwind/scheduling/where.py
@@ -6,11 +6,18 @@
 
 import copy
 from collections import Counter
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import msgspec
 
-from basilwind.scheduling.admission import refuse_for_s
+from basilwind.scheduling.admission import (
+    ACCEPTED,
+    Admission,
+    RefusalReason,
+    accept_if_free,
+    refuse_for_s,
+    useful_s,
+)
 from basilwind.scheduling.eligibility import can_be_placed_later, may_run
 from basilwind.scheduling.fleet import Configuration, Queue
 from basilwind.scheduling.jobs import Job
@@ -61,15 +68,53 @@
     now: float
     wall_time: float
 
-    def rank(self, step):
-        """Returns the ``Rank`` that a step of the job would have."""
-        return rank_step(
-            step,
-            self.queue,
-            self.snapshot.run_times,
-            self.wall_time,
-            self.snapshot.is_overloaded,
+    def rank(self, steps):
+        """Ranks steps of the job among those that wait in the pool.
+
+        Returns:
+            The ``Rank`` that each step would have, and the ``WaitingStep`` objects of
+            the pool with the ranks that they would have, the most urgent first.
+        """
+        snapshot = self.snapshot
+        # Start tags depend on which customers wait, and so on the job.
+        ranked = [
+            (replace(waiting.rank, start_tag=0.0), waiting.step)
+            for waiting in snapshot.waiting
+        ]
+        for step in steps:
+            rank = rank_step(
+                step,
+                self.queue,
+                snapshot.run_times,
+                self.wall_time,
+                snapshot.is_overloaded,
+            )
+            ranked.append((rank, step))
+        ranked = snapshot.customers.copy().add_start_tags(
+            ranked, snapshot.task_work, snapshot.is_overloaded
+        )
+        ranks = {step: rank for rank, step in ranked}
+        waiting = [replace(w, rank=ranks[w.step]) for w in snapshot.waiting]
+        waiting.sort(key=lambda waiting: waiting.rank)
+        return {step: ranks[step] for step in steps}, waiting
+
+    def admit(self):
+        """Returns the ``Admission`` of the job if customers have work in the pool."""
+        snapshot, job = self.snapshot, self.job
+        customers = snapshot.customers
+        if not job.customer and not customers.has_work:
+            wait_s = refuse_for_s(
+                self.queue, snapshot.backlog, snapshot.cores, snapshot.run_times
+            )
+            return Admission(wait_s, RefusalReason.BACKLOG) if wait_s else ACCEPTED
+        admission = customers.copy().admit(
+            job.customer,
+            snapshot.cores,
+            useful_s(self.queue, snapshot.run_times),
+            snapshot.is_overloaded,
+            self.now,
         )
+        return accept_if_free(admission, snapshot.reachable)
 
 
 def explain_placement(trial):
@@ -100,17 +145,19 @@
 
 def _explain_admission(trial):
     snapshot = trial.snapshot
-    wait_s = refuse_for_s(
-        trial.queue, snapshot.backlog, snapshot.cores, snapshot.run_times
-    )
+    admission = trial.admit()
     measured = f"backlog {snapshot.backlog:.1f} core-s, {snapshot.cores:.1f} cores"
-    decision = f"refuse for {wait_s:.1f} s" if wait_s else "accept"
+    decision = "accept"
+    if admission.reason is not None:
+        reason, wait_s = admission.reason.value, admission.refuse_for_s
+        decision = f"refuse for {wait_s:.1f} s, reason {reason}"
     yield Reason("admission", f"{decision}: {measured}")
 
 
 def _explain_overload(trial):
     if trial.snapshot.is_overloaded:
-        yield Reason("overload", "yes: new jobs go newest first")
+        text = "yes: new jobs go newest first, those of several customers by share"
+        yield Reason("overload", text)
     else:
         yield Reason("overload", "no")
 
@@ -122,9 +169,10 @@
         due_in_s = spec.first_due_s - trial.wall_time
         yield Reason("due", f"in {due_in_s:.1f} s; placed below as if it were now")
     ready = trial.job.start_occurrence(0)
-    placements = _Placements(trial)
-    for step in sorted(ready, key=trial.rank):
-        yield from placements.explain(step)
+    ranks, waiting = trial.rank(ready)
+    placements = _Placements(trial, waiting)
+    for step in sorted(ready, key=ranks.get):
+        yield from placements.explain(step, ranks[step])
     for step in trial.job.occurrences[0]:
         if step not in ready:
             earlier = ", ".join(map(str, step.spec.after))
@@ -149,21 +197,21 @@
 
     Args:
         trial: ``Trial``.
+        waiting: ``WaitingStep`` objects of the pool, the most urgent first.
     """
 
-    def __init__(self, trial):
+    def __init__(self, trial, waiting):
         self._trial = trial
         self._workers = list(trial.snapshot.open_workers)
-        self._waiting = list(trial.snapshot.waiting)
+        self._waiting = list(waiting)
         self._shortages = []
         self._ahead = 0
         # ``PlaceWait`` of the step that was placed last, or None.
         self._wait = None
 
-    def explain(self, step):
+    def explain(self, step, rank):
         """Places a step after those that are ahead of it; returns reasons."""
         topic = f"step {step.number}"
-        rank = self._trial.rank(step)
         self._place_ahead(rank)
         late = ", too late for its objective" if rank.is_late else ""
         reasons = [Reason(topic, f"{self._ahead} waiting steps ahead{late}")]
--- a/tests/scheduling/test_where.py
+++ b/tests/scheduling/test_where.py
@@ -1,6 +1,8 @@
 import unittest
 from dataclasses import fields, is_dataclass, replace
 
+from basilwind.scheduling.admission import RefusalReason
+from basilwind.scheduling.fleet import Customer, Resources
 from basilwind.scheduling.jobs import Job
 from basilwind.scheduling.where import (
     MAX_TASKS_TOLD,
@@ -132,3 +134,48 @@
 
 if __name__ == "__main__":
     unittest.main()
+
+
+class TestCustomers(unittest.TestCase):
+    """Where a customer's job would go while the pool is overloaded."""
+
+    def setUp(self):
+        maximums = {"capped": Resources(4000)}
+        self.model = PoolModel(
+            self.fail,
+            find_customer=lambda name: Customer(
+                name, 1e6, maximums.get(name, Resources())
+            ),
+        )
+        self.model.hold()
+        state, now = self.model.state, self.model.now
+        for number in range(40):
+            self.model.submit(f"{number:016x}", make_job(count=20), "large")
+            self.model.submit(f"c{number:015x}", make_job(count=20), "capped")
+        for _ in range(3):
+            state.schedule(now, now)
+
+    def _explain(self, spec, customer):
+        state, now = self.model.state, self.model.now
+        job = Job(TRIAL_JOB_ID, "q", spec, now, customer)
+        trial = Trial(state.snapshot(now, now), None, QUEUE, job, now, now)
+        # The first reason of each topic.
+        reasons = reversed(explain_placement(trial))
+        return {reason.topic: reason.text for reason in reasons}
+
+    def test_rank_among_the_jobs_of_other_customers_is_that_of_a_round(self):
+        # It was told as ahead of all others, as it had no start tag.
+        texts = self._explain(make_job(count=1), "large")
+        self.assertIn("by share", texts["overload"])
+        ahead = int(texts["step 0"].partition(" ")[0])
+        self.assertGreater(ahead, 20)
+        small = int(self._explain(make_job(count=1), "small")["step 0"].split()[0])
+        self.assertLess(small, ahead)
+
+    def test_refusal_of_a_customer_is_told_with_its_reason(self):
+        now = self.model.now
+        admission = self.model.state.admit("q", "capped", now, now)
+        self.assertIs(admission.reason, RefusalReason.QUOTA)
+        texts = self._explain(make_job(count=1), "capped")
+        self.assertIn("quota", texts["admission"])
+        self.assertIn("accept", self._explain(make_job(count=1), "small")["admission"])
