Quota: have owners see each version of the configuration

An owner looked at the maximums in scheduling rounds only. If it read a raise and a cut in one page, or both came between two rounds, it started tasks within a grant from before the raise, while other pools ran what the raise had allowed. The watcher now passes on each version, and owners note its maximums at once.

--- a/basilwind/entry/configuration.py
+++ b/basilwind/entry/configuration.py
@@ -124,6 +124,8 @@
         self._known_customers.update(configuration.customers or {})
         if configuration.customers is not None:
             self._follower.limit_wait(FRESH_WAIT_S)
+        # Owners must see each version: a maximum may be raised and lowered in one page.
+        self._on_change()
 
     def _add_wave(self, wave):
         if wave.number not in self._waves:
--- a/basilwind/entry/daemon.py
+++ b/basilwind/entry/daemon.py
@@ -248,7 +248,7 @@
         if granter is not None:
             granter.apply_configuration()
         for owner in self._pool_owners():
-            owner.request_scheduling()
+            owner.apply_configuration()
 
     def _on_registry(self):
         for owner in self._pool_owners():
--- a/basilwind/entry/owner.py
+++ b/basilwind/entry/owner.py
@@ -216,6 +216,11 @@
         """Requests a scheduling round."""
         self._schedule_event.set()
 
+    def apply_configuration(self):
+        """Applies the current configuration, of which no version may be left out."""
+        self._state.quota.note_limits(self._clock())
+        self._schedule_event.set()
+
     def update_workers(self):
         """Applies the current entries of the worker registry."""
         if self._tasks is None or not self._services.registry.is_loaded:
--- a/tests/entry/test_quota_granter.py
+++ b/tests/entry/test_quota_granter.py
@@ -224,6 +224,19 @@
 
         self._run(scenario)
 
+    def test_raise_and_cut_between_two_rounds_need_a_new_grant(self):
+        # Meanwhile, other pools may have got what the raise allowed.
+        async def scenario(owner):
+            quota = owner.state.quota
+            self.assertTrue(quota.may_start("c", self.clock()))
+            for self.maximum in (14000, 8000):
+                owner.apply_configuration()
+            self.assertFalse(quota.may_start("c", self.clock()))
+            await self._submit(owner)
+            self.assertEqual(self._starts(), 4)
+
+        self._run(scenario)
+
     def test_order_that_waited_for_its_record_is_given_up(self):
         async def scenario(owner):
             # The process is paused while the order waits for its record.
@@ -307,6 +320,34 @@
         self.assertEqual(self.watcher.customer_names(), ["c"])
         self.assertIsNone(self.watcher.find_customer("unknown"))
 
+    def test_each_version_of_a_page_is_passed_on(self):
+        # Owners missed a raise that was followed by a cut in the same page.
+        seen = []
+        self.watcher = ConfigurationWatcher(
+            None,
+            lambda: 0.0,
+            lambda: seen.append(self.watcher.find_customer("c").maximum.cpu),
+        )
+        records = [
+            KeyedRecord(
+                version,
+                "config",
+                msgspec.json.encode(
+                    {
+                        "version": version,
+                        "routes": [],
+                        "services": [],
+                        "tenants": [
+                            {"name": "c", "apiKeys": [], "maximum": {"cpu": cpu}}
+                        ],
+                    }
+                ),
+            )
+            for version, cpu in enumerate((5, 9, 5), 1)
+        ]
+        self.watcher._apply_records(records)
+        self.assertEqual(seen[:3], [5, 9, 5])
+
     def test_nothing_is_limited_without_customers(self):
         self._apply(1, {"c": self.customer})
         self._apply(2, None)
