--- a/basilwind/entry/owner.py
+++ b/basilwind/entry/owner.py
@@ -34,12 +34,17 @@
 from basilwind.scheduling.jobs import Job, JobState, JobStatus, is_foreign
 from basilwind.scheduling.ownership import MAX_STORE_SILENCE_S, has_reached_store
 from basilwind.scheduling.pool import PoolState
-from basilwind.scheduling.quota import UNBOUNDED, QuotaBook
-from basilwind.scheduling.quota_use import measure_uses
+from basilwind.scheduling.quota import UNBOUNDED, QuotaBook, has_limit
+from basilwind.scheduling.quota_use import measure_used, measure_uses
 from basilwind.scheduling.records import decode_submission
 from basilwind.scheduling.reports import StartOutcome
 from basilwind.scheduling.run_events import age_s, order_row
-from basilwind.scheduling.where import TRIAL_JOB_ID, Trial, explain_placement
+from basilwind.scheduling.where import (
+    TRIAL_JOB_ID,
+    QuotaUse,
+    Trial,
+    explain_placement,
+)
 from basilwind.scheduling.workers import WorkerLimits
 
 LEASE_S = 4.5  # outlasts 1.7 s of silence, 1 s of takeover and a hold call of 1.5 s
@@ -733,9 +738,20 @@
                 Job(TRIAL_JOB_ID, queue.name, spec, wall_time, customer),
                 now,
                 wall_time,
+                self._quota_use(customer, now),
             )
         )
 
+    def _quota_use(self, name, now):
+        """Returns the ``QuotaUse`` of a customer, or None if it has no maximum."""
+        customer = self._services.configuration.find_customer(name) if name else None
+        if customer is None or not has_limit(customer):
+            return None
+        book = self._state.quota
+        used = measure_used(self._state, now)[name]
+        may_start = book.may_start(name, now)
+        return QuotaUse(used, book.grant(name), customer.maximum, may_start)
+
     def admit(self, queue, customer):
         """Returns the ``Admission`` of a customer's new job."""
         return self._state.admit(queue, customer, self._clock(), self._wall_clock())
--- a/basilwind/scheduling/where.py
+++ b/basilwind/scheduling/where.py
@@ -15,11 +15,12 @@
     Admission,
     RefusalReason,
     accept_if_free,
+    is_too_large,
     refuse_for_s,
     useful_s,
 )
 from basilwind.scheduling.eligibility import can_be_placed_later, may_run
-from basilwind.scheduling.fleet import Configuration, Queue
+from basilwind.scheduling.fleet import Configuration, Queue, Resources
 from basilwind.scheduling.jobs import Job
 from basilwind.scheduling.ordering import rank_step
 from basilwind.scheduling.placement import (
@@ -48,6 +49,23 @@
     text: str
 
 
+@dataclass(frozen=True, slots=True)
+class QuotaUse:
+    """Quota of a customer with a maximum in the pool.
+
+    Attributes:
+        used: ``Resources`` that may be running.
+        grant: ``Resources`` that the pool was granted.
+        maximum: ``Resources`` that all pools together may use.
+        may_start: Whether the grant may be used now.
+    """
+
+    used: Resources
+    grant: Resources
+    maximum: Resources
+    may_start: bool
+
+
 @dataclass(frozen=True, slots=True)
 class Trial:
     """A job that is tried and not submitted.
@@ -59,6 +77,7 @@
         job: ``Job`` that no pool has.
         now: Boot time in seconds.
         wall_time: Unix time in seconds.
+        quota: ``QuotaUse`` of the job's customer, or None if it has no maximum.
     """
 
     snapshot: PoolSnapshot
@@ -67,6 +86,7 @@
     job: Job
     now: float
     wall_time: float
+    quota: QuotaUse | None = None
 
     def rank(self, steps):
         """Ranks steps of the job among those that wait in the pool.
@@ -143,6 +163,23 @@
     yield Reason("customer", text)
 
 
+def _explain_quota(trial):
+    quota = trial.quota
+    if quota is None:
+        return
+    if is_too_large(trial.job.spec, quota.maximum):
+        yield Reason("quota", "refused: a task or gang is larger than the maximum")
+    for name in ("cpu", "memory", "gpu"):
+        maximum = getattr(quota.maximum, name)
+        if maximum:
+            used, grant = getattr(quota.used, name), getattr(quota.grant, name)
+            text = f"{name}: {used} used of {grant} granted here, maximum {maximum}"
+            yield Reason("quota", text)
+    if not quota.may_start:
+        text = "nothing starts: no grant by the maximum in force, or no fresh version"
+        yield Reason("quota", text)
+
+
 def _explain_admission(trial):
     snapshot = trial.snapshot
     admission = trial.admit()
@@ -183,6 +220,7 @@
 REASONS = [
     _explain_queue,
     _explain_customer,
+    _explain_quota,
     _explain_admission,
     _explain_overload,
     _explain_steps,
--- a/tests/entry/test_quota_granter.py
+++ b/tests/entry/test_quota_granter.py
@@ -237,6 +237,22 @@
 
         self._run(scenario)
 
+    def test_operators_are_told_the_quota(self):
+        async def scenario(owner):
+            await self._submit(owner)
+            for customer, rows in (("c", 2), ("other", 0)):
+                reasons = owner.explain_placement(
+                    CONFIGURATION.queues["q"], make_job(cpu=5000), customer
+                )
+                texts = [each.text for each in reasons if each.topic == "quota"]
+                self.assertEqual(len(texts), rows)
+                if texts:
+                    self.assertIn("larger than the maximum", texts[0])
+                    self.assertIn("3000 used of 3000", texts[1])
+
+        self.maximum = 3000
+        self._run(scenario)
+
     def test_order_that_waited_for_its_record_is_given_up(self):
         async def scenario(owner):
             # The process is paused while the order waits for its record.
