--- a/basilwind/entry/owner.py
+++ b/basilwind/entry/owner.py
@@ -34,12 +34,17 @@
 from basilwind.scheduling.jobs import Job, JobState, JobStatus, is_foreign
 from basilwind.scheduling.ownership import MAX_STORE_SILENCE_S, has_reached_store
 from basilwind.scheduling.pool import PoolState
-from basilwind.scheduling.quota import UNBOUNDED, QuotaBook
-from basilwind.scheduling.quota_use import measure_uses
+from basilwind.scheduling.quota import UNBOUNDED, QuotaBook, has_limit
+from basilwind.scheduling.quota_use import measure_used, measure_uses
 from basilwind.scheduling.records import decode_submission
 from basilwind.scheduling.reports import StartOutcome
 from basilwind.scheduling.run_events import age_s, order_row
-from basilwind.scheduling.where import TRIAL_JOB_ID, Trial, explain_placement
+from basilwind.scheduling.where import (
+    TRIAL_JOB_ID,
+    QuotaUse,
+    Trial,
+    explain_placement,
+)
 from basilwind.scheduling.workers import WorkerLimits
 
 LEASE_S = 4.5  # outlasts 1.7 s of silence, 1 s of takeover and a hold call of 1.5 s
@@ -216,6 +221,11 @@
         """Requests a scheduling round."""
         self._schedule_event.set()
 
+    def apply_configuration(self):
+        """Applies the current configuration, of which no version may be left out."""
+        self._state.quota.note_limits(self._clock())
+        self._schedule_event.set()
+
     def update_workers(self):
         """Applies the current entries of the worker registry."""
         if self._tasks is None or not self._services.registry.is_loaded:
@@ -333,6 +343,7 @@
         return (
             self._is_loaded
             and self._journal.has_written(self._unrecorded_batch)
+            and self._journal.has_written_found_runs
             and not self._state.has_unrecorded_runs(self._clock())
         )
 
@@ -727,9 +738,20 @@
                 Job(TRIAL_JOB_ID, queue.name, spec, wall_time, customer),
                 now,
                 wall_time,
+                self._quota_use(customer, now),
             )
         )
 
+    def _quota_use(self, name, now):
+        """Returns the ``QuotaUse`` of a customer, or None if it has no maximum."""
+        customer = self._services.configuration.find_customer(name) if name else None
+        if customer is None or not has_limit(customer):
+            return None
+        book = self._state.quota
+        used = measure_used(self._state, now)[name]
+        may_start = book.may_start(name, now)
+        return QuotaUse(used, book.grant(name), customer.maximum, may_start)
+
     def admit(self, queue, customer):
         """Returns the ``Admission`` of a customer's new job."""
         return self._state.admit(queue, customer, self._clock(), self._wall_clock())
--- a/basilwind/scheduling/admission.py
+++ b/basilwind/scheduling/admission.py
@@ -91,7 +91,7 @@
         maximum_cores: Cores that it may use in all pools; 0 for no limit.
         started: Work of its started jobs, core-seconds.
         waiting: Work of its other jobs that are not excess, core-seconds.
-        running_cores: Cores that its tasks reserve on workers.
+        running_cores: Cores that its tasks on workers count against its maximum.
     """
 
     weight: float
@@ -169,6 +169,22 @@
     return ACCEPTED
 
 
+def accept_if_free(admission, workers):
+    """Returns an ``Admission`` that refuses nothing for a backlog beside free workers.
+
+    They are of no use to a customer whose quota is used up.
+
+    Args:
+        admission: ``Admission``.
+        workers: Usable ``WorkerView`` objects.
+    """
+    if admission.reason in (RefusalReason.BACKLOG, RefusalReason.EXCESS) and any(
+        not worker.tasks and not worker.unwanted_runs for worker in workers
+    ):
+        return ACCEPTED
+    return admission
+
+
 def is_too_large(spec, maximum):
     """Returns whether a job's task, or gang as a whole, can never fit a quota.
 
@@ -179,7 +195,7 @@
     for step in spec.steps:
         count = step.count if step.is_gang else 1
         needs = (
-            (step.reserved_cpu, maximum.cpu),
+            (step.cpu, maximum.cpu),
             (step.memory, maximum.memory),
             (step.gpu, maximum.gpu),
         )
--- a/basilwind/scheduling/pool_workers.py
+++ b/basilwind/scheduling/pool_workers.py
@@ -61,7 +61,8 @@
                 may_have_unrecorded_runs = (
                     now < self.unrecorded_runs_until and not worker.has_reported_fully
                 )
-                if not worker.tasks and not may_have_unrecorded_runs:
+                has_runs = worker.tasks or worker.unwanted_runs
+                if not has_runs and not may_have_unrecorded_runs:
                     self._drop_worker(worker, now)
         return added
 
@@ -252,6 +253,7 @@
         task.job.has_started = True
         task.job.state = JobState.RUNNING
         self.dirty.add(task.job.job_id)
+        self.has_found_runs = True
         return True
 
     def _report_unwanted(self, worker, name, run):
@@ -407,6 +409,7 @@
         if is_unrecorded:
             task.run = end.run
             self.dirty.add(task.job.job_id)
+            self.has_found_runs = True
         if end.kind is EndKind.DONE and not task.spec.is_lasting:
             self._stop_redundant_run(task)
             self._finish_task(task, now)
@@ -588,6 +591,7 @@
                 previous_leases_age_s=age_s(self.previous_leases_until or None, now),
                 **worker_evidence(worker, now),
             )
+            worker.set_unwanted_runs({})
             if not worker.is_listed:
                 self._drop_worker(worker, now)
         self._requeue_unlisted(now)
--- a/tests/entry/test_quota_granter.py
+++ b/tests/entry/test_quota_granter.py
@@ -23,9 +23,11 @@
     Amount,
     GrantRequest,
     GrantResponse,
+    QuotaBook,
     QuotaRecord,
     UseRow,
 )
+from basilwind.scheduling.quota_ledger import QuotaLedger
 from tests.scheduling.model import PoolModel, make_job
 from tests.scheduling.test_quota import make_quota
 from tests.utils.entry_fakes import CONFIGURATION, Clock, FakeStore, make_services
@@ -222,6 +224,35 @@
 
         self._run(scenario)
 
+    def test_raise_and_cut_between_two_rounds_need_a_new_grant(self):
+        # Meanwhile, other pools may have got what the raise allowed.
+        async def scenario(owner):
+            quota = owner.state.quota
+            self.assertTrue(quota.may_start("c", self.clock()))
+            for self.maximum in (14000, 8000):
+                owner.apply_configuration()
+            self.assertFalse(quota.may_start("c", self.clock()))
+            await self._submit(owner)
+            self.assertEqual(self._starts(), 4)
+
+        self._run(scenario)
+
+    def test_operators_are_told_the_quota(self):
+        async def scenario(owner):
+            await self._submit(owner)
+            for customer, rows in (("c", 2), ("other", 0)):
+                reasons = owner.explain_placement(
+                    CONFIGURATION.queues["q"], make_job(cpu=5000), customer
+                )
+                texts = [each.text for each in reasons if each.topic == "quota"]
+                self.assertEqual(len(texts), rows)
+                if texts:
+                    self.assertIn("larger than the maximum", texts[0])
+                    self.assertIn("3000 used of 3000", texts[1])
+
+        self.maximum = 3000
+        self._run(scenario)
+
     def test_order_that_waited_for_its_record_is_given_up(self):
         async def scenario(owner):
             # The process is paused while the order waits for its record.
@@ -305,6 +336,34 @@
         self.assertEqual(self.watcher.customer_names(), ["c"])
         self.assertIsNone(self.watcher.find_customer("unknown"))
 
+    def test_each_version_of_a_page_is_passed_on(self):
+        # Owners missed a raise that was followed by a cut in the same page.
+        seen = []
+        self.watcher = ConfigurationWatcher(
+            None,
+            lambda: 0.0,
+            lambda: seen.append(self.watcher.find_customer("c").maximum.cpu),
+        )
+        records = [
+            KeyedRecord(
+                version,
+                "config",
+                msgspec.json.encode(
+                    {
+                        "version": version,
+                        "routes": [],
+                        "services": [],
+                        "tenants": [
+                            {"name": "c", "apiKeys": [], "maximum": {"cpu": cpu}}
+                        ],
+                    }
+                ),
+            )
+            for version, cpu in enumerate((5, 9, 5), 1)
+        ]
+        self.watcher._apply_records(records)
+        self.assertEqual(seen[:3], [5, 9, 5])
+
     def test_nothing_is_limited_without_customers(self):
         self._apply(1, {"c": self.customer})
         self._apply(2, None)
@@ -373,6 +432,40 @@
         self.assertEqual(sent[:8], [1, 0, 0, 0, 1, 0, 1, 0])
         self.assertEqual(sent[8:], [0] * (FULL_REPORT_CALLS - 8) + [1])
 
+    def test_cut_that_the_owner_learns_of_late_blocks_it_for_one_call(self):
+        # The owner raises the new basis to the maximum that it still knows, so that its
+        # row was the one that the granter had, and was answered only once.
+        limits = {"owner": 8000, "granter": 8000}
+
+        def find(daemon):
+            return lambda name: Customer(name, 1.0, Resources(cpu=limits[daemon]))
+
+        quota = QuotaBook(find("owner"), lambda: ["c"])
+        model = PoolModel(self.fail, make_quota=lambda: quota, max_running_cpu=8000)
+        ledger = QuotaLedger(find("granter"))
+
+        async def request_grants(request):
+            ledger.apply_report(request)
+            rows, _ = ledger.answer(request.pool, [request.pool], True, 0.0)
+            return GrantResponse(2, request.number, rows)
+
+        async def flush():
+            quota.begin_record({})
+            quota.finish_record()
+
+        journal = types.SimpleNamespace(flush=flush)
+        client = QuotaClient(
+            model.state, journal, request_grants, Clock(), lambda: None
+        )
+        for limits["granter"] in (8000, 3000):
+            for _ in range(5):
+                anyio.run(client.call)
+        quota.begin_round(0.0)
+        limits["owner"] = 3000
+        self.assertFalse(quota.may_start("c", 0.0))
+        anyio.run(client.call)
+        self.assertTrue(quota.may_start("c", 0.0))
+
 
 class TestMetrics(unittest.TestCase):
     def test_further_customers_are_reported_as_other(self):
--- a/tests/scheduling/test_quota.py
+++ b/tests/scheduling/test_quota.py
@@ -9,6 +9,8 @@
 from basilwind.scheduling.fleet import Customer, Resources
 from basilwind.scheduling.quota import Amount, GrantResponse, GrantRow, QuotaBook
 from basilwind.scheduling.quota_ledger import UNKNOWN, divide, share_fairly
+from basilwind.scheduling.quota_use import measure_ending
+from basilwind.scheduling.reports import EndedRun, EndKind, WorkerReport
 from tests.scheduling.model import PoolModel, make_job, seeds_to_play
 from tests.scheduling.quota_model import CUSTOMER, QuotaFleet
 from tests.scheduling.test_pool import apply_fault
@@ -172,6 +174,16 @@
         _, request = previous.call()
         self.assertFalse(self.fleet.granter.ledger.apply_report(request))
 
+    def test_reports_that_change_no_bound_are_not_journalled(self):
+        # The records of all pools that reported were written with each raise, 3 KB per
+        # pool with 66 customers.
+        self.fleet.settle()
+        ledger = self.fleet.granter.ledger
+        ledger.dirty.clear()
+        _, request = self.fleet.owners["p0"].call()
+        self.assertTrue(ledger.apply_report(request))
+        self.assertEqual(ledger.dirty, set())
+
     def test_pool_that_never_reported_may_hold_everything(self):
         # Its owner may have started tasks before the customer had a maximum.
         fleet = QuotaFleet(self.fail, maximum=8000, pools=2)
@@ -497,6 +509,34 @@
         worker.set_unwanted_runs({("a.0.0.0", 1): spec, ("a.0.0.1", 1): spec})
         self.assertEqual(len(self._schedule()), 1)
 
+    def test_runs_that_are_being_stopped_count_on_an_unlisted_worker(self):
+        # A worker without tasks was dropped with its runs, which execute until they
+        # are stopped or its lease ends.
+        self._submit("a", make_job(count=3))
+        worker, *others = self.state.workers.values()
+        spec = make_job().steps[0]
+        worker.set_unwanted_runs({("a.0.0.0", 1): spec, ("a.0.0.1", 1): spec})
+        entries = {other.worker_id: other.entry for other in others}
+        self.state.set_workers(entries, self.model.now)
+        self.assertEqual(len(self._schedule()), 1)
+        worker.set_unwanted_runs({})
+        self.state.set_workers(entries, self.model.now)
+        self.assertNotIn(worker.worker_id, self.state.workers)
+
+    def test_successor_counts_redundant_runs_of_a_job_that_goes_on(self):
+        # The record of a finished task has no run, while one that was started again
+        # executes until its worker has stopped it.
+        self._submit("a", make_job(count=1, steps=2))
+        (order,) = self._schedule()
+        order.task.run = 2
+        workers = self.state.workers.values()
+        other = next(worker for worker in workers if worker is not order.worker)
+        end = EndedRun(1, order.task.name, 1, EndKind.DONE, "")
+        report = WorkerReport(500.0, 1, (), (end,))
+        self.state.apply_report(other, report, self.model.now, self.model.now)
+        self.assertTrue(self.state.jobs["a"].is_live)
+        self.assertEqual(measure_ending(self.state)[CUSTOMER].cpu, 1000)
+
     def test_order_is_not_sent_once_its_quota_is_gone(self):
         self._submit("a", make_job(count=3))
         order = self._schedule()[0]
