--- a/basilwind/standin/entry_platform.py
+++ b/basilwind/standin/entry_platform.py
@@ -36,11 +36,13 @@
         name: Name of the queue.
         path_prefix: Prefix of the paths that callers use.
         pool: Pool whose workers run the tasks.
+        is_public: Whether callers need no key.
     """
 
     name: str
     path_prefix: str
     pool: str
+    is_public: bool = False
 
 
 @dataclass
@@ -51,6 +53,8 @@
         port: First port to use, on 127.0.0.1.
         queues: ``StandInQueue`` objects.
         workers_per_pool: Number of workers in each pool.
+        tenants: Rows of the configuration that describe customers; None without them.
+        bounds: Settings of daemons under ``bounds``.
 
     Attributes:
         store: The ``StoreStandIn``.
@@ -63,6 +67,8 @@
     port: int
     queues: tuple[StandInQueue, ...]
     workers_per_pool: int = 3
+    tenants: list | None = None
+    bounds: dict = field(default_factory=dict)
     store: StoreStandIn = field(default_factory=StoreStandIn)
     workers: dict[str, EntryWorkerStandIn] = field(default_factory=dict)
     run_starts: list = field(default_factory=list)
@@ -107,11 +113,14 @@
                 "service": queue.pool,
                 "attempts": 3,
                 "stretch": 1.6,
+                "public": queue.is_public,
             }
             for queue in self.queues
         ]
         services = [{"name": pool} for pool in sorted({q.pool for q in self.queues})]
         document = {"version": self.version, "routes": routes, "services": services}
+        if self.tenants is not None:
+            document["tenants"] = self.tenants
         self.store.write("keyed.op", "config", json.dumps(document).encode())
 
     def daemon_settings(self, number, port):
@@ -133,6 +142,7 @@
             "platform": {"address": f"127.0.0.1:{self.port}"},
             "cloudApi": {"address": f"127.0.0.1:{self.port + 1}"},
             "limits": {"cpuShare": 1.0, "cores": 2.2},
+            "bounds": self.bounds,
         }
 
     async def run(self, task_status=anyio.TASK_STATUS_IGNORED):
--- a/extras/entry_fleet.py
+++ b/extras/entry_fleet.py
@@ -14,6 +14,7 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 QUEUES = (StandInQueue("q-a", "/a/", "pool-a"), StandInQueue("q-b", "/b/", "pool-b"))
+PUBLIC_QUEUE = StandInQueue("q-p", "/p/", "pool-a", is_public=True)
 WAIT_TIMEOUT_S = 40.0  # ends a hanging test; not a limit that the system must meet
 PORTS_PER_DAEMON = 10
 FIRST_PORT, LAST_PORT = 20000, 30000  # below the ports of outgoing connections
@@ -57,21 +58,29 @@
     Args:
         daemons: Number of daemons.
         log_folder: Directory in which their logs are kept; not kept if None.
+        tenants: Rows of the configuration that describe customers. With them, queue
+            ``p`` is public and the others need a key.
+        bounds: Settings of daemons under ``bounds``.
 
     Attributes:
         platform: ``EntryPlatformStandIn``.
         ports: First port of each daemon, at which callers reach it.
         processes: Process of each daemon, by index.
         restarting: Indexes of the daemons that a fault is restarting.
+        outages: Start and end of each outage of the store, on the monotonic clock.
     """
 
-    def __init__(self, daemons=2, log_folder=None):
+    def __init__(self, daemons=2, log_folder=None, tenants=None, bounds=None):
         port, self._reservation = reserve_ports(10 + PORTS_PER_DAEMON * daemons)
-        self.platform = EntryPlatformStandIn(port, QUEUES)
+        queues = QUEUES if tenants is None else (*QUEUES, PUBLIC_QUEUE)
+        self.platform = EntryPlatformStandIn(
+            port, queues, tenants=tenants, bounds=bounds or {}
+        )
         first = self.platform.next_free_port
         self.ports = [first + PORTS_PER_DAEMON * n for n in range(daemons)]
         self.processes = {}
         self.restarting = set()
+        self.outages = []
         self._folder = tempfile.TemporaryDirectory()
         self._log_folder = Path(log_folder or self._folder.name)
 
@@ -98,9 +107,9 @@
         self._reservation.close()
         self._folder.cleanup()
 
-    async def call(self, method, index, path, body=None):
+    async def call(self, method, index, path, body=None, key=""):
         """Returns the status and decoded body of a response, or None without one."""
-        return await self._fetch(method, self.ports[index], path, body)
+        return await self._fetch(method, self.ports[index], path, body, key=key)
 
     async def call_raw(self, index, path, body):
         """Sends a POST request with a body that need not be JSON; see ``call``."""
@@ -128,18 +137,15 @@
         answer = await self._fetch("GET", self.ports[index] + 1, "/ready")
         return answer is not None and answer[0] == 200
 
-    async def _fetch(self, method, port, path, body=None, data=None):
+    async def _fetch(self, method, port, path, body=None, data=None, key=""):
         url = f"http://127.0.0.1:{port}{path}"
         timeout = aiohttp.ClientTimeout(total=4.0)
+        headers = {"Host": "fleet.example"} | ({"X-Key": key} if key else {})
         try:
             async with (
                 aiohttp.ClientSession(timeout=timeout) as session,
                 session.request(
-                    method,
-                    url,
-                    json=body,
-                    data=data,
-                    headers={"Host": "fleet.example"},
+                    method, url, json=body, data=data, headers=headers
                 ) as response,
             ):
                 text = await response.text()
@@ -158,11 +164,11 @@
             while not await check():
                 await anyio.sleep(0.1)
 
-    async def wait_until_serving(self, index):
-        """Waits until a daemon answers requests about queue ``a``."""
+    async def wait_until_serving(self, index, queue="a"):
+        """Waits until a daemon answers requests about a queue."""
 
         async def check():
-            answer = await self.call("GET", index, "/a/")
+            answer = await self.call("GET", index, f"/{queue}/")
             return answer is not None and answer[0] == 200
 
         await self.wait_until(check)
@@ -202,7 +208,7 @@
         """
         await self.wait_until_state(job_id, "completed", queue)
 
-    async def wait_until_state(self, job_id, state, queue="a"):
+    async def wait_until_state(self, job_id, state, queue="a", key=""):
         """Waits until a daemon reports a state of a job.
 
         Raises:
@@ -211,7 +217,7 @@
 
         async def check():
             for index in range(len(self.ports)):
-                answer = await self.call("GET", index, f"/{queue}/{job_id}")
+                answer = await self.call("GET", index, f"/{queue}/{job_id}", key=key)
                 if answer and answer[0] == 410:
                     raise AssertionError(
                         f"a daemon does not know job {job_id} any more"
--- a/extras/soak/faults.py
+++ b/extras/soak/faults.py
@@ -2,6 +2,7 @@
 
 import random
 import signal
+import time
 from dataclasses import dataclass
 
 import anyio
@@ -17,6 +18,8 @@
     "order delayed",
     "configuration",
 )
+# Several times each, so that a run of ten faults has some of them.
+CUSTOMER_KINDS = 3 * ("keys", "maximum")
 MAX_DURATION_S = 3.0  # longer than it takes until a duty has a new holder
 
 
@@ -26,7 +29,7 @@
 
     Attributes:
         after_s: Delay after the previous fault, in seconds.
-        kind: One of ``KINDS``.
+        kind: One of ``KINDS`` or ``CUSTOMER_KINDS``.
         target: Number that selects a daemon or worker.
         duration_s: Duration of the fault, in seconds.
     """
@@ -37,13 +40,13 @@
     duration_s: float
 
 
-def make_schedule(seed, count):
+def make_schedule(seed, count, kinds=KINDS):
     """Returns the faults of a seed, which are the same on every call."""
     source = random.Random(seed)
     return [
         Fault(
             source.uniform(0.2, 1.5),
-            source.choice(KINDS),
+            source.choice(kinds),
             source.randrange(1000),
             source.uniform(0.3, MAX_DURATION_S),
         )
@@ -51,7 +54,7 @@
     ]
 
 
-async def inject_fault(fleet, fault):
+async def inject_fault(fleet, fault, customers=None):
     """Injects a fault and ends it after its duration."""
     index = fault.target % len(fleet.ports)
     workers = list(fleet.platform.workers.values())
@@ -62,9 +65,10 @@
     elif fault.kind == "pause":
         await _pause(fleet, index, fault)
     elif fault.kind == "store down":
-        store.is_down = True
+        store.is_down, began_at = True, time.monotonic()
         await anyio.sleep(fault.duration_s)
         store.is_down = False
+        fleet.outages.append((began_at, time.monotonic()))
     elif fault.kind == "store loses answers":
         store.lose_answers = 1 + fault.target % 4
     elif fault.kind == "store drops history":
@@ -76,6 +80,10 @@
         worker.is_silent = False
     elif fault.kind == "order delayed":
         worker.delay_next_s = fault.duration_s
+    elif fault.kind == "keys":
+        await customers.replace_key(fleet, fault.target)
+    elif fault.kind == "maximum":
+        await customers.halve_maximum(fleet, fault.duration_s)
     else:
         fleet.platform.configure()
 
