--- a/tests/processes/test_soak.py
+++ b/tests/processes/test_soak.py
@@ -8,6 +8,7 @@
 from basilwind.standin.entry_worker import RunEnd, RunStart
 from extras.soak.__main__ import SoakRun, parse_seeds
 from extras.soak.checks import Service, find_interruptions, find_violations
+from extras.soak.customers import LIMITED, Customers, Key, KeyCall
 from extras.soak.faults import make_schedule
 from extras.soak.overlaps import Run
 from extras.soak.worker_log import write_run_log, write_worker_log
@@ -36,6 +37,49 @@
         self.assertIn("refused", violations[0])
 
 
+class TestCustomerChecks(unittest.TestCase):
+    """Guards against checks that pass whatever daemons answer or workers run."""
+
+    def _check(self, sent_at, status, key="k", job_customer=LIMITED):
+        customers = Customers(1)
+        customers.keys = {"k": Key(LIMITED, 0.0, 10.0), "o": Key("north", 0.0)}
+        customers.calls = [
+            KeyCall(sent_at, sent_at + 0.1, 0, "GET", key, status, job_customer)
+        ]
+        return customers.find_violations(FakePlatform([], []), [])
+
+    def test_success_long_after_withdrawal_is_found(self):
+        self.assertEqual(self._check(14.9, 200), [])
+        self.assertIn("withdrawn", self._check(15.1, 200)[0])
+        self.assertEqual(self._check(15.1, 401), [])
+
+    def test_refusal_of_a_valid_key_is_found(self):
+        self.assertEqual(self._check(2.9, 401), [])
+        for status in (401, 403, 404):
+            self.assertIn("valid key was refused", self._check(3.1, status)[0])
+        self.assertEqual(self._check(9.95, 401), [])
+        self.assertIn("public", self._check(3.1, 401, "", "")[0])
+
+    def test_read_with_another_key_or_none_is_found(self):
+        self.assertIn("another customer", self._check(5.0, 200, "o")[0])
+        self.assertEqual(self._check(5.0, 403, "o"), [])
+        self.assertIn("without a key", self._check(5.0, 200, "")[0])
+
+    def _overruns(self, at, count, outages=()):
+        customers = Customers(1)
+        customers.maxima = [(0.0, 3000), (10.0, 1000), (30.0, 3000)]
+        customers.job_customers = {"j": LIMITED}
+        starts = [RunStart(at, f"j.0.0.{n}", 1, "w") for n in range(count)]
+        return customers.find_violations(FakePlatform(starts, []), outages)
+
+    def test_start_above_every_maximum_in_force_is_found(self):
+        self.assertEqual(self._overruns(5.0, 4), [])
+        self.assertIn("5000 of 4300", self._overruns(5.0, 5)[0])
+        self.assertEqual(self._overruns(12.9, 4), [])
+        self.assertIn("3000 of 2100", self._overruns(13.1, 3)[0])
+        self.assertEqual(self._overruns(13.1, 3, [(11.0, 12.0)]), [])
+
+
 class TestInterruptionCheck(unittest.TestCase):
     """The other tasks are counted at the moment at which an order ends a run."""
 
