Soak: withdraw keys in outages of the store too, and submit with withdrawn keys

Callers used only a valid key for jobs, and versions waited for the end of an outage, so that no daemon was without a fresh version when a key was withdrawn.

--- a/extras/soak/__main__.py
+++ b/extras/soak/__main__.py
@@ -198,8 +198,9 @@
             return await self._fleet.call("POST", index, path, body)
         name = "" if queue == self._open_queue else self._customers.choose_customer()
         self._customers.job_customers[job_id] = name
+        key = self._customers.choose_key(name)
         return await self._customers.call(
-            self._fleet, "POST", index, path, self._key_of(job_id), name, body
+            self._fleet, "POST", index, path, key, name, body
         )
 
     def _key_of(self, job_id):
--- a/extras/soak/customers.py
+++ b/extras/soak/customers.py
@@ -115,6 +115,11 @@
         """Returns the customer that submits the next job."""
         return self._random.choice((LIMITED, LIMITED, *OTHERS))
 
+    def choose_key(self, name):
+        """Returns a key for a new job: a valid one, or the last that was withdrawn."""
+        keys = [text for text, key in self.keys.items() if key.customer == name]
+        return self._random.choice(keys[-3:] or [""])
+
     async def call(self, fleet, method, index, path, key, job_customer, body=None):
         """Calls a daemon and keeps the answer; see ``EntryFleet.call``."""
         sent_at = time.monotonic()
@@ -150,10 +155,12 @@
                 path = path_of(job_id)
                 tasks.start_soon(self.call, fleet, "GET", index, path, key, owner)
 
-    async def replace_key(self, fleet, number):
-        """Withdraws the older key of a customer and adds a new one."""
+    def replace_key(self, fleet, number):
+        """Withdraws the older key of a customer and adds a new one.
+
+        In an outage the store acknowledges the version although no daemon reads it.
+        """
         name = (LIMITED, *OTHERS)[number % len(WEIGHTS)]
-        await _wait_for_store(fleet)
         old, _ = self.keys_of(name)
         now = time.monotonic()
         self.keys[old].withdrawn_at = now
@@ -163,7 +170,9 @@
     async def halve_maximum(self, fleet, duration_s):
         """Halves the maximum of ``LIMITED`` and raises it again after a time."""
         for change in (1, -1):
-            await _wait_for_store(fleet)
+            # In an outage of the store, daemons rely on the last acknowledged maximum.
+            while fleet.platform.store.is_down:
+                await anyio.sleep(STORE_POLL_S)
             self._cuts += change
             maximum = MAXIMUM_CPU // 2 if self._cuts else MAXIMUM_CPU
             self.maxima.append((time.monotonic(), maximum))
@@ -247,9 +256,3 @@
             if changed_at <= at <= replaced_at + CONFIG_APPLY_S + outage_s:
                 maxima.append(maximum)
         return max(maxima)
-
-
-async def _wait_for_store(fleet):
-    """Waits until the store accepts the operator's versions."""
-    while fleet.platform.store.is_down:
-        await anyio.sleep(STORE_POLL_S)
--- a/extras/soak/faults.py
+++ b/extras/soak/faults.py
@@ -81,7 +81,7 @@
     elif fault.kind == "order delayed":
         worker.delay_next_s = fault.duration_s
     elif fault.kind == "keys":
-        await customers.replace_key(fleet, fault.target)
+        customers.replace_key(fleet, fault.target)
     elif fault.kind == "maximum":
         await customers.halve_maximum(fleet, fault.duration_s)
     else:
