--- a/basilwind/entry/quota_client.py
+++ b/basilwind/entry/quota_client.py
@@ -17,9 +17,8 @@
 MAX_PAUSE_S = 0.4
 # The granter may have dropped a row for a configuration that this daemon never saw.
 FULL_REPORT_CALLS = 20
-WRITE_WAIT_S = (
-    1.0  # a lowered grant is journalled within 0.1 s unless the store is away
-)
+# A lowered grant is journalled within 0.1 s unless the store is away.
+WRITE_WAIT_S = 1.0
 
 
 class QuotaClient:
--- a/basilwind/scheduling/quota_ledger.py
+++ b/basilwind/scheduling/quota_ledger.py
@@ -240,23 +240,23 @@
             if limit is None:
                 continue
             turn = int(now // TURN_S) if row.unit != Amount() else 0
-            basis = self._changes.get(name, 0), limit, names, turn
-            if pool.answered.get(name) == basis:
+            inputs = self._changes.get(name, 0), limit, names, turn
+            if pool.answered.get(name) == inputs:
                 continue
             grant = self._grant(pool_name, row, limit, names, now)
             before, is_new_basis = row.grant.resources, limit != row.basis.resources
             if grant == before and not is_new_basis:
-                pool.answered[name] = basis
+                pool.answered[name] = inputs
                 continue
             is_raise = is_new_basis or not is_within(grant, before)
             if is_raise and not may_raise:
                 continue
             has_raise |= is_raise
-            pool.answered[name] = basis
+            pool.answered[name] = inputs
             if not is_within(grant, pool.entries[name]):
                 pool.entries[name] = combine(max, pool.entries[name], grant)
                 self._note_change(name)
-                pool.answered[name] = (self._changes[name], *basis[1:])
+                pool.answered[name] = (self._changes[name], *inputs[1:])
             changed.append(GrantRow(name, Amount.of(grant), Amount.of(limit)))
         if changed:
             self.dirty.add(pool_name)
