--- a/basilwind/scheduling/pool_jobs.py
+++ b/basilwind/scheduling/pool_jobs.py
@@ -1,10 +1,10 @@
 """The jobs of a pool: submitted, ready to run, and ended."""
 
 from basilwind.scheduling.crashes import CrashTracker
-from basilwind.scheduling.estimates import RunTimes
 from basilwind.scheduling.jobs import Job, JobState, TaskState
 from basilwind.scheduling.records import DeclineRecord
 from basilwind.scheduling.run_events import MAX_ROWS, identity_row, requeue_row
+from basilwind.scheduling.run_times import RunTimes
 
 DECLINE_VALID_S = 60.0  # callers repeat a submission within seconds
 
--- a/tests/scheduling/test_admission.py
+++ b/tests/scheduling/test_admission.py
@@ -1,7 +1,7 @@
 import unittest
 
 from basilwind.scheduling.admission import refuse_for_s, retry_after_s
-from basilwind.scheduling.estimates import RunTimes
+from basilwind.scheduling.run_times import RunTimes
 from tests.scheduling.model import QUEUE
 
 
