--- a/basilwind/entry/daemon.py
+++ b/basilwind/entry/daemon.py
@@ -92,6 +92,9 @@
             boot_time,
         )
         self._shared_services.request_grants = self._peers.request_grants
+        self._shared_services.has_previous_owner_recorded_all = (
+            self._peers.has_previous_owner_recorded_all
+        )
         self._shared_services.outage_witnesses = OutageWitnesses(
             self._shared_services.duties,
             self._store_monitor,
--- a/basilwind/entry/owner.py
+++ b/basilwind/entry/owner.py
@@ -119,6 +119,10 @@
             lambda: len(services.configuration.pool_names()),
         )
         self._tasks = None
+        # Journal's batch of the latest start that was sent before it was recorded.
+        self._unrecorded_batch = 0
+        # Whether a later owner has asked about unrecorded runs.
+        self._is_superseded = False
         self._intake_offset = 0
         self._is_loaded = False
         # Restored submissions that other pools get.
@@ -159,6 +163,7 @@
         Raises:
             ProducerFenced: A later owner has taken over.
         """
+        self._services.fully_recorded_pools.discard(self.pool)
         await self._load()
         try:
             async with anyio.create_task_group() as tasks:
@@ -176,6 +181,8 @@
                     tasks.start_soon(self._quota_client.run)
                 self.update_workers()
         finally:
+            if self._has_recorded_all:
+                self._services.fully_recorded_pools.add(self.pool)
             self._report(
                 "pool given up",
                 token=self.token,
@@ -290,10 +297,46 @@
         if self._is_handed_over:
             return
         duty = POOL_PREFIX + self.pool
-        if await self._services.outage_witnesses.rule_out_outage(duty):
+        if await self._has_previous_owner_recorded_all() or (
+            await self._services.outage_witnesses.rule_out_outage(duty)
+        ):
             self._state.unrecorded_runs_until = 0.0
             self._schedule_event.set()
 
+    async def _has_previous_owner_recorded_all(self):
+        """Asks the previous owner, which often only the store does not reach."""
+        previous = self._previous_claim
+        if previous is None or not previous.address:
+            return False
+        has_recorded_all = await self._services.has_previous_owner_recorded_all(
+            previous, self.pool, self.token
+        )
+        self._report(
+            "previous owner asked",
+            token=self.token,
+            previous_holder=previous.holder,
+            has_recorded_all=has_recorded_all,
+        )
+        return has_recorded_all
+
+    def yield_to_successor(self):
+        """Starts nothing without a record any more, as there is a later owner.
+
+        Returns:
+            Whether the journal has each run that may execute. What this owner records
+            from now on is refused, as the successor has raised the journal's epoch.
+        """
+        self._is_superseded = True
+        return self._has_recorded_all
+
+    @property
+    def _has_recorded_all(self):
+        return (
+            self._is_loaded
+            and self._journal.has_written(self._unrecorded_batch)
+            and not self._state.has_unrecorded_runs(self._clock())
+        )
+
     # Intake
 
     async def _follow_intake(self):
@@ -436,22 +479,30 @@
         """
         batch = self._journal.pending_batch()
         while orders and not self._journal.has_written(batch):
-            if self._services.outage.is_confirmed and self._services.may_extend_leases(
-                self._clock()
+            if (
+                self._services.outage.is_confirmed
+                and self._services.may_extend_leases(self._clock())
+                and not self._is_superseded
             ):
-                orders = self._send_unrecorded(orders)
+                orders = self._send_unrecorded(orders, batch)
             with anyio.move_on_after(OUTAGE_CHECK_S):
                 await self._journal.wait_for(batch)
         for order in orders:
             self._tasks.start_soon(self._send_start, order)
 
-    def _send_unrecorded(self, orders):
-        """Sends the orders that need no record, and returns the others."""
+    def _send_unrecorded(self, orders, batch):
+        """Sends the orders that need no record, and returns the others.
+
+        Args:
+            orders: ``StartOrder`` objects.
+            batch: Number of the journal's batch that will contain them.
+        """
         sendable, kept = [], []
         for order in orders:
             may_start = self._state.may_start_unrecorded(order)
             (sendable if may_start else kept).append(order)
         if sendable:
+            self._unrecorded_batch = max(self._unrecorded_batch, batch)
             self._report(
                 "starts not recorded",
                 reason="the store is away",
--- a/basilwind/entry/peer_app.py
+++ b/basilwind/entry/peer_app.py
@@ -25,6 +25,8 @@
     JobResponse,
     QueueResponse,
     RelayedRecord,
+    TakeoverRequest,
+    TakeoverResponse,
     WhereOwnerRequest,
     WhereResponse,
     WithholdRequest,
@@ -98,6 +100,8 @@
             return await self._answer_quota(request.body)
         kind, _, path = request.path.strip("/").partition("/")
         pool, *rest = path.split("/")
+        if kind == TAKEOVER_PATH.strip("/"):
+            return self._answer_successor(pool, request)
         if kind == "intake":
             return await self._store_record(pool, request.body)
         owner = self._find_owner(pool)
@@ -159,6 +163,19 @@
             raise NotOwner("quota is not granted here")
         return json_response(await granter.answer(request))
 
+    def _answer_successor(self, pool, request):
+        successor = decode_json(
+            request.body, TakeoverRequest, request.path, RequestInvalid
+        )
+        return json_response(
+            TakeoverResponse(
+                self._services.incarnation,
+                has_recorded_all(
+                    self._find_owner(pool), pool, successor.token, self._services
+                ),
+            )
+        )
+
     def _hand_over_planning(self, body):
         request = decode_json(body, HandoverRequest, HANDOVER_PATH, RequestInvalid)
         ages_s = self._services.machine_orders.hand_over(
@@ -178,6 +195,20 @@
         return HttpResponse(200)
 
 
+def has_recorded_all(owner, pool, successor_token, services):
+    """Returns whether no run of a pool's previous owner can be unknown to the new one.
+
+    Args:
+        owner: The ``PoolOwner`` in this daemon, or None.
+        pool: Name of the pool.
+        successor_token: Fencing token of the new owner.
+        services: ``Services``.
+    """
+    if owner is not None and owner.token < successor_token:
+        return owner.yield_to_successor()
+    return pool in services.fully_recorded_pools
+
+
 async def job_response(owner, job_id):
     """Returns an owner's ``JobResponse`` for a job."""
     status = await owner.job_state(job_id)
--- a/basilwind/entry/peer_client.py
+++ b/basilwind/entry/peer_client.py
@@ -20,6 +20,8 @@
     JobResponse,
     QueueResponse,
     RelayedRecord,
+    TakeoverRequest,
+    TakeoverResponse,
     WhereOwnerRequest,
     WhereResponse,
     WithholdRequest,
@@ -291,6 +293,29 @@
         """
         return await self._call_daemon(claim, "POST", TAKEOVER_PATH, DaemonResponse)
 
+    async def has_previous_owner_recorded_all(self, claim, pool, token):
+        """Returns whether a previous owner answers that no run of it is unrecorded.
+
+        It starts none without a record from then on.
+
+        Args:
+            claim: Its ``Claim``.
+            pool: Name of the pool.
+            token: Fencing token of the new owner.
+        """
+        answer = await self._call_daemon(
+            claim,
+            "POST",
+            f"{TAKEOVER_PATH}/{pool}",
+            TakeoverResponse,
+            msgspec.json.encode(TakeoverRequest(token)),
+        )
+        return (
+            answer is not None
+            and answer.incarnation == claim.holder
+            and answer.has_recorded_all
+        )
+
     async def query_daemon(self, claim):
         """Returns the ``DaemonResponse`` of the daemon at a claim's address, or None.
 
--- a/basilwind/entry/peer_messages.py
+++ b/basilwind/entry/peer_messages.py
@@ -108,6 +108,29 @@
     takeover_age_s: Duration | None = None
 
 
+class TakeoverRequest(msgspec.Struct):
+    """Question of a pool's new owner to the previous one.
+
+    Attributes:
+        token: Fencing token of the new owner.
+    """
+
+    token: Count
+
+
+class TakeoverResponse(msgspec.Struct):
+    """Answer of a pool's previous owner to the new one.
+
+    Attributes:
+        incarnation: Id of this run of the daemon.
+        has_recorded_all: Whether the journal has each run that it started or may have
+            taken over, and it starts none from now on without a record.
+    """
+
+    incarnation: str
+    has_recorded_all: bool
+
+
 class RelayedRecord(msgspec.Struct):
     """A record of the intake that a peer could not store.
 
--- a/basilwind/entry/services.py
+++ b/basilwind/entry/services.py
@@ -51,6 +51,10 @@
         outage_witnesses: ``OutageWitnesses``; set after the peer client is created.
         request_grants: Coroutine function that sends a ``GrantRequest`` to the granter
             and returns its ``GrantResponse``; set after the peer client is created.
+        has_previous_owner_recorded_all: Coroutine function; see ``PeerClient``. Set
+            after the peer client is created.
+        fully_recorded_pools: Names of pools that this daemon has given up after the
+            journal had all their runs.
         machine_orders: ``MachineOrders`` that this daemon has given.
     """
 
@@ -74,6 +78,8 @@
     arbiter: PoolArbiter | None = None
     outage_witnesses: OutageWitnesses | None = None
     request_grants: Callable | None = None
+    has_previous_owner_recorded_all: Callable | None = None
+    fully_recorded_pools: set[str] = field(default_factory=set)
     machine_orders: MachineOrders = field(default_factory=MachineOrders)
 
     def is_sole_holder(self, now):
--- a/tests/utils/entry_fakes.py
+++ b/tests/utils/entry_fakes.py
@@ -197,6 +197,10 @@
         return self.has_ruled_out
 
 
+async def _answer_no(*arguments):
+    return False
+
+
 def make_services(
     clock,
     report=lambda event, **fields: None,
@@ -254,5 +258,7 @@
         on_fenced=lambda pool, token: None,
         outage=types.SimpleNamespace(is_confirmed=is_outage),
         outage_witnesses=FakeWitnesses(),
+        has_previous_owner_recorded_all=_answer_no,
+        fully_recorded_pools=set(),
         arbiter=PoolArbiter(routes, configuration, decline, clock),
     )
--- a/tests/utils/takeover_play.py
+++ b/tests/utils/takeover_play.py
@@ -18,6 +18,7 @@
 from basilwind.entry.outage_detector import OutageDetector
 from basilwind.entry.outage_witnesses import OutageWitnesses
 from basilwind.entry.owner import PoolOwner
+from basilwind.entry.peer_app import has_recorded_all
 from basilwind.entry.peer_messages import DaemonResponse
 from basilwind.errors import (
     CallTimedOut,
@@ -328,6 +329,7 @@
         services.outage_witnesses = OutageWitnesses(
             self.duties, self.monitor, partial(self._query, is_takeover=True)
         )
+        services.has_previous_owner_recorded_all = self._ask_previous_owner
         self._tasks = None
 
     async def run(self):
@@ -410,6 +412,29 @@
         except CallTimedOut:
             return None
 
+    async def _ask_previous_owner(self, claim, pool, token):
+        zone = self._play.zone_of(claim.address)
+
+        async def execute():
+            daemon = self._play.daemons.get(zone)
+            if daemon is None:
+                raise CallTimedOut("not running")
+            return daemon.services.incarnation == claim.holder and has_recorded_all(
+                daemon.find_owner(), pool, token, daemon.services
+            )
+
+        try:
+            return await self._play.network.call(
+                self.name, f"e-{zone}", QUERY_TIMEOUT_S, execute
+            )
+        except CallTimedOut:
+            return False
+
+    def find_owner(self):
+        """Returns the ``PoolOwner`` that runs here and is loaded, or None."""
+        owner = self._runner.find(DUTY)
+        return owner if owner is not None and owner.is_loaded else None
+
 
 class TakeoverPlay:
     """Three zones with a daemon and a worker each, one pool, and random faults.
