--- a/tests/scheduling/test_pool.py
+++ b/tests/scheduling/test_pool.py
@@ -292,6 +292,23 @@
         model.hold()
         self.assertEqual(len(model.workers["w0"].runs), 1)
 
+    def test_late_tasks_that_take_longer_than_expected_are_not_stopped(self):
+        # Regression (fleetbench etre-toll-grown, 3% of the tasks take 7 times as long):
+        # stopping them threw away more core-seconds than they still took.
+        model = self._model(workers=1)
+        for _ in range(30):
+            model.state.run_times.record("q", 1.0, 1.0)
+            model.state.run_times.record("q", 1.0, 7.0)
+        model.submit("late", make_job(count=1))
+        model.hold()
+        model.schedule()
+        model.hold()
+        (task,) = model.all_tasks()
+        task.confirmed_at = model.now - 5.0
+        task.job.accepted_at -= 60.0
+        model.state.withhold(["w0"], model.now, model.now)
+        self.assertFalse(task.is_stopping)
+
     def test_tasks_that_can_meet_their_objective_are_not_preempted(self):
         model = self._model(workers=1)
         model.submit("job", make_job(count=2))
