--- a/basilwind/scheduling/pool.py
+++ b/basilwind/scheduling/pool.py
@@ -139,11 +139,15 @@
             task.job, wall_time
         ):
             return False
-        # A run that has taken longer than expected is not stopped, although its remaining
-        # time grows: more would be thrown away than it still takes.
         run_time_s = self.run_times.expected_s(task.job.queue, task.spec.estimate_s)
         run_time_s *= self._place_waits.run_factor(task.spec, worker)
-        return task.confirmed_at + run_time_s - now > PREEMPTION_MIN_REMAINING_S
+        elapsed_s = now - task.confirmed_at
+        if run_time_s - elapsed_s > PREEMPTION_MIN_REMAINING_S:
+            return True
+        # A run that takes longer than expected is stopped only if more time is left
+        # than is thrown away.
+        remaining_s = self._place_waits.remaining_s(task, worker, now)
+        return remaining_s > max(PREEMPTION_MIN_REMAINING_S, elapsed_s)
 
     def _expire_withholding(self, now):
         if now > self._withheld_until:
