--- a/basilwind/scheduling/capacity.py
+++ b/basilwind/scheduling/capacity.py
@@ -18,8 +18,6 @@
 HEADROOM = 1.2  # jobs in flight during a burst vary by 10%; two standard deviations
 HOST_MOVE_S = 1.9  # a move (1.5 s), a planning round and the worker's registration
 INITIAL_FLOOR_SHARE = 0.5  # of an even share of all hosts, until bursts are known
-# The same for pools that wait for their first burst once it can be forecast.
-FORECAST_FLOOR_SHARE = 0.15
 # Long-running tasks are large and leave gaps that no other one fits into.
 LONG_RUNNING_OVERHEAD = 1.3
 LATE_BACKLOG_DRAIN_S = 4.0  # late jobs are worth little, and only for up to 5 s more
@@ -52,6 +50,9 @@
         self._host_memory = host_memory
         self._trends = {}
         self._needs = {}
+        # Hosts by pool that a first burst calls for which is forecast. Waves and work
+        # that waits take no notice of it.
+        self._forecasts = {}
         self._is_short = False
         self._host_count = 0
 
@@ -59,8 +60,7 @@
         """Updates a pool's trend and estimates how many hosts the pool needs.
 
         Returns:
-            Number of hosts for urgent work, number of hosts for that and a burst that
-            is forecast, and number of hosts for all work.
+            Number of hosts for urgent work, and number of hosts for all work.
         """
         trend = self._trends.setdefault(report.pool, DemandTrend())
         min_burst_rate = max(
@@ -77,24 +77,28 @@
         urgent_cores = (
             running_cores + (report.urgent_work + backlog_growth) / BACKLOG_DRAIN_S
         )
-        if trend.is_rising(now) and report.urgent_cpu > RISING_LOAD_SHARE * (
-            1000 * cores
+        if self._is_burst_expected(report.pool, now) or (
+            trend.is_rising(now)
+            and report.urgent_cpu > RISING_LOAD_SHARE * (1000 * cores)
         ):
             urgent_cores = max(urgent_cores, self._expected_peak(trend))
-        forecast_cores = max(urgent_cores, self._forecast_cores(report.pool, now))
         long_running_hosts = self._hosts_for_long_running(report)
-        urgent_hosts, forecast_hosts = (
-            max((c + long_running_cores) * 1000 / self._host_cpu, long_running_hosts)
-            for c in (urgent_cores, forecast_cores)
+        urgent_hosts = max(
+            (urgent_cores + long_running_cores) * 1000 / self._host_cpu,
+            long_running_hosts,
         )
         late = report.late_work / LATE_BACKLOG_DRAIN_S + report.late_cpu / 1000
         late *= 1000 / self._host_cpu
-        self._needs[report.pool] = forecast_hosts
-        return (
-            math.ceil(urgent_hosts),
-            math.ceil(forecast_hosts),
-            math.ceil(forecast_hosts + late),
-        )
+        self._needs[report.pool] = urgent_hosts
+        self._forecasts[report.pool] = self._forecast_hosts(report, now)
+        return math.ceil(urgent_hosts), math.ceil(urgent_hosts + late)
+
+    def _forecast_hosts(self, report, now):
+        """Returns how many hosts the first burst of a pool calls for, if it is due."""
+        cores = self._forecast_first_burst(self._trends[report.pool], now)
+        if not cores:
+            return 0
+        return math.ceil((1000 * cores + report.lasting_cpu) / self._host_cpu)
 
     def _hosts_for_long_running(self, report):
         """Returns how many hosts the memory of long-running tasks requires.
@@ -106,8 +110,14 @@
         return LONG_RUNNING_OVERHEAD * report.lasting_memory / self._host_memory
 
     def needs(self):
-        """Returns the number of hosts that each pool's last report called for."""
-        return {pool: round(need, 1) for pool, need in self._needs.items()}
+        """Returns the number of hosts that each pool's last report called for.
+
+        That includes those for a first burst that is forecast.
+        """
+        return {
+            pool: round(max(need, self._forecasts[pool]), 1)
+            for pool, need in self._needs.items()
+        }
 
     def burst_starts_of(self, pool):
         """Returns the boot times at which a pool's bursts began."""
@@ -146,9 +156,7 @@
         """
         if self._burst_period_s(pool) is not None:
             return MIN_HOSTS
-        has_forecast = len(self._first_bursts()) > 1
-        share = FORECAST_FLOOR_SHARE if has_forecast else INITIAL_FLOOR_SHARE
-        return max(MIN_HOSTS, round(hosts / len(self._trends) * share))
+        return max(MIN_HOSTS, round(hosts / len(self._trends) * INITIAL_FLOOR_SHARE))
 
     def plan_moves(self, reports, spare, incoming, now):
         """Decides which hosts to move as soon as they run no tasks.
@@ -170,18 +178,12 @@
             report.pool: len(report.workers) + incoming.get(report.pool, 0)
             for report in reports
         }
-        urgent_needs = {pool: need[0] for pool, need in needs.items()}
-        shares = share_hosts(urgent_needs, hosts)
-        self._is_short = sum(urgent_needs.values()) > hosts
-        # Work that waits now goes before a burst that is only forecast.
-        forecasts = share_hosts(
-            {pool: need[1] - need[0] for pool, need in needs.items()},
-            hosts - sum(shares.values()),
-        )
-        shares = {pool: share + forecasts[pool] for pool, share in shares.items()}
+        shares = share_hosts({pool: need[0] for pool, need in needs.items()}, hosts)
+        self._is_short = sum(need[0] for need in needs.values()) > hosts
         donors = DonorHosts(self._spare_pool, spare)
         for report in reports:
-            _, _, total = needs[report.pool]
+            _, total = needs[report.pool]
+            total = max(total, self._forecasts[report.pool])
             floor = self._floor(report.pool, hosts)
             idle = self._trends[report.pool].idle_since
             keep = shares[report.pool] + (PREEMPTION_MARGIN if self._is_short else 0)
@@ -191,8 +193,12 @@
             shares.items(), key=lambda item: supply[item[0]] - item[1]
         ):
             moves += donors.take(pool, share - supply[pool], may_interrupt=True)
-        for pool, (_, forecast, total) in needs.items():
-            wanted = total - max(supply[pool], forecast)
+        for pool, (urgent, total) in needs.items():
+            wanted = total - max(supply[pool], urgent)
+            moves += donors.take(pool, wanted, may_interrupt=False)
+        # Hosts that nothing else needs go to first bursts that are forecast.
+        for pool, (_, total) in needs.items():
+            wanted = self._forecasts[pool] - max(supply[pool], total)
             moves += donors.take(pool, wanted, may_interrupt=False)
         return moves + donors.release_idle(now)
 
@@ -228,24 +234,22 @@
             return None
         return (firsts[-1] - firsts[0]) / (len(firsts) - 1) * len(firsts)
 
-    def _forecast_cores(self, pool, now):
-        """Returns the cores that a burst needs which is due within a move's time."""
-        trend = self._trends[pool]
-        if not trend.burst_starts:
-            return self._forecast_first_burst(trend, now)
+    def _is_burst_expected(self, pool, now):
+        """Returns whether a burst is due within the time that a move takes."""
         period_s = self._burst_period_s(pool)
-        if period_s is None or not _is_due(trend.burst_starts[-1] + period_s, now):
-            return 0.0
-        return self._expected_peak(trend)
+        starts = self._trends[pool].burst_starts
+        if period_s is None or not starts:
+            return False
+        return _is_due(starts[-1] + period_s, now)
 
     def _forecast_first_burst(self, trend, now):
-        """Returns the cores to prepare for the first burst of a pool.
+        """Returns the cores to prepare for the first burst of a pool, or 0.
 
         The pools' first bursts follow one another at about equal intervals, and the
         next one may hit any pool that has had none.
         """
         firsts = self._first_bursts()
-        if len(firsts) < 2:
+        if trend.burst_starts or len(firsts) < 2:
             return 0.0
         interval_s = (firsts[-1] - firsts[0]) / (len(firsts) - 1)
         if not _is_due(firsts[-1] + interval_s, now, FIRST_FORECAST_TOLERANCE_S):
