--- a/basilwind/scheduling/capacity.py
+++ b/basilwind/scheduling/capacity.py
@@ -30,9 +30,6 @@
 RISING_LOAD_SHARE = 0.6
 KEPT_BURSTS = 2  # of a pool, for a new planner; they tell the period
 FORECAST_TOLERANCE_S = 1.5  # how late a predicted burst may begin
-FIRST_FORECAST_TOLERANCE_S = 1.5  # how early one may begin that is the first of a pool
-# Of the expected peak, for each of several pools that may be the next one to be hit.
-SHARED_FORECAST_SHARE = 0.6
 
 
 class CapacityPlanner:
@@ -50,9 +47,6 @@
         self._host_memory = host_memory
         self._trends = {}
         self._needs = {}
-        # Hosts by pool that a first burst calls for which is forecast. Waves and work
-        # that waits take no notice of it.
-        self._forecasts = {}
         self._is_short = False
         self._host_count = 0
 
@@ -90,16 +84,8 @@
         late = report.late_work / LATE_BACKLOG_DRAIN_S + report.late_cpu / 1000
         late *= 1000 / self._host_cpu
         self._needs[report.pool] = urgent_hosts
-        self._forecasts[report.pool] = self._forecast_hosts(report, now)
         return math.ceil(urgent_hosts), math.ceil(urgent_hosts + late)
 
-    def _forecast_hosts(self, report, now):
-        """Returns how many hosts the first burst of a pool calls for, if it is due."""
-        cores = self._forecast_first_burst(self._trends[report.pool], now)
-        if not cores:
-            return 0
-        return math.ceil((1000 * cores + report.lasting_cpu) / self._host_cpu)
-
     def _hosts_for_long_running(self, report):
         """Returns how many hosts the memory of long-running tasks requires.
 
@@ -110,14 +96,8 @@
         return LONG_RUNNING_OVERHEAD * report.lasting_memory / self._host_memory
 
     def needs(self):
-        """Returns the number of hosts that each pool's last report called for.
-
-        That includes those for a first burst that is forecast.
-        """
-        return {
-            pool: round(max(need, self._forecasts[pool]), 1)
-            for pool, need in self._needs.items()
-        }
+        """Returns the number of hosts that each pool's last report called for."""
+        return {pool: round(need, 1) for pool, need in self._needs.items()}
 
     def burst_starts_of(self, pool):
         """Returns the boot times at which a pool's bursts began."""
@@ -182,8 +162,7 @@
         self._is_short = sum(need[0] for need in needs.values()) > hosts
         donors = DonorHosts(self._spare_pool, spare)
         for report in reports:
-            _, total = needs[report.pool]
-            total = max(total, self._forecasts[report.pool])
+            urgent, total = needs[report.pool]
             floor = self._floor(report.pool, hosts)
             idle = self._trends[report.pool].idle_since
             keep = shares[report.pool] + (PREEMPTION_MARGIN if self._is_short else 0)
@@ -196,10 +175,6 @@
         for pool, (urgent, total) in needs.items():
             wanted = total - max(supply[pool], urgent)
             moves += donors.take(pool, wanted, may_interrupt=False)
-        # Hosts that nothing else needs go to first bursts that are forecast.
-        for pool, (_, total) in needs.items():
-            wanted = self._forecasts[pool] - max(supply[pool], total)
-            moves += donors.take(pool, wanted, may_interrupt=False)
         return moves + donors.release_idle(now)
 
     def _expected_peak(self, trend):
@@ -229,7 +204,11 @@
         starts = self._trends[pool].burst_starts
         if len(starts) > 1:
             return starts[-1] - starts[-2]
-        firsts = self._first_bursts()
+        firsts = sorted(
+            trend.burst_starts[0]
+            for trend in self._trends.values()
+            if trend.burst_starts
+        )
         if len(firsts) < len(self._trends) or len(firsts) < 2:
             return None
         return (firsts[-1] - firsts[0]) / (len(firsts) - 1) * len(firsts)
@@ -240,39 +219,5 @@
         starts = self._trends[pool].burst_starts
         if period_s is None or not starts:
             return False
-        return _is_due(starts[-1] + period_s, now)
-
-    def _forecast_first_burst(self, trend, now):
-        """Returns the cores to prepare for the first burst of a pool, or 0.
-
-        The pools' first bursts follow one another at about equal intervals, and the
-        next one may hit any pool that has had none.
-        """
-        firsts = self._first_bursts()
-        if trend.burst_starts or len(firsts) < 2:
-            return 0.0
-        interval_s = (firsts[-1] - firsts[0]) / (len(firsts) - 1)
-        if not _is_due(firsts[-1] + interval_s, now, FIRST_FORECAST_TOLERANCE_S):
-            return 0.0
-        is_only_candidate = len(firsts) == len(self._trends) - 1
-        share = 1.0 if is_only_candidate else SHARED_FORECAST_SHARE
-        return share * self._expected_peak(trend)
-
-    def _first_bursts(self):
-        """Returns the boot times of the pools' first bursts, in order."""
-        return sorted(
-            trend.burst_starts[0]
-            for trend in self._trends.values()
-            if trend.burst_starts
-        )
-
-
-def _is_due(due, now, early_s=0.0):
-    """Returns whether a burst that is due at a boot time has to be prepared now.
-
-    Args:
-        due: Boot time at which it is due.
-        now: Boot time in seconds.
-        early_s: How much earlier it may begin, seconds.
-    """
-    return due - early_s - HOST_MOVE_S <= now <= due + FORECAST_TOLERANCE_S
+        due = starts[-1] + period_s
+        return due - HOST_MOVE_S <= now <= due + FORECAST_TOLERANCE_S
