--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,4 +1,4 @@
-"""A cancel that is taken by a daemon which has missed a change of the configuration."""
+"""One accepted job of many small tasks keeps a pool from serving any job."""
 
 import os
 import sys
@@ -13,65 +13,53 @@
 FOLDER = Path(__file__).resolve().parent
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 DAEMONS = 4
-TURNED_AWAY = 3  # one machine of four; a share of 0.33 at most
-OUTAGE_S = 9.0  # as long as in the site file
-CHANGE_AFTER_S = 2.0
-LEAD_S = 12.0  # the traffic of the small deployments starts so long after the machines
-CONFIG_APPLY_S = 2.0
-CONTACT_S = 3.0
-CANCEL_S = 3.0
-STOP_S = 0.2
-MARGIN_S = 1.0
-BEFORE = (
-    StandInQueue("q-a", "/a/", "pool-a"),
-    StandInQueue("q-b", "/b/", "pool-b"),
-)
-AFTER = (
-    StandInQueue("q-c", "/a/", "pool-b"),
-    StandInQueue("q-b", "/b/", "pool-b"),
-)
-WARM_UP_JOB = {
-    "spec": '{"work_s": 0.1}',
-    "steps": [{"count": 1, "cpu": 500, "memMb": 100, "estimateMs": 100}],
+LEAD_S = 12.0
+TASKS = 10_000 if TROUBLE else 10
+OTHER_JOBS = 10
+PAUSE_S = 2.0
+FINISH_S = 14.0
+UNSTARTED_S = 3.0
+SAMPLE_S = 0.1
+QUEUES = (StandInQueue("q-a", "/a/", "pool-a"), StandInQueue("q-b", "/b/", "pool-b"))
+LARGE = "00000000000000d0"
+LARGE_JOB = {
+    "spec": '{"work_s": 0.5}',
+    "steps": [{"count": TASKS, "cpu": 1, "memMb": 1, "estimateMs": 500}],
 }
-LASTING_JOB = {
-    "spec": '{"work_s": -1}',
-    "steps": [{"count": 2, "cpu": 500, "memMb": 100, "longRunning": True}],
+OTHER_CPU = 500
+OTHER_JOB = {
+    "spec": '{"work_s": 0.1}',
+    "steps": [{"count": 1, "cpu": OTHER_CPU, "memMb": 100, "estimateMs": 100}],
 }
-STEP = {"count": 2, "cpu": 500, "memMb": 100, "estimateMs": 14000}
-TWO_STEP_JOB = {"spec": '{"work_s": 14}', "steps": [STEP, STEP | {"after": [0]}]}
-LASTING, TWO_STEPS = "00000000000000a1", "00000000000000a2"
 
 
-async def submit(deployment, number, path, body):
-    """Submits a job as a client does, with retries at other daemons."""
+async def submit(deployment, number, job_id, body):
+    """Submits a job as a client does; returns whether it was accepted."""
     for attempt in range(4):
-        answer = await deployment.call("POST", (number + attempt) % DAEMONS, path, body)
+        answer = await deployment.call(
+            "POST", (number + attempt) % DAEMONS, f"/a/{job_id}", body
+        )
         if answer is not None and answer[0] == 200:
-            return
+            return True
         await anyio.sleep(0.5)
-    raise CannotRun(f"{path} was not accepted")
-
+    return False
 
-async def cancel(deployment, path):
-    """Cancels a job at the machine; returns when that was acknowledged.
 
-    A retry reaches other machines.
-    """
-    for attempt in range(4):
-        number = (TURNED_AWAY + attempt) % DAEMONS
-        answer = await deployment.call("DELETE", number, path)
-        if answer is not None and answer[0] in (200, 410):
-            return time.monotonic()
-        await anyio.sleep(0.5)
-    raise CannotRun(f"the cancel of {path} was not acknowledged")
+def used_cpu(deployment):
+    """Returns used and whole capacity of the pool's workers, thousandths of a core."""
+    workers = [w for w in deployment.platform.workers.values() if w.pool == "pool-a"]
+    used = 0
+    for worker in workers:
+        for name in worker.runs:
+            used += LARGE_JOB["steps"][0]["cpu"] if LARGE in name else OTHER_CPU
+    return used, sum(worker.cpu for worker in workers)
 
 
 async def main():
     """Returns whether the rule held."""
     deployment = Deployment(
         DAEMONS,
-        BEFORE,
+        QUEUES,
         lambda number: {"cpuShare": 0.537, "cores": 2},
         FOLDER / "record.txt",
     )
@@ -92,55 +80,65 @@
         await deployment.start_daemon(number)
     await anyio.sleep(LEAD_S)
     await deployment.wait_until_ready(range(DAEMONS))
-    for number in range(DAEMONS):
-        job = f"/a/{number:016x}"
-        await submit(deployment, number, job, WARM_UP_JOB)
-        await deployment.call("DELETE", number, job)
-    begun_at = time.monotonic()
-    if TROUBLE:
-        deployment.turned_away.add(TURNED_AWAY)
-        deployment.note("the store turns a machine away", daemon=TURNED_AWAY)
-    await anyio.sleep(CHANGE_AFTER_S)
-    deployment.platform.queues = AFTER
-    deployment.platform.configure()
-    deployment.note("configuration", version=deployment.platform.version)
-    await anyio.sleep(CONFIG_APPLY_S)
-    await submit(deployment, 0, f"/a/{LASTING}", LASTING_JOB)
-    await submit(deployment, 1, f"/a/{TWO_STEPS}", TWO_STEP_JOB)
-    await anyio.sleep(1.5)
-    for job in (LASTING, TWO_STEPS):
-        deployment.note("runs", job=job, running=deployment.running(job))
-        if not deployment.running(job):
-            raise CannotRun(f"job {job} was not started")
-    acknowledged_at = {
-        job: await cancel(deployment, f"/a/{job}") for job in (LASTING, TWO_STEPS)
+    if not await submit(deployment, 0, LARGE, LARGE_JOB):
+        raise CannotRun("the large job was not accepted")
+    accepted = []
+    for index in range(OTHER_JOBS):
+        await anyio.sleep(PAUSE_S)
+        job_id = f"{0xE00 + index:016x}"
+        if await submit(deployment, index % DAEMONS, job_id, OTHER_JOB):
+            accepted.append(job_id)
+    if not accepted:
+        raise CannotRun("no other job was accepted")
+    deployment.note("end of the traffic", accepted=len(accepted))
+    idle_since = dict.fromkeys(accepted, time.monotonic())
+    finish_at = time.monotonic() + FINISH_S
+    while time.monotonic() < finish_at:
+        await anyio.sleep(SAMPLE_S)
+        used, whole = used_cpu(deployment)
+        has_room = used < whole / 2 and whole - used >= 2 * OTHER_CPU
+        for job_id in accepted:
+            if deployment.running(job_id) or not has_room:
+                idle_since[job_id] = time.monotonic()
+    ended = {
+        end.task.partition(".")[0]
+        for end in deployment.platform.run_ends
+        if end.kind == "done"
     }
-    await anyio.sleep(max(0.0, begun_at + OUTAGE_S - time.monotonic()))
-    deployment.turned_away.clear()
-    deployment.note("the store serves all machines")
-    # In touch again, and a calm stretch of ``cancel_ms`` + ``stopTimeoutMs`` after it.
-    await anyio.sleep(CONTACT_S + CANCEL_S + STOP_S + MARGIN_S)
-    is_broken = False
-    for job in (LASTING, TWO_STEPS):
-        running = deployment.running(job)
-        state = await deployment.call("GET", 0, f"/a/{job}")
-        deployment.note("after the calm stretch", job=job, running=running, state=state)
-        is_broken |= bool(running)
-    await anyio.sleep(4.0)
-    calm_at = begun_at + OUTAGE_S + CONTACT_S
-    for job, at in acknowledged_at.items():
-        for start in deployment.starts(job):
-            is_late = start.at > max(at + CANCEL_S, calm_at)
-            deployment.note(
-                "start",
-                at=deployment.since_start(start.at),
-                task=start.task,
-                run=start.run,
-                after_cancel=is_late,
-            )
-            is_broken |= is_late
-    deployment.note("UNASKED broken" if is_broken else "UNASKED held")
-    return not is_broken
+    states = {}
+
+    async def ask(job_id):
+        answer = await deployment.call("GET", 1, f"/a/{job_id}")
+        states[job_id] = answer[1].get("state") if answer else None
+
+    async with anyio.create_task_group() as tasks:
+        for job_id in accepted:
+            tasks.start_soon(ask, job_id)
+    now = time.monotonic()
+    stuck = [
+        job_id
+        for job_id in accepted
+        if job_id not in ended and now - idle_since[job_id] >= UNSTARTED_S
+    ]
+    for job_id in accepted:
+        deployment.note(
+            "job",
+            id=job_id,
+            state=states[job_id],
+            is_done=job_id in ended,
+            without_run_s=round(now - idle_since[job_id], 1),
+        )
+    deployment.note(
+        "result",
+        other_jobs_stuck=len(stuck),
+        large_job_tasks_done=sum(
+            LARGE in end.task for end in deployment.platform.run_ends
+        ),
+        claims=len(deployment.platform.store._topics["keyed.duties"].records),
+        cpu_in_use=used_cpu(deployment),
+    )
+    deployment.note("LOST broken" if stuck else "LOST held")
+    return not stuck
 
 
 if __name__ == "__main__":
