--- a/review/13/case.py
+++ b/review/13/case.py
@@ -20,11 +20,12 @@
 FINISH_S = 14.0
 UNSTARTED_S = 3.0
 SAMPLE_S = 0.1
+WORKER_CPU, WORKER_MEMORY = 64_000, 256_000  # as on the sheet
 QUEUES = (StandInQueue("q-a", "/a/", "pool-a"), StandInQueue("q-b", "/b/", "pool-b"))
 LARGE = "00000000000000d0"
 LARGE_JOB = {
     "spec": '{"work_s": 0.5}',
-    "steps": [{"count": TASKS, "cpu": 1, "memMb": 1, "estimateMs": 500}],
+    "steps": [{"count": TASKS, "cpu": 10, "memMb": 20, "estimateMs": 500}],
 }
 OTHER_CPU = 500
 OTHER_JOB = {
@@ -64,6 +65,8 @@
         FOLDER / "record.txt",
     )
     deployment.note("trouble", on=TROUBLE)
+    for worker in deployment.platform.workers.values():
+        worker.cpu, worker.memory = WORKER_CPU, WORKER_MEMORY
     async with anyio.create_task_group() as tasks:
         await tasks.start(deployment.serve)
         try:
