--- a/review/harness3/deployment.py
+++ b/review/harness3/deployment.py
@@ -25,6 +25,7 @@
 PAGE_BYTES = 1_000_000  # the pages allow 500 records or 1 MB in one answer
 PAGE_MARGIN_BYTES = 200  # brackets and the other fields of a page
 START_TIMEOUT_S = 40.0
+MAX_CASE_S = 112.0  # a script may run for 120 s, with the start and end of processes
 # Bounds of the small deployments, as in the example of DEPLOY.md.
 BOUNDS = {
     "contactMs": 3000,
@@ -260,17 +261,37 @@
 def run_case(main, record_file):
     """Runs a case and returns its exit status: 0 held, 1 broken, 2 could not run.
 
+    All daemons are ended on SIGTERM and after ``MAX_CASE_S`` as well.
+
     Args:
         main: Coroutine function without arguments that returns whether the rule held.
         record_file: File that gets the reason if the case could not run.
     """
+
+    async def guarded():
+        has_held = None
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(_cancel_on_signal, tasks.cancel_scope)
+            with anyio.fail_after(MAX_CASE_S):
+                has_held = await main()
+            tasks.cancel_scope.cancel()
+        if has_held is None:
+            raise CannotRun("ended by a signal")
+        return has_held
+
     try:
-        return 0 if anyio.run(main) else 1
-    except BaseExceptionGroup as group:
-        reason = group.exceptions[0]
-    except (CannotRun, OSError, TimeoutError) as error:
+        return 0 if anyio.run(guarded) else 1
+    except Exception as error:
         reason = error
+    while isinstance(reason, BaseExceptionGroup):
+        reason = reason.exceptions[0]
     with open(record_file, "a", encoding="utf-8") as record:
         print(f"could not run: {reason!r}", file=record)
     print(f"could not run: {reason!r}")
     return 2
+
+
+async def _cancel_on_signal(scope):
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for _ in signals:
+            scope.cancel()
