Log what a cancel and a denied job rest on, and failed reads of the intake

"job cancel" told neither the pools that got the cancellation nor the version of the configuration that led to them; a 410 left no line, and a failed read of the intake was swallowed.

test_fleet_without_customers_asks_the_owner_nothing_more took `confirmed_at` away from the fake configuration. The line reads it for its age, so the test sets it to None, with which any decision that depends on it fails as before.

--- a/basilwind/entry/caller_app.py
+++ b/basilwind/entry/caller_app.py
@@ -308,15 +308,30 @@
             response = await self._store(pool, queue, key, value, deadline)
             responses.append(response)
 
+        pools = {queue.pool} | self._services.routes.pools(queue)
         async with anyio.create_task_group() as tasks:
-            for pool in {queue.pool} | self._services.routes.pools(queue):
+            for pool in pools:
                 tasks.start_soon(store, pool)
         response = max(responses, key=lambda response: response.status)
         self._services.report(
-            "job cancel", job=job_id, queue=queue.name, status=response.status
+            "job cancel",
+            job=job_id,
+            queue=queue.name,
+            pools=sorted(pools),
+            status=response.status,
+            **self._configuration_state(),
         )
         return response
 
+    def _configuration_state(self):
+        """Returns version and age of the configuration, for log lines."""
+        configuration = self._services.configuration
+        now = self._services.clock()
+        return {
+            "version": configuration.current.version,
+            "configuration_age_s": age_s(configuration.confirmed_at, now),
+        }
+
     async def _store(self, pool, queue, key, value, deadline):
         """Stores a record of a pool and returns a response about its outcome.
 
@@ -338,6 +353,12 @@
         async def query():
             job = await self._find_job(queue, job_id)
             if job is None:
+                self._services.report(
+                    "job denied",
+                    job=job_id,
+                    queue=queue.name,
+                    **self._configuration_state(),
+                )
                 return _error_response(410, "no such job")
             if is_foreign(job.customer, customer):
                 return _foreign_response()
--- a/basilwind/entry/owner.py
+++ b/basilwind/entry/owner.py
@@ -360,7 +360,8 @@
                 records, self._intake_offset = await read_latest_records(
                     self._store, topic
                 )
-            except PlatformError:
+            except PlatformError as error:
+                self._report("intake not read", error=str(error))
                 await anyio.sleep(PLATFORM_RETRY_S)
                 continue
             for record in records:
--- a/tests/entry/test_keys.py
+++ b/tests/entry/test_keys.py
@@ -210,7 +210,7 @@
     def test_fleet_without_customers_asks_the_owner_nothing_more(self):
         # Callers of such fleets must see no change, whatever they send as a key.
         self.services.configuration.current = CONFIGURATION
-        del self.services.configuration.confirmed_at
+        self.services.configuration.confirmed_at = None
         self.owner.error = AssertionError("asked")
         for method in ("POST", "DELETE"):
             self.assertEqual(self._status(method, key="x"), 200)
