Acknowledge cancels, and deny jobs, only by proof of where the path leads

Cause: "no other pool of the path has the job" was concluded from a configuration 6.8 s old. The list of routes is read afresh only while this daemon has noticed that versions may be missing, and one that is turned away, was suspended or whose long poll is silent has noticed nothing.

Fix: JobLocator stores a cancel on one of three grounds. The owner of a pool tells that it has this path's job (one call to a peer, none to the store); or this daemon has read the configuration and the list by reads that were sent after the request; or a peer that the store serves has done so for it (/path-pools). Otherwise the answer is 503. That holds wherever the path leads, since each job is in one pool and each version that accepted it was in the store before the cancel arrived.

KeyedFollower.confirm makes such a read beside a long poll under way; calls that wait share it, and after a failed one calls are answered at once for 0.25 s. RouteHistory.refresh uses it in place of its own.

Changed tests: test_fleet_without_customers_asks_the_owner_nothing_more required that a cancel asks no owner; that is what this fault came from. It now requires that the owner is asked exactly once, with nothing about customers, and that submissions ask nothing, without a configuration that can be read. TestOutdatedList: the clock stood still, so a call could not be told from a read before it. The body of a job's answer has the path.

--- a/basilwind/entry/caller_app.py
+++ b/basilwind/entry/caller_app.py
@@ -14,6 +14,7 @@
     send_response,
 )
 from basilwind.entry.intake import cancellation_key, encode_cancellation
+from basilwind.entry.job_locator import JobLocator
 from basilwind.entry.key_ring import KEY_HEADER, KeyOutcome, KeyRing
 from basilwind.entry.pool_arbiter import OWNER_RETRY_S
 from basilwind.errors import NotOwner, NotStarted, OutcomeUnknown, RequestInvalid
@@ -61,6 +62,7 @@
         self._intake_router = intake_router
         self._is_stopping = is_stopping
         self._count_response = count_response
+        self._locator = JobLocator(services, peers)
         self._queue_cache = {}
         # A ``CancelScope`` for each request that has no response yet.
         self._open_requests = set()
@@ -207,7 +209,7 @@
         if request.method == "GET":
             return await self._get_state(queue, name, customer, deadline)
         if request.method == "DELETE":
-            return await self._cancel(queue, name, customer, deadline)
+            return await self._cancel(queue, name, customer, started_at, deadline)
         return _error_response(405, "use POST, GET or DELETE")
 
     async def _submit(self, queue, version, customer, job_id, request, deadline):
@@ -267,7 +269,7 @@
         """Returns whether the owner has the job from an earlier attempt."""
         with anyio.move_on_after(ADMISSION_TIMEOUT_S):
             try:
-                job = await self._find_job(queue, job_id)
+                job = await self._locator.find(queue, job_id)
             except NotOwner:
                 # Unknown without an owner; checked again when the caller retries.
                 return False
@@ -292,36 +294,49 @@
                     return _foreign_response()
         return None
 
-    async def _cancel(self, queue, job_id, customer, deadline):
-        key = cancellation_key(job_id)
+    async def _cancel(self, queue, job_id, customer, started_at, deadline):
         try:
-            await self._services.routes.refresh(self._services.clock())
+            targets = await self._locator.cancel_targets(queue, job_id, started_at)
         except NotStarted as error:
+            self._report_cancel(queue, job_id, 503, reason=str(error))
             return _unavailable_response(str(error))
-        foreign = await self._foreign_job_response(queue, job_id, customer)
-        if foreign is not None:
-            return foreign
-        value = encode_cancellation(customer)
+        if self._is_foreign(targets.job, customer):
+            return _foreign_response()
+        key, value = cancellation_key(job_id), encode_cancellation(customer)
         responses = []
 
         async def store(pool):
             response = await self._store(pool, queue, key, value, deadline)
             responses.append(response)
 
-        pools = {queue.pool} | self._services.routes.pools(queue)
         async with anyio.create_task_group() as tasks:
-            for pool in pools:
+            for pool in targets.pools:
                 tasks.start_soon(store, pool)
         response = max(responses, key=lambda response: response.status)
+        self._report_cancel(
+            queue,
+            job_id,
+            response.status,
+            pools=sorted(targets.pools),
+            grounds=targets.grounds.value,
+        )
+        return response
+
+    def _is_foreign(self, job, customer):
+        """Returns whether a ``JobStatus`` tells that another customer has a job."""
+        if job is None or self._services.configuration.current.customers is None:
+            return False
+        return is_foreign(job.customer, customer)
+
+    def _report_cancel(self, queue, job_id, status, **details):
         self._services.report(
             "job cancel",
             job=job_id,
             queue=queue.name,
-            pools=sorted(pools),
-            status=response.status,
+            status=status,
+            **details,
             **self._configuration_state(),
         )
-        return response
 
     def _configuration_state(self):
         """Returns version and age of the configuration, for log lines."""
@@ -351,7 +366,7 @@
 
     async def _get_state(self, queue, job_id, customer, deadline):
         async def query():
-            job = await self._find_job(queue, job_id)
+            job = await self._locator.find(queue, job_id)
             if job is None:
                 self._services.report(
                     "job denied",
@@ -381,26 +396,6 @@
                     return _unavailable_response(str(error))
                 await anyio.sleep(OWNER_RETRY_S)
 
-    async def _find_job(self, queue, job_id):
-        """Returns the ``JobStatus`` of a job, or None if no pool has it."""
-        job = await self._peers.job_state(queue.pool, job_id)
-        if job is not None:
-            return job
-        await self._refresh_routes()
-        # The queue may have been assigned to another pool after the job was submitted.
-        configured = self._services.configuration.current.pools
-        others = self._services.routes.pools(queue) | configured.keys()
-        for pool in others - {queue.pool}:
-            try:
-                job = await self._peers.job_state(pool, job_id)
-            except NotOwner:
-                if self._services.arbiter.has_owner(pool):
-                    raise
-                continue
-            if job is not None:
-                return job
-        return None
-
     async def _refresh_routes(self):
         """Makes sure that all pools of a path are known.
 
--- a/basilwind/entry/configuration.py
+++ b/basilwind/entry/configuration.py
@@ -10,6 +10,7 @@
     decode_configuration,
     decode_wave,
 )
+from basilwind.scheduling.evidence import ConfigurationRead
 from basilwind.scheduling.fleet import Customer, Resources
 
 # With customers, calls and starts depend on a proof that the configuration is the
@@ -55,6 +56,21 @@
         """
         return self._follower.confirmed_at
 
+    @property
+    def latest_read(self):
+        """The latest ``ConfigurationRead``."""
+        return ConfigurationRead(self._follower.confirmed_at)
+
+    async def confirm(self, since):
+        """Returns whether each version that the store had at a time is applied.
+
+        Reads the newer ones if needed.
+
+        Args:
+            since: Boot time in seconds.
+        """
+        return await self._follower.confirm(since)
+
     @property
     def waves(self):
         """Tuples of ``Wave`` and the boot time at which it was received, by number."""
--- a/basilwind/entry/follower.py
+++ b/basilwind/entry/follower.py
@@ -16,6 +16,8 @@
 MAX_KEY_LENGTH = 100  # of a record in a log line
 MAX_TRACEBACK_LENGTH = 2000
 WAIT_S = 1.5  # with a read timeout of 1.5 s more, a dead connection shows within 3 s
+CONFIRM_TIMEOUT_S = 0.6  # a slow store answers in 0.25 s
+CONFIRM_RETRY_S = 0.25  # calls in an outage are not held up one after the other
 
 
 def _describe(error):
@@ -61,6 +63,10 @@
         self._read_at = None
         self._confirmed_at = None
         self._failed_at = None
+        self._confirming = anyio.Lock()
+        # Boot times at which the latest attempt to confirm was sent and failed.
+        self._attempted_at = None
+        self._unconfirmed_at = None
 
     @property
     def position(self):
@@ -89,6 +95,52 @@
         """Shortens the wait of a read in the store, in seconds."""
         self._wait_s = min(self._wait_s, wait_s)
 
+    async def confirm(self, since):
+        """Makes sure that all records which the topic had at a time are passed on.
+
+        Reads what was added if that is not certain. Such a read uses another connection
+        than a long poll under way, and serves all calls that waited for it.
+
+        Args:
+            since: Boot time in seconds.
+
+        Returns:
+            Whether they are. If not, the store could not be read.
+        """
+        asked_at = self._clock()
+        if self._is_confirmed(since):
+            return True
+        async with self._confirming:
+            if not self._is_confirmed(since) and self._may_attempt(asked_at):
+                await self._attempt_to_confirm()
+        return self._is_confirmed(since)
+
+    def _is_confirmed(self, since):
+        return self._confirmed_at is not None and self._confirmed_at >= since
+
+    def _may_attempt(self, asked_at):
+        """Returns whether no attempt was made or has failed since a call."""
+        if self._attempted_at is not None and self._attempted_at >= asked_at:
+            return False
+        failed_at = self._unconfirmed_at
+        return failed_at is None or self._clock() - failed_at >= CONFIRM_RETRY_S
+
+    async def _attempt_to_confirm(self):
+        self._attempted_at = self._clock()
+        try:
+            with anyio.fail_after(CONFIRM_TIMEOUT_S):
+                await self._read_without_waiting()
+        except (PlatformError, TimeoutError) as error:
+            log("topic not confirmed", topic=self._topic, error=str(error))
+            self._unconfirmed_at = self._clock()
+
+    async def _read_without_waiting(self):
+        try:
+            await self._read_once()
+        except RetentionGap:
+            self._position = None
+            await self._read_once()
+
     async def run(self):
         """Follows the topic until cancelled."""
         while True:
@@ -97,7 +149,7 @@
                 await anyio.sleep(IDLE_POLL_S)
                 continue
             try:
-                await self._read_once()
+                await self._read_once(self._wait_s)
             except RetentionGap:
                 self._position = None
             except PlatformError as error:
@@ -105,6 +157,8 @@
                     log("store unreachable", topic=self._topic, error=str(error))
                 self._failed_at = self._clock()
                 await anyio.sleep(PLATFORM_RETRY_S)
+            else:
+                await anyio.sleep(self._pause_s)
 
     def _deliver(self, apply, records):
         """Passes records on; one that the reader fails on is left out.
@@ -133,24 +187,26 @@
     def _has_recovered(self):
         return self._read_at is not None and self._read_at > self._failed_at
 
-    async def _read_once(self):
+    async def _read_once(self, wait_s=0.0):
+        """Reads what was added and passes on what no other read has passed on."""
         sent_at = self._clock()
-        is_partial = False
         if self._position is None:
-            records, position = await self._store.read_latest(self._topic)
+            records, end = await self._store.read_latest(self._topic)
+            if self._position is not None:
+                return
             # Set before the callback runs, since the callback may read the position.
-            self._position = position
+            self._position = end
             self._deliver(self._reset, records)
         else:
-            records = await self._store.read(self._topic, self._position, self._wait_s)
-            is_partial = isinstance(records, PartialPage)
-            if records:
-                self._position = records[-1].offset + 1
-                self._deliver(self._apply, records)
+            records = await self._store.read(self._topic, self._position, wait_s)
+            if self._position is None:
+                return
+            added = [record for record in records if record.offset >= self._position]
+            if added:
+                self._position = added[-1].offset + 1
+                self._deliver(self._apply, added)
         if self._failed_at is not None and not self._has_recovered():
             log("store reachable again", topic=self._topic)
         self._read_at = self._clock()
-        if not is_partial:
-            self._confirmed_at = sent_at
-        if self._pause_s:
-            await anyio.sleep(self._pause_s)
+        if not isinstance(records, PartialPage):
+            self._confirmed_at = max(self._confirmed_at or sent_at, sent_at)
--- a/basilwind/entry/owner.py
+++ b/basilwind/entry/owner.py
@@ -211,7 +211,8 @@
             return None
         if not job.is_live:
             await self._journal.flush()
-        return JobStatus(job.state, job.customer)
+        queue = self._services.configuration.find_queue(job.queue)
+        return JobStatus(job.state, job.customer, queue.path if queue else None)
 
     async def flush(self):
         """Waits until all changes made so far are durable."""
--- a/basilwind/entry/peer_app.py
+++ b/basilwind/entry/peer_app.py
@@ -10,10 +10,13 @@
     send_response,
 )
 from basilwind.checked_json import decode_json
+from basilwind.entry.intake import CANCEL_PREFIX
+from basilwind.entry.job_locator import path_pools_response
 from basilwind.entry.peer_messages import (
     GRANTS_PATH,
     HANDOVER_PATH,
     HOST_PATH,
+    PATH_POOLS_PATH,
     TAKEOVER_PATH,
     WHERE_PATH,
     AdmissionRequest,
@@ -23,6 +26,7 @@
     HandoverRequest,
     HandoverResponse,
     JobResponse,
+    PathPoolsRequest,
     QueueResponse,
     RelayedRecord,
     TakeoverRequest,
@@ -96,6 +100,11 @@
             return self._hand_over_planning(request.body)
         if request.path == WHERE_PATH:
             return json_response(await self._answer_where(request.body))
+        if request.path == PATH_POOLS_PATH:
+            question = decode_json(
+                request.body, PathPoolsRequest, PATH_POOLS_PATH, RequestInvalid
+            )
+            return json_response(await path_pools_response(self._services, question))
         if request.path == GRANTS_PATH:
             return await self._answer_quota(request.body)
         kind, _, path = request.path.strip("/").partition("/")
@@ -191,7 +200,10 @@
         configuration = self._services.configuration.current
         queue = configuration.queues.get(record.queue) if configuration else None
         is_current = queue is not None and queue.pool == pool
-        if not is_current and not self._services.routes.has_pool(pool):
+        # The peer may store a cancellation for a pool that has got no job yet.
+        is_cancel = record.key.startswith(CANCEL_PREFIX)
+        is_known = is_cancel and configuration and pool in configuration.pools
+        if not (is_current or is_known or self._services.routes.has_pool(pool)):
             # The peer has another configuration.
             raise NotStarted(f"no queue {record.queue!r} of pool {pool!r}")
         await self._get_intake(pool).store(record.key, record.value)
@@ -216,7 +228,9 @@
 async def job_response(owner, job_id):
     """Returns an owner's ``JobResponse`` for a job."""
     status = await owner.job_state(job_id)
-    return JobResponse(status.state, status.customer) if status else JobResponse(None)
+    if status is None:
+        return JobResponse(None)
+    return JobResponse(status.state, status.customer, status.path)
 
 
 def queue_response(owner, queue):
--- a/basilwind/entry/peer_client.py
+++ b/basilwind/entry/peer_client.py
@@ -9,6 +9,7 @@
     GRANTS_PATH,
     HANDOVER_PATH,
     HOST_PATH,
+    PATH_POOLS_PATH,
     TAKEOVER_PATH,
     WHERE_PATH,
     AdmissionRequest,
@@ -18,6 +19,8 @@
     HandoverRequest,
     HandoverResponse,
     JobResponse,
+    PathPoolsRequest,
+    PathPoolsResponse,
     QueueResponse,
     RelayedRecord,
     TakeoverRequest,
@@ -85,7 +88,7 @@
         answer = decode_json(body, JobResponse, f"state of job {job_id}", NotOwner)
         if answer.state is None:
             return None
-        return JobStatus(answer.state, answer.customer)
+        return JobStatus(answer.state, answer.customer, answer.path)
 
     async def decline(self, pool, job_id, version, target):
         """Has an owner leave a job to another pool unless its own pool has it.
@@ -262,6 +265,21 @@
         if status != 200:
             raise OutcomeUnknown(f"{claim.holder} answered {status}")
 
+    async def path_pools(self, claim, path):
+        """Has a peer that the store serves tell which pools may have jobs of a path.
+
+        Args:
+            claim: ``Claim`` of the peer.
+            path: ``Queue.path``.
+
+        Returns:
+            Its ``PathPoolsResponse``, or None.
+        """
+        body = msgspec.json.encode(PathPoolsRequest(*path))
+        return await self._call_daemon(
+            claim, "POST", PATH_POOLS_PATH, PathPoolsResponse, body
+        )
+
     async def hand_over_planning(self, claim, token, lease_s):
         """Has the previous planner stop.
 
--- a/basilwind/entry/peer_messages.py
+++ b/basilwind/entry/peer_messages.py
@@ -13,6 +13,7 @@
 from basilwind.scheduling.where import Reason
 
 HOST_PATH = "/host"
+PATH_POOLS_PATH = "/path-pools"
 HANDOVER_PATH = "/planner/handover"
 TAKEOVER_PATH = "/takeover"
 WHERE_PATH = "/where"
@@ -29,10 +30,13 @@
         state: State of the job; None if the owner has no such job.
         customer: Name of the customer to whom it belongs; empty if there is none, and
             in responses of earlier versions.
+        path: Host header and path prefix of the queue that accepted it; None if they
+            are unknown, and in responses of earlier versions.
     """
 
     state: JobState | None
     customer: OptionalName = ""
+    path: tuple[str, str] | None = None
 
 
 class QueueResponse(msgspec.Struct):
@@ -91,6 +95,31 @@
     target: Name
 
 
+class PathPoolsRequest(msgspec.Struct):
+    """Question which pools may have jobs of a path, if the store does not answer.
+
+    Attributes:
+        host_header: Host header of the path's queues.
+        path_prefix: Path prefix of its queues.
+    """
+
+    host_header: str
+    path_prefix: str
+
+
+class PathPoolsResponse(msgspec.Struct):
+    """Pools to which a path leads or has led.
+
+    Those of all versions of the configuration that the store had when the question
+    arrived.
+
+    Attributes:
+        pools: Names of the pools.
+    """
+
+    pools: list[Name]
+
+
 class DaemonResponse(msgspec.Struct):
     """Status of a daemon.
 
--- a/basilwind/entry/route_history.py
+++ b/basilwind/entry/route_history.py
@@ -11,12 +11,11 @@
 import hashlib
 from dataclasses import dataclass
 
-import anyio
 import msgspec
 
 from basilwind.checked_json import Name, decode_json
 from basilwind.entry.follower import KeyedFollower
-from basilwind.errors import NotStarted, PlatformError, RecordInvalid, RetentionGap
+from basilwind.errors import NotStarted, PlatformError, RecordInvalid
 from basilwind.logs import log
 from basilwind.platform.store import encode_keyed_record
 
@@ -25,7 +24,6 @@
 # Other daemons may accept jobs by an older version for as long as it takes them to
 # notice a dead connection, 3.25 s.
 OLDER_VERSIONS_S = 5.0
-REFRESH_TIMEOUT_S = 0.6  # a slow store answers in 0.25 s
 POLL_INTERVAL_S = 0.2  # all daemons record the first submissions at the same time
 
 
@@ -67,9 +65,6 @@
         # Boot time until which routes may be recorded that this daemon can't know of by
         # the versions that it has applied; None before the first version.
         self._open_until = None
-        self._attempted_at = None
-        self._refreshed_at = None
-        self._refreshing = anyio.Lock()
         self._follower = KeyedFollower(
             store,
             TOPIC,
@@ -119,45 +114,25 @@
         """
         if self._is_complete():
             return
-        async with self._refreshing:
-            if self._attempted_at is None or self._attempted_at < now:
-                self._attempted_at = self._clock()
-                await self._read_added()
-            if self._refreshed_at is None or self._refreshed_at < now:
-                raise NotStarted("the list of routes could not be read")
+        if not await self._follower.confirm(now):
+            raise NotStarted("the list of routes could not be read")
 
     def _is_complete(self):
         """Returns whether the list was read after routes may have been missing."""
-        read_at = max(self._refreshed_at or 0.0, self._follower.confirmed_at or 0.0)
+        read_at = self._follower.confirmed_at or 0.0
         return self._open_until is not None and read_at >= self._open_until
 
-    async def _read_added(self):
-        """Reads the records that the follower has not read yet, or all of them."""
-        sent_at = self._clock()
-        try:
-            with anyio.fail_after(REFRESH_TIMEOUT_S):
-                self._apply(await self._read_from(self._follower.position))
-        except (PlatformError, TimeoutError) as error:
-            log("store unreachable", topic=TOPIC, error=str(error))
-        else:
-            self._refreshed_at = sent_at
-
-    async def _read_from(self, position):
-        if position is not None:
-            try:
-                return await self._store.read(TOPIC, position)
-            except RetentionGap:
-                pass
-        records, _ = await self._store.read_latest(TOPIC)
-        return records
-
     def pools(self, queue):
         """Returns the names of pools that may have accepted jobs of a queue's path."""
-        return {route.pool for route in self._find(queue)}
+        return self.pools_of_path(queue.path)
+
+    def pools_of_path(self, path):
+        """Returns the names of pools that may have accepted jobs of a path."""
+        return {route.pool for route in self._find(path)}
 
     def other_routes(self, queue):
         """Returns the ``PastRoute`` objects of a queue's path except its own."""
-        return self._find(queue) - {PastRoute(queue.pool, queue.name)}
+        return self._find(queue.path) - {PastRoute(queue.pool, queue.name)}
 
     def has_pool(self, pool):
         """Returns whether any path has led to a pool."""
@@ -191,8 +166,7 @@
             ) from error
         self._add(route)
 
-    def _find(self, queue):
-        path, _ = _route_of(queue)
+    def _find(self, path):
         return self._recorded.get(path, set()) | self._replaced.get(path, set())
 
     def _add(self, route):
@@ -211,5 +185,4 @@
 
 def _route_of(queue):
     """Returns the path of a queue, and its ``PastRoute``."""
-    path = queue.host_header, queue.path_prefix
-    return path, PastRoute(queue.pool, queue.name)
+    return queue.path, PastRoute(queue.pool, queue.name)
--- a/basilwind/scheduling/fleet.py
+++ b/basilwind/scheduling/fleet.py
@@ -66,6 +66,11 @@
     has_placement_policy: bool
     is_public: bool = False
 
+    @property
+    def path(self):
+        """Host header and path prefix, by which callers choose a queue."""
+        return self.host_header, self.path_prefix
+
 
 @dataclass(frozen=True)
 class Pool:
--- a/basilwind/scheduling/jobs.py
+++ b/basilwind/scheduling/jobs.py
@@ -23,10 +23,12 @@
     Attributes:
         state: ``JobState``.
         customer: Name of the customer to whom the job belongs; empty if there is none.
+        path: ``Queue.path`` of the queue that accepted it, or None if that is unknown.
     """
 
     state: JobState
     customer: str = ""
+    path: tuple[str, str] | None = None
 
 
 def is_foreign(job_customer, customer):
--- a/tests/entry/test_intake_router.py
+++ b/tests/entry/test_intake_router.py
@@ -4,6 +4,7 @@
 import anyio
 import msgspec
 
+from basilwind.entry.intake import cancellation_key
 from basilwind.entry.intake_router import SETTLE_AFTER_S, IntakeRouter
 from basilwind.entry.peer_app import PeerApp
 from basilwind.entry.peer_client import PeerClient
@@ -143,11 +144,11 @@
             with self.assertRaises(OutcomeUnknown):
                 self._relay(answer)
 
-    def _post(self, intake, queue="q"):
+    def _post(self, intake, queue="q", key=JOB):
         app = PeerApp(
             lambda pool: None, lambda pool: intake, make_services(Clock()), None
         )
-        body = msgspec.json.encode(RelayedRecord(queue, JOB, b"job"))
+        body = msgspec.json.encode(RelayedRecord(queue, key, b"job"))
         scope = {
             "method": "POST",
             "path": "/intake/pool",
@@ -176,3 +177,10 @@
         intake = FakeIntake()
         self.assertEqual(self._post(intake, queue="removed"), 503)
         self.assertEqual(intake.stored, [])
+
+    def test_cancellation_is_stored_although_its_queue_was_removed(self):
+        # Its job may run in the pool all the same.
+        intake = FakeIntake()
+        key = cancellation_key(JOB)
+        self.assertEqual(self._post(intake, queue="removed", key=key), 200)
+        self.assertEqual(intake.stored, [(key, b"job")])
--- a/tests/entry/test_keys.py
+++ b/tests/entry/test_keys.py
@@ -211,9 +211,16 @@
         # Callers of such fleets must see no change, whatever they send as a key.
         self.services.configuration.current = CONFIGURATION
         self.services.configuration.confirmed_at = None
+        self.services.configuration.can_be_read = False
         self.owner.error = AssertionError("asked")
-        for method in ("POST", "DELETE"):
-            self.assertEqual(self._status(method, key="x"), 200)
+        self.assertEqual(self._status("POST", key="x"), 200)
+        calls = []
+        self.owner.on_call = lambda: calls.append("asked")
+        self.owner.error = None
+        self.owner.status = JobStatus(JobState.RUNNING, "", QUEUE.path)
+        self.assertEqual(self._status("DELETE", key="x"), 200)
+        # Whether its pool has the job, and nothing about customers.
+        self.assertEqual(calls, ["asked"])
         self.assertEqual(self.stored[cancellation_key(JOB)], CANCEL_VALUE)
         self.assertEqual(self._status("GET", QUEUE.path_prefix, key=""), 200)
 
@@ -342,7 +349,9 @@
     def test_daemons_learn_the_job_s_customer_from_near_and_far_owners(self):
         owner = self._load([self._submission("a")])
         body = msgspec.json.encode(anyio.run(job_response, owner, JOB))
-        self.assertEqual(body, b'{"state":"pending","customer":"a"}')
+        self.assertEqual(
+            body, b'{"state":"pending","customer":"a","path":["host","/q/"]}'
+        )
         near = PeerClient(None, lambda pool: owner, None)
         for answer in (body, b'{"state":"pending"}', b'{"state":null}'):
             far = PeerClient(
@@ -350,7 +359,8 @@
             )
             status = anyio.run(far.job_state, "pool", JOB)
             if answer == body:
-                self.assertEqual(status, JobStatus(JobState.PENDING, "a"))
+                expected = JobStatus(JobState.PENDING, "a", QUEUE.path)
+                self.assertEqual(status, expected)
                 self.assertEqual(anyio.run(near.job_state, "pool", JOB), status)
             else:
                 known = JobStatus(JobState.PENDING) if b"pending" in answer else None
--- a/tests/entry/test_moved_route.py
+++ b/tests/entry/test_moved_route.py
@@ -419,6 +419,8 @@
         anyio.run(main)
 
     async def _refresh(self):
+        # The call arrives after the reads so far were sent.
+        self.clock.now += 0.001
         await self.routes.refresh(self.clock())
 
     def _note(self, version, queue, replaced=None, is_gap=False):
--- a/tests/utils/entry_fakes.py
+++ b/tests/utils/entry_fakes.py
@@ -9,6 +9,7 @@
 from basilwind.entry.store_monitor import StoreMonitor
 from basilwind.platform.machines import Machine, MachineState, OrderOutcome
 from basilwind.scheduling.demand import PoolReport, WorkerLoad
+from basilwind.scheduling.evidence import ConfigurationRead
 from basilwind.scheduling.fleet import Configuration, Pool, RequestLimits
 from basilwind.scheduling.outages import SUSPECT_AFTER_S
 from basilwind.scheduling.reports import StartOutcome, WorkerReport
@@ -157,6 +158,56 @@
         return PoolReport(pool, idle, 0.0, 0.0, 0, 0, 0, 0, 0, 0.0, 0)
 
 
+class FakeConfiguration:
+    """The operator's configuration, which can be read at any time.
+
+    Attributes:
+        current: ``Configuration``.
+        newer: ``Configuration`` that the next read finds, or None.
+        confirmed_at: Boot time of the latest read, or None.
+        can_be_read: Whether the store answers.
+        reads: Number of reads that a caller had to wait for.
+    """
+
+    def __init__(self, clock):
+        self._clock = clock
+        self._queues = dict(CONFIGURATION.queues)
+        self.current = CONFIGURATION
+        self.newer = None
+        self.confirmed_at = clock()
+        self.can_be_read = True
+        self.reads = 0
+        self.waves = {}
+
+    @property
+    def latest_read(self):
+        return ConfigurationRead(self.confirmed_at)
+
+    async def confirm(self, since):
+        if self.latest_read.was_sent_since(since):
+            return True
+        self.reads += 1
+        if self.can_be_read:
+            self.confirmed_at = self._clock()
+            self.current = self.newer or self.current
+        return self.can_be_read
+
+    def find_queue(self, name):
+        return self._queues.get(name)
+
+    def find_customer(self, name):
+        return (CONFIGURATION.customers or {}).get(name)
+
+    def customer_names(self):
+        return ()
+
+    def pool_names(self):
+        return ["pool"]
+
+    def remember_queue(self, queue):
+        return self._queues.setdefault(queue.name, queue)
+
+
 class FakeRoutes:
     """List of routes by which jobs may have been accepted.
 
@@ -174,6 +225,9 @@
         pass
 
     def pools(self, queue):
+        return self.pools_of_path(queue.path)
+
+    def pools_of_path(self, path):
         return {route.pool for route in self.others}
 
     def other_routes(self, queue):
@@ -214,17 +268,7 @@
         entries_of_pool=lambda pool: {"w1": make_entry("w1")},
         expire_missing=lambda now: None,
     )
-    queues = dict(CONFIGURATION.queues)
-    configuration = types.SimpleNamespace(
-        current=CONFIGURATION,
-        find_queue=queues.get,
-        find_customer=lambda name: (CONFIGURATION.customers or {}).get(name),
-        customer_names=lambda: (),
-        pool_names=lambda: ["pool"],
-        confirmed_at=clock(),
-        remember_queue=lambda queue: queues.setdefault(queue.name, queue),
-        waves={},
-    )
+    configuration = FakeConfiguration(clock)
     settings = types.SimpleNamespace(
         finished_job_retention_s=120.0,
         store_record_bytes=262144,
@@ -256,7 +300,7 @@
         report=report,
         store_monitor=monitor,
         on_fenced=lambda pool, token: None,
-        outage=types.SimpleNamespace(is_confirmed=is_outage),
+        outage=types.SimpleNamespace(is_confirmed=is_outage, relays=lambda: []),
         outage_witnesses=FakeWitnesses(),
         has_previous_owner_recorded_all=_answer_no,
         fully_recorded_pools={},
