Deny a job only by a recent read of its pool's submissions, and replace silent polls

A job that another daemon accepted then was answered 410 until 3.24 s after its acceptance, where 3 s are allowed.

Cause: two faults in one. PoolOwner.job_state denied a job if the store had answered any call within the last second, which says nothing of the submissions. And a silent poll was noticed after 1.5 s of waiting, 1.5 s of time-out and a pause of 0.25 s.

Fix: IntakeRead.denies_jobs takes the read of the submissions themselves, by the time at which it was sent, at most 2.5 s ago; if it is older, the owner reads what was added, and tells "unknown here" if it can't. The owner follows the submissions by KeyedFollower, and each follower replaces a long poll that is overdue by 0.5 s by a short read on another connection, unless the store answers no call at all. Numbers alone would leave the class, and evidence alone would answer 503 for jobs that are safely stored.

Price: an idle owner's read is 1.5 to 3.0 s old, so one in three denials costs a read, which all calls that wait share. No call more while polls are answered.

--- a/basilwind/entry/caller_app.py
+++ b/basilwind/entry/caller_app.py
@@ -269,7 +269,7 @@
         """Returns whether the owner has the job from an earlier attempt."""
         with anyio.move_on_after(ADMISSION_TIMEOUT_S):
             try:
-                job = await self._locator.find(queue, job_id)
+                job = await self._locator.find(queue, job_id, must_confirm=False)
             except NotOwner:
                 # Unknown without an owner; checked again when the caller retries.
                 return False
--- a/basilwind/entry/daemon.py
+++ b/basilwind/entry/daemon.py
@@ -164,7 +164,11 @@
         incarnation = f"{settings.name}#{uuid.uuid4().hex[:8]}"
         self._worker_transport = Transport(MAX_WORKER_CONNECTIONS)
         store = StoreClient(
-            transport, settings.store_address, self._on_store_call, boot_time
+            transport,
+            settings.store_address,
+            self._on_store_call,
+            boot_time,
+            lambda: self._store_monitor.is_suspected,
         )
         routes = RouteHistory(store, boot_time)
         return Services(
--- a/basilwind/entry/follower.py
+++ b/basilwind/entry/follower.py
@@ -15,7 +15,9 @@
 IDLE_POLL_S = 0.05  # a new pool owner needs the worker list immediately
 MAX_KEY_LENGTH = 100  # of a record in a log line
 MAX_TRACEBACK_LENGTH = 2000
-WAIT_S = 1.5  # with a read timeout of 1.5 s more, a dead connection shows within 3 s
+WAIT_S = 1.5  # of a long poll; a dead connection shows within 2 s
+OVERDUE_S = 0.4  # a slow store answers in 0.25 s
+LATE_ANSWER_S = 0.1  # an answer that arrived while this process was busy is read first
 CONFIRM_TIMEOUT_S = 0.6  # a slow store answers in 0.25 s
 CONFIRM_RETRY_S = 0.25  # calls in an outage are not held up one after the other
 
@@ -91,6 +93,16 @@
         """Boot time of the last failed read, or None."""
         return self._failed_at
 
+    def resume(self, position, read_sent_at):
+        """Continues after a complete read by someone else.
+
+        Args:
+            position: Offset of the next record.
+            read_sent_at: Boot time before which that read was not sent.
+        """
+        self._position = position
+        self._confirmed_at = read_sent_at
+
     def limit_wait(self, wait_s):
         """Shortens the wait of a read in the store, in seconds."""
         self._wait_s = min(self._wait_s, wait_s)
@@ -149,7 +161,7 @@
                 await anyio.sleep(IDLE_POLL_S)
                 continue
             try:
-                await self._read_once(self._wait_s)
+                await self._poll()
             except RetentionGap:
                 self._position = None
             except PlatformError as error:
@@ -160,6 +172,38 @@
             else:
                 await anyio.sleep(self._pause_s)
 
+    async def _poll(self):
+        """Waits for new records; a long poll that is overdue is replaced."""
+        if self._position is None:
+            return await self._read_once()
+        error = None
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._replace_overdue_poll, tasks.cancel_scope)
+            try:
+                await self._read_once(self._wait_s)
+            except PlatformError as failure:
+                error = failure
+            tasks.cancel_scope.cancel()
+        if error is not None:
+            raise error
+
+    async def _replace_overdue_poll(self, poll_scope):
+        """Cancels a long poll once a read on another connection has been answered.
+
+        While the store answers no call, further ones would only add to its load.
+        """
+        await anyio.sleep(self._wait_s + OVERDUE_S)
+        while True:
+            await anyio.sleep(LATE_ANSWER_S)
+            if not self._store.is_suspected:
+                log("long poll overdue", topic=self._topic, wait_s=self._wait_s)
+                # Records may be missing for the same reason as the answer.
+                self._failed_at = self._clock()
+                if await self.confirm(self._failed_at):
+                    poll_scope.cancel()
+                    return
+            await anyio.sleep(CONFIRM_RETRY_S)
+
     def _deliver(self, apply, records):
         """Passes records on; one that the reader fails on is left out.
 
--- a/basilwind/entry/job_locator.py
+++ b/basilwind/entry/job_locator.py
@@ -59,17 +59,19 @@
         self._services = services
         self._peers = peers
 
-    async def find(self, queue, job_id):
-        """Returns the ``JobStatus`` of a job, or None if it certainly does not exist.
+    async def find(self, queue, job_id, must_confirm=True):
+        """Returns the ``JobStatus`` of a job, or None if no pool has it.
 
         Args:
             queue: ``Queue`` of this daemon's configuration.
             job_id: Id of the job.
+            must_confirm: Whether a caller will be told that an unknown job does not
+                exist.
 
         Raises:
             NotOwner: The job was not found, but a pool may have it.
         """
-        job = await self._peers.job_state(queue.pool, job_id)
+        job = await self._peers.job_state(queue.pool, job_id, must_confirm)
         if job is not None:
             return job
         path_pools, is_configuration_read = await self._path_pools_for_denial(queue)
@@ -77,7 +79,7 @@
         configured = self._services.configuration.current.pools.keys()
         for pool in (path_pools | configured) - {queue.pool}:
             try:
-                job = await self._peers.job_state(pool, job_id)
+                job = await self._peers.job_state(pool, job_id, must_confirm)
             except NotOwner:
                 if not is_configuration_read or self._services.arbiter.has_owner(pool):
                     raise
--- a/basilwind/entry/owner.py
+++ b/basilwind/entry/owner.py
@@ -7,7 +7,7 @@
 
 from basilwind.entry.auto_reset_event import AutoResetEvent
 from basilwind.entry.duties import POOL_PREFIX
-from basilwind.entry.follower import PLATFORM_RETRY_S
+from basilwind.entry.follower import PLATFORM_RETRY_S, KeyedFollower
 from basilwind.entry.intake import (
     decode_cancellation,
     decode_submitted_job,
@@ -17,7 +17,6 @@
 from basilwind.entry.quota_client import QuotaClient
 from basilwind.entry.registry import REAPPEAR_S
 from basilwind.entry.takeover import (
-    read_latest_records,
     report_foreign_submission,
     restore_jobs,
 )
@@ -28,9 +27,9 @@
     NotOwner,
     NotStarted,
     PlatformError,
-    RetentionGap,
 )
 from basilwind.platform.store import encode_keyed_record
+from basilwind.scheduling.evidence import IntakeRead
 from basilwind.scheduling.jobs import Job, JobState, JobStatus, is_foreign
 from basilwind.scheduling.ownership import MAX_STORE_SILENCE_S, has_reached_store
 from basilwind.scheduling.pool import PoolState
@@ -54,7 +53,6 @@
 # Scheduling uses at most a quarter of the CPU, as serving requests comes first.
 SCHEDULE_PAUSE_FACTOR = 3.0
 HOUSEKEEPING_S = 0.25  # scheduled steps must start within 0.25 s of their due time
-READ_WAIT_S = 1.5  # a dead connection is noticed within 3 s
 
 
 class PoolOwner:
@@ -128,7 +126,13 @@
         self._unrecorded_batch = 0
         # Whether a later owner has asked about unrecorded runs.
         self._is_superseded = False
-        self._intake_offset = 0
+        self._intake = KeyedFollower(
+            services.store,
+            intake_topic(pool),
+            self._apply_intake_records,
+            self._apply_intake_records,
+            services.clock,
+        )
         self._is_loaded = False
         # Restored submissions that other pools get.
         self._to_forward = []
@@ -177,7 +181,7 @@
                 tasks.start_soon(self._rule_out_unrecorded_runs)
                 tasks.start_soon(self._journal.run)
                 tasks.start_soon(self._journal.run_forgetting)
-                tasks.start_soon(self._follow_intake)
+                tasks.start_soon(self._intake.run)
                 tasks.start_soon(self._schedule)
                 tasks.start_soon(self._run_housekeeping)
                 tasks.start_soon(self._query_policy)
@@ -195,11 +199,17 @@
                 authority_age_s=self._authority_age_s(),
             )
 
-    async def job_state(self, job_id):
-        """Returns a job's durable ``JobStatus``, or None if there is no such job.
+    async def job_state(self, job_id, must_confirm=False):
+        """Returns a job's durable ``JobStatus``, or None if it is unknown.
+
+        Args:
+            job_id: Id of the job.
+            must_confirm: Whether a caller will be told that an unknown job does not
+                exist.
 
         Raises:
-            NotOwner: The job is unknown here, but a later owner may know it.
+            NotOwner: The job is unknown here, but it may exist, or a later owner may
+                know it.
         """
         job = self._state.jobs.get(job_id)
         if job is None:
@@ -208,12 +218,32 @@
             ):
                 # A daemon that the store serves may have accepted it meanwhile.
                 raise NotOwner(f"pool {self.pool!r}: the store did not answer lately")
+            if must_confirm:
+                await self._confirm_intake()
+                job = self._state.jobs.get(job_id)
+        if job is None:
             return None
         if not job.is_live:
             await self._journal.flush()
         queue = self._services.configuration.find_queue(job.queue)
         return JobStatus(job.state, job.customer, queue.path if queue else None)
 
+    @property
+    def _intake_read(self):
+        """The latest ``IntakeRead``."""
+        return IntakeRead(self._intake.confirmed_at)
+
+    async def _confirm_intake(self):
+        """Makes sure that the intake was read recently.
+
+        Raises:
+            NotOwner: It could not be read, so unknown jobs may exist.
+        """
+        if not self._intake_read.denies_jobs(self._clock()):
+            await self._intake.confirm(self._clock())
+        if not self._intake_read.denies_jobs(self._clock()):
+            raise NotOwner(f"pool {self.pool!r}: the intake was not read lately")
+
     async def flush(self):
         """Waits until all changes made so far are durable."""
         await self._journal.flush()
@@ -264,7 +294,8 @@
             if self._previous_claim is not None:
                 # The leases of previous owners count from here on.
                 tasks.start_soon(self._services.duties.announce_claims)
-            self._intake_offset, elsewhere = await restore_jobs(
+            read_sent_at = self._clock()
+            intake_end, elsewhere = await restore_jobs(
                 self._state,
                 self._store,
                 self._services.configuration.remember_queue,
@@ -273,6 +304,7 @@
                 self._report,
                 self._journal.note_parts,
             )
+        self._intake.resume(intake_end, read_sent_at)
         self._to_forward = elsewhere
         now = self._clock()
         previous_lease_s = self._worker_limits.longest_run_s(self._lease_s)
@@ -350,34 +382,19 @@
 
     # Intake
 
-    async def _follow_intake(self):
-        topic = intake_topic(self.pool)
-        while True:
+    def _apply_intake_records(self, records):
+        for record in records:
             try:
-                records = await self._store.read(
-                    topic, self._intake_offset, READ_WAIT_S
-                )
-            except RetentionGap:
-                records, self._intake_offset = await read_latest_records(
-                    self._store, topic
+                self._apply_intake_record(record)
+            except Exception as error:
+                # A new owner would fail on the same record.
+                self._report(
+                    "submission damaged",
+                    job=record.key,
+                    error="".join(traceback.format_exception(error)),
                 )
-            except PlatformError as error:
-                self._report("intake not read", error=str(error))
-                await anyio.sleep(PLATFORM_RETRY_S)
-                continue
-            for record in records:
-                self._intake_offset = max(self._intake_offset, record.offset + 1)
-                try:
-                    self._apply_intake_record(record)
-                except Exception as error:
-                    # A new owner would fail on the same record.
-                    self._report(
-                        "submission damaged",
-                        job=record.key,
-                        error="".join(traceback.format_exception(error)),
-                    )
-            if records:
-                self._schedule_event.set()
+        if records:
+            self._schedule_event.set()
 
     def _apply_intake_record(self, record):
         cancellation = decode_cancellation(record, self._report)
--- a/basilwind/entry/peer_app.py
+++ b/basilwind/entry/peer_app.py
@@ -13,6 +13,7 @@
 from basilwind.entry.intake import CANCEL_PREFIX
 from basilwind.entry.job_locator import path_pools_response
 from basilwind.entry.peer_messages import (
+    CONFIRM,
     GRANTS_PATH,
     HANDOVER_PATH,
     HOST_PATH,
@@ -117,7 +118,8 @@
         if owner is None:
             raise NotOwner(f"pool {pool!r} is not owned here")
         if kind == "jobs" and rest:
-            return json_response(await job_response(owner, rest[0]))
+            must_confirm = rest[1:] == [CONFIRM]
+            return json_response(await job_response(owner, rest[0], must_confirm))
         if kind == "queues" and rest:
             return json_response(queue_response(owner, rest[0]))
         if kind == "admission":
@@ -225,9 +227,9 @@
     return services.fully_recorded_pools.get(pool) == previous_token
 
 
-async def job_response(owner, job_id):
-    """Returns an owner's ``JobResponse`` for a job."""
-    status = await owner.job_state(job_id)
+async def job_response(owner, job_id, must_confirm=False):
+    """Returns an owner's ``JobResponse`` for a job; see ``PeerClient.job_state``."""
+    status = await owner.job_state(job_id, must_confirm)
     if status is None:
         return JobResponse(None)
     return JobResponse(status.state, status.customer, status.path)
--- a/basilwind/entry/peer_client.py
+++ b/basilwind/entry/peer_client.py
@@ -6,6 +6,7 @@
 from basilwind.checked_json import decode_json
 from basilwind.entry.peer_app import admission_response, queue_response
 from basilwind.entry.peer_messages import (
+    CONFIRM,
     GRANTS_PATH,
     HANDOVER_PATH,
     HOST_PATH,
@@ -75,16 +76,23 @@
         self._find_owner = find_owner
         self._find_address = find_address
 
-    async def job_state(self, pool, job_id):
+    async def job_state(self, pool, job_id, must_confirm=False):
         """Returns a job's ``JobStatus``, or None if the owner knows no such job.
 
+        Args:
+            pool: Name of the pool.
+            job_id: Id of the job.
+            must_confirm: Whether a caller will be told that an unknown job does not
+                exist, so that the owner has to know of all jobs.
+
         Raises:
-            NotOwner: No owner answered.
+            NotOwner: No owner answered, or it may not know of all jobs.
         """
         owner = self._find_owner(pool)
         if owner is not None:
-            return await owner.job_state(job_id)
-        body = await self._call(pool, f"/jobs/{pool}/{job_id}")
+            return await owner.job_state(job_id, must_confirm)
+        path = f"/jobs/{pool}/{job_id}"
+        body = await self._call(pool, f"{path}/{CONFIRM}" if must_confirm else path)
         answer = decode_json(body, JobResponse, f"state of job {job_id}", NotOwner)
         if answer.state is None:
             return None
--- a/basilwind/entry/peer_messages.py
+++ b/basilwind/entry/peer_messages.py
@@ -13,6 +13,8 @@
 from basilwind.scheduling.where import Reason
 
 HOST_PATH = "/host"
+# Follows a job's id if its owner has to know of all jobs.
+CONFIRM = "confirm"
 PATH_POOLS_PATH = "/path-pools"
 HANDOVER_PATH = "/planner/handover"
 TAKEOVER_PATH = "/takeover"
--- a/basilwind/platform/store.py
+++ b/basilwind/platform/store.py
@@ -150,14 +150,21 @@
             it, and the time at which it was sent; an answer with status 429 or 5xx
             doesn't count.
         clock: Returns boot time.
+        is_suspected: Returns whether the store has answered no call lately.
     """
 
-    def __init__(self, transport, address, on_call, clock):
+    def __init__(self, transport, address, on_call, clock, is_suspected=lambda: False):
+        self._is_suspected = is_suspected
         self._transport = transport
         self.set_address(address)
         self._on_call = on_call
         self._clock = clock
 
+    @property
+    def is_suspected(self):
+        """Whether the store is suspected unavailable, as it answers no call."""
+        return self._is_suspected()
+
     def set_address(self, address):
         """Sets the address, HOST:PORT, for all further requests."""
         self._base = f"http://{address}"
--- a/basilwind/scheduling/evidence.py
+++ b/basilwind/scheduling/evidence.py
@@ -31,6 +31,16 @@
         return self.sent_at is not None and self.sent_at >= moment
 
 
+class IntakeRead(TopicRead):
+    """A read of a pool's submissions and cancellations."""
+
+    __slots__ = ()
+
+    def denies_jobs(self, now):
+        """Returns whether a job that the pool's owner does not know may be denied."""
+        return self.was_sent_since(now - MAX_DENIAL_AGE_S)
+
+
 class ConfigurationRead(TopicRead):
     """A read of the operator's configuration."""
 
--- a/tests/entry/test_caller_app.py
+++ b/tests/entry/test_caller_app.py
@@ -25,7 +25,7 @@
     def __init__(self, error=None):
         self._error = error or NotOwner("no owner")
 
-    async def job_state(self, pool, job_id):
+    async def job_state(self, pool, job_id, must_confirm=False):
         raise self._error
 
     async def queue(self, pool, queue):
@@ -126,7 +126,7 @@
         async def accept(*arguments):
             return None
 
-        async def job_state(pool, name):
+        async def job_state(pool, name, must_confirm=False):
             return None
 
         services = make_services(Clock(), report)
--- a/tests/entry/test_follower.py
+++ b/tests/entry/test_follower.py
@@ -10,6 +10,8 @@
 class FakeStore:
     """Returns or raises the given answers in order; later reads never return."""
 
+    is_suspected = False
+
     def __init__(self, *answers):
         self._answers = list(answers)
 
--- a/tests/entry/test_keys.py
+++ b/tests/entry/test_keys.py
@@ -57,7 +57,7 @@
         self.error = None
         self.on_call = lambda: None
 
-    async def job_state(self, pool, job_id):
+    async def job_state(self, pool, job_id, must_confirm=False):
         self.on_call()
         if self.error is not None:
             raise self.error
--- a/tests/entry/test_moved_route.py
+++ b/tests/entry/test_moved_route.py
@@ -57,7 +57,7 @@
         self.states = {"pool": None, "old": None}
         self.declined = []
 
-    async def job_state(self, pool, job_id):
+    async def job_state(self, pool, job_id, must_confirm=False):
         if pool not in self.states:
             raise NotOwner(pool)
         state = self.states[pool]
--- a/tests/entry/test_outdated_configuration.py
+++ b/tests/entry/test_outdated_configuration.py
@@ -59,7 +59,7 @@
         self.jobs = {"pool": None, "new": None, "newer": None}
         self.path_answer = None
 
-    async def job_state(self, pool, job_id):
+    async def job_state(self, pool, job_id, must_confirm=False):
         if pool not in self.jobs:
             raise NotOwner(pool)
         return self.jobs[pool]
@@ -274,7 +274,7 @@
 
 class TestLocator(OutdatedDaemon):
     def test_owner_that_does_not_answer_does_not_hold_up_a_cancel(self):
-        async def job_state(pool, job_id):
+        async def job_state(pool, job_id, must_confirm=False):
             await anyio.sleep_forever()
 
         self.peers.job_state = job_state
@@ -307,7 +307,9 @@
         self.answer = []
         self.passed_on = []
         self.follower = KeyedFollower(
-            types.SimpleNamespace(read=self._read, read_latest=self._read_latest),
+            types.SimpleNamespace(
+                read=self._read, read_latest=self._read_latest, is_suspected=False
+            ),
             "keyed.x",
             lambda records: self.passed_on.extend(record.key for record in records),
             lambda records: None,
--- a/tests/utils/entry_fakes.py
+++ b/tests/utils/entry_fakes.py
@@ -47,8 +47,11 @@
     Attributes:
         on_append: Called with the topic of each append.
         latest: Newest records by topic.
+        is_suspected: Whether it has answered no call lately.
     """
 
+    is_suspected = False
+
     def __init__(self, clock, monitor):
         self._clock = clock
         self._monitor = monitor
--- a/tests/utils/log_store.py
+++ b/tests/utils/log_store.py
@@ -10,7 +10,7 @@
     StoreRefused,
     StoreUnanswered,
 )
-from basilwind.platform.store import KeyedRecord
+from basilwind.platform.store import READ_TIMEOUT_S, KeyedRecord
 
 CALL_S = 0.002  # in time of the event loop, as are the waits of reads
 
@@ -58,6 +58,7 @@
     Attributes:
         refuses: Returns whether the store turns a call away, given its name and topic.
         loses_answer: Returns whether a call takes effect and gets no answer.
+        meets_silence: Returns whether a read is sent on a connection that is silent.
     """
 
     def __init__(self, topics, clock, monitor):
@@ -66,6 +67,12 @@
         self._monitor = monitor
         self.refuses = lambda name, topic: False
         self.loses_answer = lambda name, topic: False
+        self.meets_silence = lambda topic: False
+
+    @property
+    def is_suspected(self):
+        """See ``StoreClient``."""
+        return self._monitor.is_suspected
 
     async def append(self, topic, records, at=None, producer=None, timeout_s=1.0):
         """Appends records, as ``StoreClient`` does."""
@@ -84,6 +91,9 @@
 
     async def read(self, topic, start, wait_s=0.0):
         """Reads records from an offset on; may wait for one."""
+        if self.meets_silence(topic):
+            await anyio.sleep(READ_TIMEOUT_S + wait_s)
+            raise StoreUnanswered("no answer in time")
         sent_at = await self._arrive("read", topic)
         with anyio.move_on_after(wait_s):
             while len(self._topics.records[topic]) <= start:
--- a/tests/utils/takeover_play.py
+++ b/tests/utils/takeover_play.py
@@ -133,6 +133,11 @@
         silent = types.SimpleNamespace(record_answer=lambda sent_at: None)
         self._store = LogStore(topics, anyio.current_time, silent)
 
+    @property
+    def is_suspected(self):
+        """See ``StoreClient``."""
+        return self._monitor.is_suspected
+
     async def append(self, topic, records, at=None, producer=None, timeout_s=1.0):
         """See ``StoreClient``."""
         return await self._call(
