Ask all pools for a job before one without an owner counts, and answer 503 at once

A pool that did not answer now counts only once no other one has the job.

A daemon that can't learn where the path leads no longer repeats the question until the caller's deadline: it answers 503 at once, and the caller asks another one.

--- a/basilwind/entry/caller_app.py
+++ b/basilwind/entry/caller_app.py
@@ -270,7 +270,7 @@
         with anyio.move_on_after(ADMISSION_TIMEOUT_S):
             try:
                 job = await self._locator.find(queue, job_id, must_confirm=False)
-            except NotOwner:
+            except (NotOwner, NotStarted):
                 # Unknown without an owner; checked again when the caller retries.
                 return False
             return job is not None and not is_foreign(job.customer, customer)
@@ -379,7 +379,10 @@
                 return _foreign_response()
             return json_response({"state": job.state.value})
 
-        return await self._retry_until(deadline, query)
+        try:
+            return await self._retry_until(deadline, query)
+        except NotStarted as error:
+            return _unavailable_response(str(error))
 
     async def _retry_until(self, deadline, query):
         """Retries a query until the pool's owner answers or the deadline passes.
--- a/basilwind/entry/job_locator.py
+++ b/basilwind/entry/job_locator.py
@@ -69,36 +69,38 @@
                 exist.
 
         Raises:
-            NotOwner: The job was not found, but a pool may have it.
+            NotOwner: The job was not found, but a pool without an owner may have it.
+            NotStarted: The job was not found, but a pool may be unknown here.
         """
         job = await self._peers.job_state(queue.pool, job_id, must_confirm)
         if job is not None:
             return job
-        path_pools, is_configuration_read = await self._path_pools_for_denial(queue)
+        pools, is_configuration_read = await self._path_pools_for_denial(queue)
         # A queue that had this path may have been renamed or left out since.
         configured = self._services.configuration.current.pools.keys()
-        for pool in (path_pools | configured) - {queue.pool}:
+        unanswered = None
+        for pool in (pools | configured) - {queue.pool}:
             try:
                 job = await self._peers.job_state(pool, job_id, must_confirm)
-            except NotOwner:
-                if not is_configuration_read or self._services.arbiter.has_owner(pool):
-                    raise
+            except NotOwner as error:
+                is_unknown_here = pool in pools and not is_configuration_read
+                if is_unknown_here or self._services.arbiter.has_owner(pool):
+                    unanswered = error
                 continue
             if job is not None:
                 return job
+        if unanswered is not None:
+            raise unanswered
         return None
 
     async def _path_pools_for_denial(self, queue):
         """Returns the pools of a path, and whether this daemon has read them itself."""
         now = self._services.clock()
         read = self._services.configuration.latest_read
-        try:
-            if read.denies_jobs(now):
-                await self._services.routes.refresh(now)
-                return path_pools(self._services, queue.path), True
-            pools, grounds = await self._confirm_pools(queue.path, now)
-        except NotStarted as error:
-            raise NotOwner(str(error)) from error
+        if read.denies_jobs(now):
+            await self._services.routes.refresh(now)
+            return path_pools(self._services, queue.path), True
+        pools, grounds = await self._confirm_pools(queue.path, now)
         return pools, grounds is Grounds.CONFIGURATION
 
     async def cancel_targets(self, queue, job_id, asked_at):
