Refuse an unknown path with 404 only by a recent configuration

The daemon now reads the newer versions if its configuration is older than a version may take to be in force, and answers 503 only if it can't. One read serves all calls that wait.

Tests: TestUnknownPath; with the former caller_app.py all three fail ("404 != 200", "404 != 503", "0 != 1" reads). test_path_of_a_newer_configuration_is_not_refused_for_good now says that the store can't be read, as the daemon would find out otherwise.

--- a/basilwind/entry/caller_app.py
+++ b/basilwind/entry/caller_app.py
@@ -121,12 +121,12 @@
         return await self._route(request, started_at)
 
     async def _route(self, request, started_at):
-        configuration = self._services.configuration.current
-        if configuration is None:
+        if self._services.configuration.current is None:
             return _unavailable_response("no configuration yet")
-        queue = configuration.find_queue(request.headers.get("host", ""), request.path)
+        queue = await self._find_queue(request)
         if queue is None:
-            return self._unknown_queue_response(configuration)
+            return self._unknown_queue_response()
+        version = self._services.configuration.current.version
         decision = self._authenticate(queue, request)
         if decision.outcome is KeyOutcome.UNKNOWN:
             response = _error_response(401, "the key in X-Key belongs to no customer")
@@ -134,7 +134,7 @@
             response = _unavailable_response("the key can't be checked now; try again")
         else:
             response = await self._route_queue(
-                queue, configuration.version, decision.customer, request, started_at
+                queue, version, decision.customer, request, started_at
             )
             if response.status < 300:
                 response = self._confirm(response, decision, queue, request)
@@ -142,14 +142,25 @@
         self._count_response(queue.name, request.method, response.status, seconds)
         return response
 
-    def _unknown_queue_response(self, configuration):
+    async def _find_queue(self, request):
+        """Returns the ``Queue`` of a call, or None if none is known.
+
+        An outdated configuration may lack a queue, so a newer one is looked for.
+        """
+        configuration = self._services.configuration
+        host, now = request.headers.get("host", ""), self._services.clock()
+        queue = configuration.current.find_queue(host, request.path)
+        if queue is None and not self._key_ring.is_in_force(now):
+            await configuration.confirm(now)
+            queue = configuration.current.find_queue(host, request.path)
+        return queue
+
+    def _unknown_queue_response(self):
         """Returns the response to a call for which no queue is configured.
 
-        Where there are customers, an outdated configuration refuses nothing for good.
+        An outdated configuration refuses nothing for good.
         """
-        if configuration.customers is None or self._key_ring.is_in_force(
-            self._services.clock()
-        ):
+        if self._key_ring.is_in_force(self._services.clock()):
             return _error_response(404, "no queue has this host and path")
         return _unavailable_response("the configuration may be out of date; try again")
 
--- a/tests/entry/test_keys.py
+++ b/tests/entry/test_keys.py
@@ -158,6 +158,7 @@
     def test_path_of_a_newer_configuration_is_not_refused_for_good(self):
         self.assertEqual(self._status("GET", "/new/"), 404)
         self.clock.now += REVOKE_S
+        self.services.configuration.can_be_read = False
         self.assertEqual(self._status("GET", "/new/"), 503)
 
     def test_key_that_is_withdrawn_during_a_call_gives_no_success(self):
--- a/tests/entry/test_outdated_configuration.py
+++ b/tests/entry/test_outdated_configuration.py
@@ -234,6 +234,31 @@
         self.assertEqual(self._status("GET"), 200)
 
 
+class TestUnknownPath(OutdatedDaemon):
+    """A path of a newer version is not refused for good, with or without customers."""
+
+    def setUp(self):
+        super().setUp()
+        added = dataclasses.replace(QUEUE, path_prefix="/added/", name="q-added")
+        self.configuration.newer = version(2, QUEUE, added)
+        self.clock.now += self.services.settings.config_apply_s
+
+    def test_path_that_was_added_is_served_after_a_read(self):
+        # Fails before the fix: 404.
+        self.peers.jobs["pool"] = RUNNING
+        self.assertEqual(self._status("GET", f"/added/{JOB}"), 200)
+
+    def test_path_that_no_version_has_is_refused_after_a_read(self):
+        self.assertEqual(self._status("GET", f"/never/{JOB}"), 404)
+        self.assertEqual(self._status("GET", f"/never/{JOB}"), 404)
+        self.assertEqual(self.configuration.reads, 1)
+
+    def test_path_is_not_refused_for_good_while_the_store_does_not_answer(self):
+        self._lose_store()
+        for method in ("GET", "POST", "DELETE"):
+            self.assertEqual(self._status(method, f"/added/{JOB}"), 503)
+
+
 class TestPeer(OutdatedDaemon):
     """A peer tells the pools of a path by what it has read since it was asked."""
 
