Let the newer configuration decide where a relayed submission goes

A daemon that the store turns away has a peer store its submissions. Repeats were safe, as the former pool declines jobs that others have.

A peer with a newer configuration now refuses such a submission, which is certain not to be stored then; the caller gets 503 and comes back to another daemon. Cancellations are stored as before.

Test: test_newer_configuration_decides_where_a_submission_goes, before "200 != 503".

--- a/basilwind/entry/peer_app.py
+++ b/basilwind/entry/peer_app.py
@@ -36,9 +36,10 @@
     WhereResponse,
     WithholdRequest,
 )
-from basilwind.errors import NotOwner, NotStarted, RequestInvalid
+from basilwind.errors import NotOwner, NotStarted, RecordInvalid, RequestInvalid
 from basilwind.platform.jobs import decode_job
 from basilwind.scheduling.quota import GrantRequest
+from basilwind.scheduling.records import decode_submission
 
 NOT_OWNER = 421
 
@@ -199,18 +200,37 @@
 
     async def _store_record(self, pool, body):
         record = decode_json(body, RelayedRecord, "relayed record", RequestInvalid)
-        configuration = self._services.configuration.current
-        queue = configuration.queues.get(record.queue) if configuration else None
-        is_current = queue is not None and queue.pool == pool
-        # The peer may store a cancellation for a pool that has got no job yet.
-        is_cancel = record.key.startswith(CANCEL_PREFIX)
-        is_known = is_cancel and configuration and pool in configuration.pools
-        if not (is_current or is_known or self._services.routes.has_pool(pool)):
+        if not self._may_store(pool, record):
             # The peer has another configuration.
             raise NotStarted(f"no queue {record.queue!r} of pool {pool!r}")
         await self._get_intake(pool).store(record.key, record.value)
         return HttpResponse(200)
 
+    def _may_store(self, pool, record):
+        """Returns whether a peer's record may be stored in a pool's intake.
+
+        The newer one of both configurations decides where a submission goes. A
+        cancellation is of use wherever the job may be.
+        """
+        configuration = self._services.configuration.current
+        if configuration is None:
+            return False
+        queue = configuration.queues.get(record.queue)
+        if queue is not None and queue.pool == pool:
+            return True
+        has_led_there = self._services.routes.has_pool(pool)
+        if record.key.startswith(CANCEL_PREFIX):
+            return has_led_there or pool in configuration.pools
+        return has_led_there and not _is_outdated(record, configuration)
+
+
+def _is_outdated(record, configuration):
+    """Returns whether a submission was accepted by an older configuration."""
+    try:
+        return decode_submission(record.value).version < configuration.version
+    except RecordInvalid:
+        return True
+
 
 def has_recorded_all(owner, pool, previous_token, services):
     """Returns whether no run of a pool's previous owner can be unknown to the new one.
--- a/tests/entry/test_intake_router.py
+++ b/tests/entry/test_intake_router.py
@@ -9,10 +9,13 @@
 from basilwind.entry.peer_app import PeerApp
 from basilwind.entry.peer_client import PeerClient
 from basilwind.entry.peer_messages import RelayedRecord
+from basilwind.entry.route_history import PastRoute
 from basilwind.entry.store_monitor import StoreMonitor
 from basilwind.errors import CallRefused, CallUnanswered, NotStarted, OutcomeUnknown
+from basilwind.platform.jobs import decode_job
 from basilwind.scheduling.outages import SUSPECT_AFTER_S
 from basilwind.scheduling.ownership import Claim
+from basilwind.scheduling.records import SubmissionRecord
 from tests.scheduling.model import QUEUE
 from tests.utils.entry_fakes import Clock, make_services
 
@@ -144,11 +147,11 @@
             with self.assertRaises(OutcomeUnknown):
                 self._relay(answer)
 
-    def _post(self, intake, queue="q", key=JOB):
-        app = PeerApp(
-            lambda pool: None, lambda pool: intake, make_services(Clock()), None
-        )
-        body = msgspec.json.encode(RelayedRecord(queue, key, b"job"))
+    def _post(self, intake, queue="q", key=JOB, value=b"job", past_pools=()):
+        services = make_services(Clock())
+        services.routes.others = {PastRoute(pool, "q-old") for pool in past_pools}
+        app = PeerApp(lambda pool: None, lambda pool: intake, services, None)
+        body = msgspec.json.encode(RelayedRecord(queue, key, value))
         scope = {
             "method": "POST",
             "path": "/intake/pool",
@@ -178,6 +181,21 @@
         self.assertEqual(self._post(intake, queue="removed"), 503)
         self.assertEqual(intake.stored, [])
 
+    def test_newer_configuration_decides_where_a_submission_goes(self):
+        # Fails before the fix: stored for the pool to which the path no longer leads.
+        spec = decode_job(b'{"spec":"x","steps":[{"count":1,"cpu":1}]}')
+        for version, status in ((0, 503), (1, 200), (2, 200)):
+            value = msgspec.json.encode(
+                SubmissionRecord("removed", 0.0, spec, QUEUE, version)
+            )
+            intake = FakeIntake()
+            with self.subTest(version=version):
+                answer = self._post(
+                    intake, queue="removed", value=value, past_pools=["pool"]
+                )
+                self.assertEqual(answer, status)
+                self.assertEqual(bool(intake.stored), status == 200)
+
     def test_cancellation_is_stored_although_its_queue_was_removed(self):
         # Its job may run in the pool all the same.
         intake = FakeIntake()
