Pass cancellations on to the pool in whose favour a job was declined

A cancel may be acknowledged while the job's submission is still on its way, and the path may move in between.

The owner that declines a job has its cancellations stored in the other pool before it answers, and passes on those that arrive later, also those that a previous owner has left (CancelForwarder). Each carries the version of the decline that passed it on, and only a later decline passes it on again, so it ends where two pools decline a job in each other's favour.

Cancellations of a job that was never submitted are dropped with its decline, as their records are.

--- a/basilwind/entry/intake.py
+++ b/basilwind/entry/intake.py
@@ -35,33 +35,39 @@
     return CANCEL_PREFIX + job_id
 
 
-def encode_cancellation(customer):
-    """Returns the value of the record with which a customer, or nobody, cancels."""
+def encode_cancellation(customer, version=0):
+    """Returns the value of the record with which a customer, or nobody, cancels.
+
+    Args:
+        customer: Name of the customer; empty for none.
+        version: See ``CancelRecord``.
+    """
+    if version:
+        return msgspec.json.encode(CancelRecord(customer, version))
     return msgspec.json.encode(CancelRecord(customer)) if customer else CANCEL_VALUE
 
 
 def decode_cancellation(record, report):
-    """Returns the id of the job that an intake record cancels and by whom, or None.
+    """Returns the id of the job that an intake record cancels, or None.
 
     Args:
         record: ``KeyedRecord`` of the intake.
         report: Logs and counts an event; called if the record can't be decoded.
 
     Returns:
-        The job's id and the customer's name, which is empty if no customer sent it; or
-        None if the record cancels nothing.
+        The job's id and a ``CancelRecord``, or None if the record cancels nothing.
     """
     if not record.key.startswith(CANCEL_PREFIX) or not record.value:
         return None
     job_id = record.key[len(CANCEL_PREFIX) :]
     if record.value == CANCEL_VALUE:
-        return job_id, ""
+        return job_id, CancelRecord("")
     try:
         cancel = decode_json(record.value, CancelRecord, "cancellation", RecordInvalid)
     except RecordInvalid as error:
         report("cancellation damaged", job=job_id, error=str(error))
         return None
-    return job_id, cancel.customer
+    return job_id, cancel
 
 
 def decode_submitted_job(record, remember_queue, report):
--- a/basilwind/entry/owner.py
+++ b/basilwind/entry/owner.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from basilwind.entry.auto_reset_event import AutoResetEvent
+from basilwind.entry.cancel_forwarder import CancelForwarder
 from basilwind.entry.duties import POOL_PREFIX
 from basilwind.entry.follower import PLATFORM_RETRY_S, KeyedFollower
 from basilwind.entry.intake import (
@@ -121,6 +122,7 @@
             self._schedule_event.set,
             lambda: len(services.configuration.pool_names()),
         )
+        self._cancels = CancelForwarder(services.store, self._state, self._report)
         self._tasks = None
         # Journal's batch of the latest start that was sent before it was recorded.
         self._unrecorded_batch = 0
@@ -178,6 +180,8 @@
                 self._tasks = tasks
                 for record in self._to_forward:
                     tasks.start_soon(self._forward, record)
+                for job_id in self._state.jobs_with_cancels_to_pass_on():
+                    tasks.start_soon(self._cancels.pass_on_until_stored, job_id)
                 tasks.start_soon(self._rule_out_unrecorded_runs)
                 tasks.start_soon(self._journal.run)
                 tasks.start_soon(self._journal.run_forgetting)
@@ -399,8 +403,10 @@
     def _apply_intake_record(self, record):
         cancellation = decode_cancellation(record, self._report)
         if cancellation is not None:
-            job_id, customer = cancellation
-            self._state.cancel(job_id, self._clock(), customer)
+            job_id, cancel = cancellation
+            self._state.cancel(job_id, self._clock(), cancel.customer, cancel.version)
+            if self._state.cancels_to_pass_on(job_id)[1]:
+                self._tasks.start_soon(self._cancels.pass_on_until_stored, job_id)
         known = self._state.jobs.get(record.key)
         if known is not None and not known.customer:
             return
@@ -471,10 +477,17 @@
         Returns:
             The job's ``JobState`` if this pool has it, or None if it never will, except
             by a later configuration.
+
+        Raises:
+            NotOwner: The other pool may lack a cancellation of the job.
         """
         if job_id not in self._state.jobs:
             self._state.decline(job_id, version, target, self._wall_clock())
             await self._journal.flush()
+            try:
+                await self._cancels.pass_on(job_id)
+            except PlatformError as error:
+                raise NotOwner(f"cancellation not passed on: {error}") from error
         job = self._state.jobs.get(job_id)
         return job.state if job else None
 
--- a/basilwind/entry/takeover.py
+++ b/basilwind/entry/takeover.py
@@ -95,8 +95,8 @@
     for record in submissions:
         cancellation = decode_cancellation(record, report)
         if cancellation is not None:
-            job_id, customer = cancellation
-            state.cancel(job_id, clock(), customer)
+            job_id, cancel = cancellation
+            state.cancel(job_id, clock(), cancel.customer, cancel.version)
     return follow_from, elsewhere
 
 
--- a/basilwind/scheduling/pool_jobs.py
+++ b/basilwind/scheduling/pool_jobs.py
@@ -94,7 +94,8 @@
         self._arrived_jobs = 0
         # Steps that may have waiting tasks; a dict keeps their order.
         self._ready = {}
-        # Customers whose cancellation of a job arrived before its submission, by id.
+        # Cancellations that arrived before the submission, by id: version of the
+        # decline by which each was passed on last (0 if by none), by customer.
         self._early_cancels = {}
         # Ids of live jobs whose occurrences have due times.
         self._timed_jobs = set()
@@ -164,6 +165,8 @@
         for job_id, declined in list(self.declined.items()):
             if abs(wall_time - declined.declined_at) > DECLINE_VALID_S:
                 del self.declined[job_id]
+                # Their records are deleted with those of the declined job.
+                self._early_cancels.pop(job_id, None)
                 if job_id not in self.jobs:
                     self.dropped.append(job_id)
 
@@ -194,7 +197,42 @@
                 if not step.is_done and all(steps[n].is_done for n in step.spec.after):
                     self._ready[step] = None
 
-    def cancel(self, job_id, now, customer=""):
+    def cancels_to_pass_on(self, job_id):
+        """Returns the ``DeclineRecord`` of a job and the customers that cancelled it.
+
+        Only cancellations that were not passed on by this decline or a later one
+        count, so that they end where two pools decline a job in each other's favour.
+
+        Args:
+            job_id: Id of the job.
+        """
+        declined = self.declined.get(job_id)
+        if declined is None:
+            return None, []
+        cancels = self._early_cancels.get(job_id, {})
+        return declined, [
+            customer
+            for customer, version in cancels.items()
+            if version < declined.version
+        ]
+
+    def note_cancel_passed_on(self, job_id, customer, version):
+        """Notes that the pool that gets a job has a cancellation of it.
+
+        Args:
+            job_id: Id of the job.
+            customer: Name of the customer that cancelled it.
+            version: Version of the configuration by which the job was declined.
+        """
+        cancels = self._early_cancels.get(job_id, {})
+        if customer in cancels:
+            cancels[customer] = max(version, cancels[customer])
+
+    def jobs_with_cancels_to_pass_on(self):
+        """Returns the ids of declined jobs with cancellations to pass on."""
+        return [name for name in self.declined if self.cancels_to_pass_on(name)[1]]
+
+    def cancel(self, job_id, now, customer="", version=0):
         """Cancels a job; an unknown job is cancelled once it is submitted.
 
         Args:
@@ -202,10 +240,12 @@
             now: Boot time in seconds.
             customer: Name of the customer that cancels it. Another customer's job is
                 not cancelled.
+            version: See ``CancelRecord``.
         """
         job = self.jobs.get(job_id)
         if job is None:
-            self._early_cancels.setdefault(job_id, set()).add(customer)
+            versions = self._early_cancels.setdefault(job_id, {})
+            versions[customer] = max(version, versions.get(customer, 0))
         elif is_foreign(job.customer, customer):
             self._report(
                 "cancel ignored",
--- a/basilwind/scheduling/records.py
+++ b/basilwind/scheduling/records.py
@@ -112,13 +112,16 @@
 
 
 class CancelRecord(msgspec.Struct, array_like=True):
-    """A cancellation by a customer.
+    """A cancellation.
 
     Attributes:
-        customer: Name of the customer.
+        customer: Name of the customer that sent it; empty if there is none.
+        version: Version of the configuration by which the pool that has passed it on
+            declined the job; 0 if a caller sent it.
     """
 
-    customer: Name
+    customer: OptionalName
+    version: Count = 0
 
 
 class DeclineRecord(msgspec.Struct, array_like=True):
--- a/tests/entry/test_moved_route.py
+++ b/tests/entry/test_moved_route.py
@@ -17,7 +17,7 @@
 
 from basilwind.entry.caller_app import CallerApp
 from basilwind.entry.configuration import ConfigurationWatcher
-from basilwind.entry.intake import cancellation_key, intake_topic
+from basilwind.entry.intake import CANCEL_VALUE, cancellation_key, intake_topic
 from basilwind.entry.journal import DECLINE_PREFIX, journal_topic
 from basilwind.entry.owner import PoolOwner
 from basilwind.entry.peer_messages import QueueResponse
@@ -35,7 +35,7 @@
 from basilwind.scheduling.jobs import JobState, JobStatus
 from basilwind.scheduling.pool import PoolState
 from basilwind.scheduling.pool_jobs import DECLINE_VALID_S
-from basilwind.scheduling.records import DeclineRecord, SubmissionRecord
+from basilwind.scheduling.records import CancelRecord, DeclineRecord, SubmissionRecord
 from tests.scheduling.model import QUEUE, WORKER_LIMITS, make_job
 from tests.utils.entry_fakes import CONFIGURATION, Clock, FakeStore, make_services
 
@@ -43,6 +43,13 @@
 PATH = f"{QUEUE.path_prefix}{JOB}"
 BODY = b'{"spec":"x","steps":[{"count":1,"cpu":100,"memMb":10}]}'
 OLD = PastRoute("old", "q-old")
+CANCELLATION = KeyedRecord(0, cancellation_key(JOB), CANCEL_VALUE)
+
+
+def make_state(pool):
+    return PoolState(
+        pool, 1, lambda name: QUEUE, 60.0, lambda *_, **__: None, WORKER_LIMITS
+    )
 
 
 class FakePeers:
@@ -255,10 +262,85 @@
         self.assertEqual(self.services.worker_control.starts, [(f"{JOB}.0.0.0", 1)])
         self.assertEqual(self._forwarded_versions(), [])
 
+    def _cancels(self):
+        return [
+            msgspec.json.decode(value, type=CancelRecord)
+            for key, value in self._records(intake_topic("new"))
+            if key == cancellation_key(JOB)
+        ]
+
+    def test_cancel_of_a_job_that_is_declined_later_reaches_the_other_pool(self):
+        # Fails before the fix: the job was accepted elsewhere and was never cancelled.
+        async def scenario(owner):
+            owner._apply_intake_record(CANCELLATION)
+            self.assertEqual(self._cancels(), [])
+            self.assertIsNone(await owner.decline(JOB, 2, "new"))
+            self.assertEqual(self._cancels(), [CancelRecord("", 2)])
+
+        self._run(scenario)
+
+    def test_cancel_of_a_declined_job_reaches_the_other_pool_once(self):
+        async def scenario(owner):
+            await owner.decline(JOB, 2, "new")
+            owner._apply_intake_record(CANCELLATION)
+            await anyio.sleep(0.05)
+            owner._apply_intake_record(CANCELLATION)
+
+        self._run(scenario)
+        self.assertEqual(self._cancels(), [CancelRecord("", 2)])
+
+    def test_cancel_of_a_declined_job_is_passed_on_by_the_next_owner(self):
+        decline = DeclineRecord(2, "new", self.clock())
+        self.services.store.latest = {
+            intake_topic("pool"): [CANCELLATION],
+            journal_topic("pool"): [
+                KeyedRecord(1, DECLINE_PREFIX + JOB, msgspec.json.encode(decline))
+            ],
+        }
+
+        async def scenario(owner):
+            await anyio.sleep(0.05)
+
+        self._run(scenario)
+        self.assertEqual(self._cancels(), [CancelRecord("", 2)])
+
+    def test_job_is_not_declined_before_its_cancellation_is_stored_elsewhere(self):
+        async def refuse(topic, records, **options):
+            if topic == intake_topic("new"):
+                raise StoreRefused("away")
+            return 0
+
+        async def scenario(owner):
+            owner._apply_intake_record(CANCELLATION)
+            self.services.store.append = refuse
+            with self.assertRaises(NotOwner):
+                await owner.decline(JOB, 2, "new")
+
+        self._run(scenario)
+
+    def test_cancel_is_not_passed_on_for_ever_between_two_pools(self):
+        # Each has declined the job in favour of the other; the later decline counts.
+        declines = {"a": (2, "b"), "b": (3, "a")}
+        states = {}
+        for pool, (version, target) in declines.items():
+            states[pool] = make_state(pool)
+            states[pool].decline(JOB, version, target, 1000.0)
+        in_flight, sent = [("a", 0)], []
+        while in_flight and len(sent) < 10:
+            pool, version = in_flight.pop()
+            state = states[pool]
+            state.cancel(JOB, 1000.0, "", version)
+            declined, customers = state.cancels_to_pass_on(JOB)
+            for customer in customers:
+                state.note_cancel_passed_on(JOB, customer, declined.version)
+                in_flight.append((declined.target, declined.version))
+                sent.append(declined.target)
+        self.assertEqual(sent, ["b", "a"])
+        states["a"].submit(JOB, "q", make_job(count=1), 1000.0, 1000.0, 1000.0)
+        self.assertIs(states["a"].jobs[JOB].state, JobState.CANCELLED)
+
     def test_decline_is_dropped_after_a_while(self):
-        state = PoolState(
-            "pool", 1, lambda name: QUEUE, 60.0, lambda *_, **__: None, WORKER_LIMITS
-        )
+        state = make_state("pool")
         state.decline(JOB, 2, "new", 1000.0)
         state.drop_declines(1000.0 + DECLINE_VALID_S)
         self.assertIsNotNone(state.find_decline(JOB, 2))
@@ -285,17 +367,7 @@
             pools_by_version: Pool to which each version of the configuration leads.
             order: ``random.Random`` that chooses the next call.
         """
-        states = [
-            PoolState(
-                str(n),
-                1,
-                lambda name: QUEUE,
-                60.0,
-                lambda *_, **__: None,
-                WORKER_LIMITS,
-            )
-            for n in range(3)
-        ]
+        states = [make_state(str(n)) for n in range(3)]
         in_flight = []  # submissions that a pool's owner has not read yet
 
         def attempt(version, pool):
