Soak: move a path past an outdated daemon, and silence single long polls

python -m extras.soak.outdated_views plays both shapes at once: the store turns a daemon away or is silent to it while a path moves, and GET, POST and DELETE go to that daemon; and the next long poll of one pool's submissions gets no answer while all else works. Accepted jobs must not be denied after 3 s, cancelled ones must end.

--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 	@echo "make test                                run all tests"
 	@echo "make lint | format                       check or fix formatting"
 	@echo "make bench                               run every measurement"
-	@echo "make soak                                play 50 seeds of faults, 10 of cut connections"
+	@echo "make soak                                play 50 seeds of faults, 10 of each other play"
 	@echo "make generate                            regenerate the settings models"
 
 $(VENV)/.installed: requirements.txt requirements-dev.txt pyproject.toml
@@ -46,6 +46,7 @@
 soak: install
 	$(BIN)/python -m extras.soak --seeds 1-50 --logs soak-logs
 	$(BIN)/python -m extras.soak.partitions --seeds 1-10 --logs soak-logs/partitions
+	$(BIN)/python -m extras.soak.outdated_views --seeds 1-10 --logs soak-logs/outdated
 
 generate: install
 	PYTHON=$(BIN)/python extras/generate_settings.sh
--- a/extras/soak/partition_fleet.py
+++ b/extras/soak/partition_fleet.py
@@ -70,6 +70,13 @@
         self.fault = ""
         self.fault_topics = ()
         self.delay_s = 0.5
+        self._silent_poll = "", None
+
+    async def silence_next_poll(self, topic):
+        """Waits until a long poll of a topic arrives, which gets no answer."""
+        arrived = anyio.Event()
+        self._silent_poll = topic, arrived
+        await arrived.wait()
 
     def _current_fault(self, topic):
         is_meant = not self.fault_topics or topic in self.fault_topics
@@ -80,6 +87,11 @@
         topic = request.query.get("topic", "")
         fault, delay_s = self._current_fault(topic), self.delay_s
         is_append = request.path == "/log-append"
+        silent_topic, arrived = self._silent_poll
+        if topic == silent_topic and "waitMs" in request.query:
+            self._silent_poll = "", None
+            arrived.set()
+            return NO_ANSWER
         if fault == "refuse":
             return HttpResponse(503)
         if fault == "silent":
@@ -155,6 +167,7 @@
         self._worker_processes = {}
         self._registered = {}
         self._lives = 0
+        self._version = 0
         self.restarting = set()
         self.draining = set()
         self.events = []
@@ -251,7 +264,7 @@
 
     async def run(self, task_status=anyio.TASK_STATUS_IGNORED):
         """Serves the store and starts all processes; runs until cancelled."""
-        self._configure()
+        self.configure()
         self._open_links()
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
@@ -284,12 +297,21 @@
         self._reservation.close()
         self._files.cleanup()
 
-    def _configure(self):
+    def configure(self, moved_to=None):
+        """Publishes the next version of the configuration.
+
+        Args:
+            moved_to: Pool to which the path ``/moved/`` leads; None for no such path.
+        """
+        self._version += 1
+        paths = {f"/{pool}/": pool for pool in POOLS}
+        if moved_to is not None:
+            paths["/moved/"] = moved_to
         routes = [
             {
-                "name": f"q-{pool}",
+                "name": f"q-{path.strip('/')}-{pool}",
                 "host": "fleet.example",
-                "pathPrefix": f"/{pool}/",
+                "pathPrefix": path,
                 "timeoutMs": 3000,
                 "targetDurationMs": 600,
                 "priority": 0,
@@ -297,11 +319,12 @@
                 "attempts": 3,
                 "stretch": 1.6,
             }
-            for pool in POOLS
+            for path, pool in paths.items()
         ]
         services = [{"name": pool} for pool in POOLS]
-        document = {"version": 1, "routes": routes, "services": services}
+        document = {"version": self._version, "routes": routes, "services": services}
         self.store.write("keyed.op", "config", json.dumps(document).encode())
+        self.note("configuration", version=self._version, moved_to=moved_to)
 
     def _settings(self, index):
         port, zone = self.ports[index], self.zone_of(index)
@@ -491,6 +514,16 @@
                 holders[key] = int(host.rpartition("-")[2])
         return holders
 
+    def running(self, job_id):
+        """Returns the names of a job's tasks that execute."""
+        running = set()
+        for event in self.events:
+            if event["event"] == "start" and event["task"].startswith(job_id):
+                running.add((event["task"], event["run"]))
+            elif event["event"] == "end":
+                running.discard((event["task"], event["run"]))
+        return sorted(task for task, _ in running)
+
     async def call(self, method, index, path, body=None):
         """Calls a daemon as a client does; returns the status, or None."""
         url = f"http://127.0.0.1:{self.ports[index]}{path}"
--- a/tests/processes/test_partitions.py
+++ b/tests/processes/test_partitions.py
@@ -4,6 +4,7 @@
 
 import anyio
 
+from extras.soak.outdated_views import OutdatedViewPlay
 from extras.soak.overlaps import collect_runs, find_overlaps
 from extras.soak.partition_faults import UNHEARD_RESTART
 from extras.soak.partitions import PartitionPlay
@@ -184,3 +185,12 @@
             finds, runs = anyio.run(play.run)
         self.assertEqual(finds, [])
         self.assertGreater(len(runs), MIN_RUNS)
+
+
+class TestOutdatedViewPlay(unittest.TestCase):
+    def test_outdated_daemons_deny_no_job_and_lose_no_cancel(self):
+        # Regression (review/12, review/13): real processes, one round of both faults.
+        with tempfile.TemporaryDirectory() as folder:
+            play = OutdatedViewPlay(1, 1, None, folder)
+            anyio.run(play.run)
+        self.assertEqual(play.finds, [])
