--- a/tests/entry/test_hostile_records.py
+++ b/tests/entry/test_hostile_records.py
@@ -35,6 +35,7 @@
 from tests.entry.test_caller_app import FakePeers as NoPeers
 from tests.platform.test_borders import DEPTH, WORKER, hostile
 from tests.scheduling.model import QUEUE, make_job
+from tests.utils.asgi import call
 from tests.utils.entry_fakes import Clock, FakePeers, FakeStore, make_services
 
 DEEP = b"[" * DEPTH
@@ -169,26 +170,14 @@
 class TestRequests(unittest.TestCase):
     def _respond(self, app, method, path, body, headers=()):
         """Returns the status and the body of a response."""
-        scope = {
-            "method": method,
-            "path": path,
-            "headers": [(b"host", b"host"), *headers],
-            "query_string": b"",
-        }
-        sent = []
-
-        async def receive():
-            return {"type": "http.request", "body": body}
-
-        async def send(message):
-            sent.append(message)
+        headers = [(b"host", b"host"), *headers]
 
         async def main():
             with anyio.fail_after(2.0):
-                await app(scope, receive, send)
+                return await call(app, method, path, body, headers)
 
-        anyio.run(main)
-        return sent[0]["status"], sent[1]["body"]
+        start, answer = anyio.run(main)
+        return start["status"], answer
 
     def _caller_app(self):
         services = make_services(Clock())
--- a/tests/entry/test_intake_router.py
+++ b/tests/entry/test_intake_router.py
@@ -17,6 +17,7 @@
 from basilwind.scheduling.ownership import Claim
 from basilwind.scheduling.records import SubmissionRecord
 from tests.scheduling.model import QUEUE
+from tests.utils.asgi import call
 from tests.utils.entry_fakes import Clock, make_services
 
 JOB = "a" * 16
@@ -152,22 +153,8 @@
         services.routes.others = {PastRoute(pool, "q-old") for pool in past_pools}
         app = PeerApp(lambda pool: None, lambda pool: intake, services, None)
         body = msgspec.json.encode(RelayedRecord(queue, key, value))
-        scope = {
-            "method": "POST",
-            "path": "/intake/pool",
-            "headers": [],
-            "query_string": b"",
-        }
-        sent = []
-
-        async def receive():
-            return {"type": "http.request", "body": body}
-
-        async def send(message):
-            sent.append(message)
-
-        anyio.run(app, scope, receive, send)
-        return sent[0]["status"]
+        start, _ = anyio.run(call, app, "POST", "/intake/pool", body)
+        return start["status"]
 
     def test_peer_stores_or_refuses(self):
         intake = FakeIntake()
--- a/tests/entry/test_keys.py
+++ b/tests/entry/test_keys.py
@@ -33,6 +33,7 @@
 )
 from tests.entry.test_key_ring import REVOKE_S, keyed_configuration
 from tests.scheduling.model import QUEUE, make_job
+from tests.utils.asgi import call
 from tests.utils.entry_fakes import CONFIGURATION, Clock, make_services
 from tests.utils.transport_fakes import FakeTransport
 
@@ -106,26 +107,14 @@
             lambda: False,
             lambda *_: None,
         )
-        scope = {
-            "method": method,
-            "path": path,
-            "headers": [(b"host", b"host"), (b"x-key", key.encode())],
-            "query_string": b"",
-        }
-        sent = []
-
-        async def receive():
-            return {"type": "http.request", "body": BODY if method == "POST" else b""}
-
-        async def send(message):
-            sent.append(message)
+        headers = [(b"host", b"host"), (b"x-key", key.encode())]
+        body = BODY if method == "POST" else b""
 
         async def main():
             with anyio.fail_after(2.0):
-                await app(scope, receive, send)
+                return await call(app, method, path, body, headers)
 
-        anyio.run(main)
-        return sent[0], sent[1]["body"]
+        return anyio.run(main)
 
     def _status(self, *arguments, **options):
         return self._call(*arguments, **options)[0]["status"]
--- a/tests/entry/test_moved_route.py
+++ b/tests/entry/test_moved_route.py
@@ -37,6 +37,7 @@
 from basilwind.scheduling.pool_jobs import DECLINE_VALID_S
 from basilwind.scheduling.records import CancelRecord, DeclineRecord, SubmissionRecord
 from tests.scheduling.model import QUEUE, WORKER_LIMITS, make_job
+from tests.utils.asgi import call
 from tests.utils.entry_fakes import CONFIGURATION, Clock, FakeStore, make_services
 
 JOB = "a" * 16
@@ -108,29 +109,23 @@
             lambda: False,
             lambda *_: None,
         )
-        scope = {
-            "method": method,
-            "path": path,
-            "headers": [(b"host", b"host"), (b"x-deadline-ms", b"400")],
-            "query_string": b"",
-        }
-        sent = []
-
-        async def receive():
-            return {"type": "http.request", "body": BODY if method == "POST" else b""}
+        headers = [(b"host", b"host"), (b"x-deadline-ms", b"400")]
+        answers = []
 
-        async def send(message):
-            sent.append(message)
+        async def send():
+            body = BODY if method == "POST" else b""
+            answers.append(await call(app, method, path, body, headers))
 
         async def main():
             async with anyio.create_task_group() as tasks:
-                tasks.start_soon(app, scope, receive, send)
+                tasks.start_soon(send)
                 for _ in range(100):
                     await anyio.sleep(0.001)
                     self.clock.now += 0.02
 
         anyio.run(main)
-        return sent[0]["status"], sent[1]["body"]
+        ((start, body),) = answers
+        return start["status"], body
 
 
 class TestCallers(CallerTestCase):
--- a/tests/entry/test_outdated_configuration.py
+++ b/tests/entry/test_outdated_configuration.py
@@ -25,6 +25,7 @@
 from basilwind.scheduling.outages import SUSPECT_AFTER_S
 from basilwind.scheduling.ownership import Claim
 from tests.scheduling.model import QUEUE
+from tests.utils.asgi import AppTransport, call
 from tests.utils.entry_fakes import CONFIGURATION, Clock, make_services
 
 JOB = "a" * 16
@@ -111,29 +112,22 @@
             lambda: False,
             lambda *_: None,
         )
-        scope = {
-            "method": method,
-            "path": path,
-            "headers": [(b"host", b"host"), (b"x-deadline-ms", b"100")],
-            "query_string": b"",
-        }
-        sent = []
+        headers = [(b"host", b"host"), (b"x-deadline-ms", b"100")]
+        answers = []
 
-        async def receive():
-            return {"type": "http.request", "body": b""}
-
-        async def send(message):
-            sent.append(message)
+        async def send():
+            answers.append(await call(app, method, path, headers=headers))
 
         async def main():
             async with anyio.create_task_group() as tasks:
-                tasks.start_soon(app, scope, receive, send)
-                while not sent:
+                tasks.start_soon(send)
+                while not answers:
                     await anyio.sleep(0.001)
                     self.clock.now += 0.02
 
         anyio.run(main)
-        return sent[0]["status"]
+        ((start, _),) = answers
+        return start["status"]
 
 
 class TestCancel(OutdatedDaemon):
@@ -265,26 +259,7 @@
     def _ask(self):
         app = PeerApp(lambda pool: None, None, self.services, None)
 
-        async def call(method, url, timeout_s, body=None):
-            sent = []
-
-            async def receive():
-                return {"type": "http.request", "body": body}
-
-            async def send(message):
-                sent.append(message)
-
-            path = url.removeprefix(f"http://{PEER.address}")
-            scope = {
-                "method": method,
-                "path": path,
-                "headers": [],
-                "query_string": b"",
-            }
-            await app(scope, receive, send)
-            return sent[0]["status"], sent[1]["body"]
-
-        client = PeerClient(types.SimpleNamespace(call=call), None, None)
+        client = PeerClient(AppTransport(app), None, None)
         answer = anyio.run(client.path_pools, PEER, QUEUE.path)
         return None if answer is None else answer.pools
 
--- a/tests/entry/test_quota_granter.py
+++ b/tests/entry/test_quota_granter.py
@@ -30,6 +30,7 @@
 from basilwind.scheduling.quota_ledger import QuotaLedger
 from tests.scheduling.model import PoolModel, make_job
 from tests.scheduling.test_quota import make_quota
+from tests.utils.asgi import AppTransport, call
 from tests.utils.entry_fakes import CONFIGURATION, Clock, FakeStore, make_services
 
 SETTLE_S = 0.3  # some scheduling rounds and calls
@@ -371,38 +372,6 @@
         self.assertEqual(self.watcher.customer_names(), [])
 
 
-async def call_app(app, method, path, body=b""):
-    """Returns the status and the body of an ASGI application's answer."""
-    sent = []
-
-    async def receive():
-        return {"type": "http.request", "body": body, "more_body": False}
-
-    async def send(message):
-        sent.append(message)
-
-    scope = {
-        "type": "http",
-        "method": method,
-        "path": path,
-        "headers": [],
-        "query_string": b"",
-    }
-    await app(scope, receive, send)
-    return sent[0]["status"], b"".join(part.get("body", b"") for part in sent)
-
-
-class AppTransport:
-    """A transport whose calls reach an ASGI application."""
-
-    def __init__(self, app):
-        self._app = app
-
-    async def call(self, method, url, timeout_s, body=None):
-        path = "/" + url.removeprefix("http://").partition("/")[2]
-        return await call_app(self._app, method, path, body)
-
-
 class TestReports(unittest.TestCase):
     """Reports are small, but the granter gets every row again now and then."""
 
@@ -474,7 +443,7 @@
             pool="pool", summary=lambda: (0, 0, 0), quota_summary=lambda: rows
         )
         metrics = EntryMetrics(lambda: [owner])
-        _, body = anyio.run(call_app, metrics, "GET", "/metrics")
+        _, body = anyio.run(call, metrics, "GET", "/metrics")
         text = body.decode()
         self.assertIn('customer="other",kind="used",pool="pool"} 50.0', text)
         self.assertEqual(text.count('kind="granted"'), 101)
--- a/tests/entry/test_silent_connection.py
+++ b/tests/entry/test_silent_connection.py
@@ -28,6 +28,7 @@
 from basilwind.scheduling.jobs import JobState
 from basilwind.scheduling.records import SubmissionRecord
 from tests.scheduling.model import QUEUE, make_job
+from tests.utils.asgi import AppTransport
 from tests.utils.entry_fakes import make_services
 from tests.utils.log_store import LogStore, LogTopics
 from tests.utils.virtual_time import run_in_virtual_time
@@ -210,28 +211,7 @@
         owner = types.SimpleNamespace(job_state=job_state)
         app = PeerApp(lambda pool: owner, None, None, None)
 
-        async def call(method, url, timeout_s, body=None):
-            sent = []
-
-            async def receive():
-                return {"type": "http.request", "body": b""}
-
-            async def send(message):
-                sent.append(message)
-
-            path = url.removeprefix("http://h:1")
-            scope = {
-                "method": method,
-                "path": path,
-                "headers": [],
-                "query_string": b"",
-            }
-            await app(scope, receive, send)
-            return sent[0]["status"], sent[1]["body"]
-
-        peers = PeerClient(
-            types.SimpleNamespace(call=call), lambda pool: None, lambda pool: "h:1"
-        )
+        peers = PeerClient(AppTransport(app), lambda pool: None, lambda pool: "h:1")
         for must_confirm in (False, True):
             self.assertIsNone(anyio.run(peers.job_state, "pool", JOB, must_confirm))
         self.assertEqual(asked, [(JOB, False), (JOB, True)])
--- a/tests/entry/test_where.py
+++ b/tests/entry/test_where.py
@@ -19,6 +19,7 @@
 from basilwind.entry.where import WhereAnswers
 from basilwind.scheduling.where import Reason
 from basilwind.status import ExitStatus
+from tests.utils.asgi import AppTransport, call
 from tests.utils.entry_fakes import Clock, make_services
 
 JOB = b'{"steps":[{"count":2,"cpu":100}]}'
@@ -33,32 +34,6 @@
         return [Reason("asked", text)]
 
 
-async def call(app, path, body):
-    """Returns status and body of an application's answer to a POST."""
-    sent = []
-
-    async def receive():
-        return {"type": "http.request", "body": body}
-
-    async def send(message):
-        sent.append(message)
-
-    scope = {"method": "POST", "path": path, "headers": [], "query_string": b""}
-    await app(scope, receive, send)
-    return sent[0]["status"], b"".join(part.get("body", b"") for part in sent[1:])
-
-
-class PeerTransport:
-    """Delivers calls to the owner's daemon."""
-
-    def __init__(self, app):
-        self._app = app
-
-    async def call(self, method, url, timeout_s, body=None):
-        path = url.removeprefix(f"http://{OWNER_ADDRESS}")
-        return await call(self._app, path, body)
-
-
 class TestWhere(unittest.TestCase):
     """A question to a daemon that does not own the pool."""
 
@@ -67,11 +42,12 @@
         services = make_services(Clock())
         owner_app = PeerApp(lambda pool: owner, None, services, None)
         peers = PeerClient(
-            PeerTransport(owner_app), lambda pool: None, lambda pool: address
+            AppTransport(owner_app), lambda pool: None, lambda pool: address
         )
         app = PeerApp(None, None, services, WhereAnswers(services, peers).answer)
         question = msgspec.json.encode(WhereRequest("host", path, job, "acme"))
-        return anyio.run(call, app, "/where", question)
+        start, body = anyio.run(call, app, "POST", "/where", question)
+        return start["status"], body
 
     def _reasons(self, **options):
         status, body = self._ask(**options)
