Refuse cancels at once while nobody can store them

The check is the one that the intake makes, and a daemon with a peer that the store serves goes on as before.

test_public_queue_does_not_reach_jobs_of_customers let 60 s pass in which the fake store had answered nothing; it now says that it has.

--- a/basilwind/entry/caller_app.py
+++ b/basilwind/entry/caller_app.py
@@ -306,6 +306,11 @@
         return None
 
     async def _cancel(self, queue, job_id, customer, started_at, deadline):
+        is_store_away = self._services.store_monitor.is_unavailable
+        if is_store_away and not self._services.outage.relays():
+            reason = "the platform's store is away"
+            self._report_cancel(queue, job_id, 503, reason=reason)
+            return _unavailable_response(reason)
         try:
             targets = await self._locator.cancel_targets(queue, job_id, started_at)
         except NotStarted as error:
--- a/tests/entry/test_keys.py
+++ b/tests/entry/test_keys.py
@@ -185,6 +185,7 @@
             configuration, queues={PUBLIC.name: PUBLIC}
         )
         self.clock.now += 60.0
+        self.services.store_monitor.record_answer(self.clock())
         self.assertEqual(self._status("POST", key=""), 200)
         self.assertEqual(decode_submission(self.stored[JOB]).customer, "")
         self.assertEqual(self._status("DELETE", key="k1"), 200)
--- a/tests/entry/test_outdated_configuration.py
+++ b/tests/entry/test_outdated_configuration.py
@@ -17,6 +17,7 @@
 from basilwind.entry.peer_app import PeerApp
 from basilwind.entry.peer_client import PeerClient
 from basilwind.entry.route_history import PastRoute
+from basilwind.entry.store_monitor import UNAVAILABLE_S
 from basilwind.errors import NotOwner, NotStarted, StoreRefused, StoreUnanswered
 from basilwind.platform.store import KeyedRecord
 from basilwind.scheduling.evidence import MAX_DENIAL_AGE_S
@@ -133,7 +134,7 @@
 class TestCancel(OutdatedDaemon):
     def test_cancel_reaches_the_pool_of_a_version_that_this_daemon_missed(self):
         # Fails before the fix: stored for "pool" only.
-        self._lose_store()
+        self._lose_store(["pool"])
         self.peers.jobs["new"] = RUNNING
         self.assertEqual(self._status("DELETE"), 200)
         self.assertEqual(self.stored, [("new", KEY)])
@@ -174,6 +175,15 @@
         self.assertEqual(self.stored, [])
         self.assertEqual(dict(self.lines)["job cancel"]["status"], 503)
 
+    def test_cancel_is_refused_at_once_while_nobody_can_store_it(self):
+        async def job_state(pool, job_id, must_confirm=False):
+            self.fail("a refusal needs no owner")
+
+        self._lose_store()
+        self.clock.now += UNAVAILABLE_S
+        self.peers.job_state = job_state
+        self.assertEqual(self._status("DELETE"), 503)
+
     def test_read_from_before_a_suspension_proves_nothing(self):
         # A trial of the review: 2.3 s of suspension were enough.
         self.clock.now += 2.3
